--- /dev/null
+++ b/Makefile
@@ -0,0 +1,139 @@
+# Build, tests and demonstration of catkinstall.
+#   make          build the programs
+#   make demo     run the main job: local configuration, one call a priority
+#   make check    build and run all tests
+#   make lint     formatter and linter
+#   make bench    measurements (not a test)
+#   make deps     install what pkg-config misses (Debian packages)
+
+CC = gcc
+CFLAGS = -O2 -g
+BUILD = build
+PACKAGES = glib-2.0 gio-2.0 gio-unix-2.0 libsoup-3.0 json-glib-1.0 \
+	libprotobuf-c cmocka libxxhash gsl
+DEBIAN_PACKAGES = libglib2.0-dev libsoup-3.0-dev libjson-glib-dev \
+	libprotobuf-c-dev protobuf-c-compiler libcmocka-dev libxxhash-dev \
+	libgsl-dev spin pkg-config
+
+ALL_CFLAGS = -std=gnu11 -D_GNU_SOURCE -I. -Wall -Wextra -Wshadow \
+	-Wstrict-prototypes -Wmissing-prototypes -Werror $(CFLAGS)
+# The decisions see GLib and xxHash only: an include of anything else fails.
+LIB_FLAGS = $(shell pkg-config --cflags glib-2.0 libxxhash)
+ALL_FLAGS = $(shell pkg-config --cflags $(PACKAGES))
+LIBS = $(shell pkg-config --libs glib-2.0 gio-2.0 libsoup-3.0 json-glib-1.0 \
+	libprotobuf-c libxxhash)
+LIB_ONLY = $(shell pkg-config --libs glib-2.0 libxxhash)
+TEST_LIBS = $(shell pkg-config --libs cmocka)
+BENCH_LIBS = $(shell pkg-config --libs gsl)
+
+LIB_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard lib/*/*.c))
+NET_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard codec/*.c net/*.c proto/*.c))
+CTL_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/ctl_*.c))
+# Code that several tests or benchmarks share, not a program of its own.
+TEST_SUPPORT = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/support*.c))
+
+PROGRAMS = $(BUILD)/catkinstalld $(BUILD)/catkinctl
+FAKES = $(patsubst tests/fakes/%.c,$(BUILD)/%,$(wildcard tests/fakes/*.c))
+TESTS = $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_*.c))
+BENCHES = $(patsubst bench/%.c,$(BUILD)/%,$(wildcard bench/bench_*.c))
+
+all: $(PROGRAMS)
+
+deps:
+	@pkg-config --exists $(PACKAGES) && command -v spin protoc-c >/dev/null || \
+	{ apt-get update && apt-get install -y --no-install-recommends \
+	$(DEBIAN_PACKAGES); }
+
+$(BUILD)/lib/%.o: lib/%.c
+	@mkdir -p $(@D)
+	@echo "CC $<"
+	@$(CC) $(ALL_CFLAGS) $(LIB_FLAGS) -MMD -MP -c $< -o $@
+
+# Generated code keeps the generator's own style.
+$(BUILD)/proto/%.o: proto/%.c
+	@mkdir -p $(@D)
+	@echo "CC $<"
+	@$(CC) -std=gnu11 -I. $(CFLAGS) $(ALL_FLAGS) -MMD -MP -c $< -o $@
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	@echo "CC $<"
+	@$(CC) $(ALL_CFLAGS) $(ALL_FLAGS) -MMD -MP -c $< -o $@
+
+$(BUILD)/libcatkinstall.a: $(LIB_OBJECTS)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(BUILD)/libcatkinstall-net.a: $(NET_OBJECTS)
+	@rm -f $@
+	@ar rcs $@ $^
+
+LINK_ALL = $(BUILD)/libcatkinstall-net.a $(BUILD)/libcatkinstall.a
+
+$(BUILD)/catkinstalld: $(BUILD)/programs/catkinstalld.o $(LINK_ALL)
+	@echo "LD $@"
+	@$(CC) -o $@ $^ $(LIBS)
+
+$(BUILD)/catkinctl: $(BUILD)/programs/catkinctl.o $(CTL_OBJECTS) $(LINK_ALL)
+	@echo "LD $@"
+	@$(CC) -o $@ $^ $(LIBS)
+
+$(FAKES): $(BUILD)/%: $(BUILD)/tests/fakes/%.o $(LINK_ALL)
+	@echo "LD $@"
+	@$(CC) -o $@ $^ $(LIBS)
+
+$(TESTS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_SUPPORT) $(LINK_ALL)
+	@echo "LD $@"
+	@$(CC) -o $@ $^ $(LIBS) $(TEST_LIBS)
+
+$(BENCHES): $(BUILD)/%: $(BUILD)/bench/%.o $(TEST_SUPPORT) $(LINK_ALL)
+	@echo "LD $@"
+	@$(CC) -o $@ $^ $(LIBS) $(BENCH_LIBS) -lm
+
+# Proves that the decisions link without sockets, HTTP or protobuf-c.
+$(BUILD)/lib_links_alone: $(BUILD)/libcatkinstall.a
+	@echo 'int main(void) { return 0; }' > $(BUILD)/empty_main.c
+	@echo "LD $@"
+	@$(CC) -o $@ $(BUILD)/empty_main.c -Wl,--whole-archive $< \
+	-Wl,--no-whole-archive $(LIB_ONLY)
+
+proto/peer.pb-c.c: proto/peer.proto
+	protoc-c --c_out=. proto/peer.proto
+
+build-all: deps
+	$(MAKE) all $(FAKES) $(TESTS) $(BUILD)/lib_links_alone
+
+check: build-all
+	tests/run $(BUILD)
+
+# All tests with AddressSanitizer, in a build folder of its own.
+asan:
+	G_SLICE=always-malloc ASAN_OPTIONS=detect_leaks=0 $(MAKE) check \
+	BUILD=build-asan CFLAGS='-O1 -g -fsanitize=address' \
+	LIB_ONLY='$(LIB_ONLY) -fsanitize=address' CC='gcc -fsanitize=address'
+
+demo: deps
+	$(MAKE) all $(FAKES)
+	examples/demo $(BUILD)
+
+bench: deps
+	$(MAKE) all $(FAKES) $(BENCHES)
+	bench/run $(BUILD)
+
+SOURCES = $(shell git ls-files '*.c' '*.h' | grep -v pb-c)
+
+lint:
+	@clang-format --dry-run -Werror $(SOURCES)
+	@printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P 8 -n 4 \
+	sh -c 'clang-tidy --quiet "$$@" -- -std=gnu11 -D_GNU_SOURCE -I. \
+	$(ALL_FLAGS) 2>/dev/null' sh
+
+format:
+	@clang-format -i $(SOURCES)
+
+clean:
+	rm -rf $(BUILD) build-asan
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+
+.PHONY: all deps build-all check demo bench lint asan format clean proto
--- /dev/null
+++ b/codec/json_reader.c
@@ -0,0 +1,189 @@
+#include "codec/json_reader.h"
+
+#include <stdarg.h>
+
+void json_reader_issue(json_reader_t *reader, const char *place,
+		       const char *format, ...)
+{
+	va_list args;
+	gchar *message;
+
+	reader->issues++;
+	if (!reader->on_issue)
+		return;
+	va_start(args, format);
+	message = g_strdup_vprintf(format, args);
+	va_end(args);
+	reader->on_issue(reader->ctx, place, message);
+	g_free(message);
+}
+
+void json_reader_refuse_unknown(json_reader_t *reader, const char *place,
+				JsonObject *object, const char *const *known)
+{
+	JsonObjectIter iter;
+	const char *name;
+	JsonNode *node;
+
+	json_object_iter_init(&iter, object);
+	while (json_object_iter_next(&iter, &name, &node))
+		if (!g_strv_contains(known, name))
+			json_reader_issue(reader, place,
+					  "key \"%s\" is not known: remove "
+					  "it or correct its name",
+					  name);
+}
+
+static JsonNode *member(json_reader_t *reader, const char *place,
+			JsonObject *object, const char *key)
+{
+	JsonNode *node = json_object_get_member(object, key);
+
+	if (!node)
+		json_reader_issue(reader, place, "\"%s\" is missing: add it",
+				  key);
+	return node;
+}
+
+static void wrong_type(json_reader_t *reader, const char *place,
+		       const char *key, JsonNode *node, const char *expected)
+{
+	gchar *text = json_to_string(node, FALSE);
+
+	json_reader_issue(reader, place, "\"%s\" is %.80s: use %s", key, text,
+			  expected);
+	g_free(text);
+}
+
+static gboolean holds(JsonNode *node, GType type)
+{
+	return JSON_NODE_HOLDS_VALUE(node) &&
+	       json_node_get_value_type(node) == type;
+}
+
+const char *json_reader_string(json_reader_t *reader, const char *place,
+			       JsonObject *object, const char *key)
+{
+	JsonNode *node = member(reader, place, object, key);
+
+	if (!node)
+		return NULL;
+	if (!holds(node, G_TYPE_STRING)) {
+		wrong_type(reader, place, key, node, "a string");
+		return NULL;
+	}
+	return json_node_get_string(node);
+}
+
+gint64 json_reader_integer(json_reader_t *reader, const char *place,
+			   JsonObject *object, const char *key, gint64 min,
+			   gint64 max)
+{
+	JsonNode *node = member(reader, place, object, key);
+	gint64 value;
+
+	if (!node)
+		return 0;
+	if (!holds(node, G_TYPE_INT64)) {
+		wrong_type(reader, place, key, node, "a whole number");
+		return 0;
+	}
+	value = json_node_get_int(node);
+	if (value < min || value > max) {
+		json_reader_issue(reader, place,
+				  "\"%s\" is %" G_GINT64_FORMAT
+				  ": set it between %" G_GINT64_FORMAT
+				  " and %" G_GINT64_FORMAT,
+				  key, value, min, max);
+		return 0;
+	}
+	return value;
+}
+
+double json_reader_number(json_reader_t *reader, const char *place,
+			  JsonObject *object, const char *key, double min,
+			  double max)
+{
+	JsonNode *node = member(reader, place, object, key);
+	double value;
+
+	if (!node)
+		return 0;
+	if (!holds(node, G_TYPE_INT64) && !holds(node, G_TYPE_DOUBLE)) {
+		wrong_type(reader, place, key, node, "a number");
+		return 0;
+	}
+	value = json_node_get_double(node);
+	if (value < min || value > max) {
+		json_reader_issue(reader, place,
+				  "\"%s\" is %g: set it between %g and %g", key,
+				  value, min, max);
+		return 0;
+	}
+	return value;
+}
+
+gboolean json_reader_boolean(json_reader_t *reader, const char *place,
+			     JsonObject *object, const char *key)
+{
+	JsonNode *node = member(reader, place, object, key);
+
+	if (!node)
+		return FALSE;
+	if (!holds(node, G_TYPE_BOOLEAN)) {
+		wrong_type(reader, place, key, node, "true or false");
+		return FALSE;
+	}
+	return json_node_get_boolean(node);
+}
+
+JsonArray *json_reader_array(json_reader_t *reader, const char *place,
+			     JsonObject *object, const char *key)
+{
+	JsonNode *node = member(reader, place, object, key);
+
+	if (!node)
+		return NULL;
+	if (!JSON_NODE_HOLDS_ARRAY(node)) {
+		wrong_type(reader, place, key, node, "a list");
+		return NULL;
+	}
+	return json_node_get_array(node);
+}
+
+JsonObject *json_reader_element(json_reader_t *reader, const char *place,
+				JsonArray *array, guint index)
+{
+	JsonNode *node = json_array_get_element(array, index);
+
+	if (!JSON_NODE_HOLDS_OBJECT(node)) {
+		json_reader_issue(reader, place,
+				  "this element must be an object");
+		return NULL;
+	}
+	return json_node_get_object(node);
+}
+
+JsonNode *json_reader_parse(json_reader_t *reader, const char *text,
+			    gssize length)
+{
+	JsonParser *parser = json_parser_new_immutable();
+	GError *error = NULL;
+	JsonNode *root = NULL;
+
+	if (!json_parser_load_from_data(parser, text, length, &error)) {
+		json_reader_issue(reader, "$", "the JSON is not valid: %s",
+				  error->message);
+		g_clear_error(&error);
+		goto out;
+	}
+	root = json_parser_steal_root(parser);
+	if (root && !JSON_NODE_HOLDS_OBJECT(root))
+		g_clear_pointer(&root, json_node_unref);
+	if (!root)
+		json_reader_issue(reader, "$",
+				  "the document must be an object");
+out:
+	g_object_unref(parser);
+	return root;
+}
--- /dev/null
+++ b/codec/settings_json.c
@@ -0,0 +1,282 @@
+#include "codec/settings_json.h"
+
+#include <stddef.h>
+
+#include "codec/json_reader.h"
+
+typedef struct {
+	const char *key;
+	size_t offset; /* of a char * in settings_t */
+	gboolean required;
+} text_key_t;
+
+static const text_key_t text_keys[] = {
+	{ "instance", offsetof(settings_t, instance), TRUE },
+	{ "data_centre", offsetof(settings_t, data_centre), TRUE },
+	{ "caller_address", offsetof(settings_t, caller_address), TRUE },
+	{ "peer_address", offsetof(settings_t, peer_address), FALSE },
+	{ "object_api", offsetof(settings_t, object_api), FALSE },
+	{ "config_file", offsetof(settings_t, config_file), FALSE },
+	{ "instance_list", offsetof(settings_t, instance_list), FALSE },
+};
+
+/* Type of the field that a numeric key sets. */
+typedef enum {
+	FIELD_UINT,
+	FIELD_SIZE,
+	FIELD_INT64,
+	FIELD_MILLISECONDS /* a GTimeSpan, written in milliseconds */
+} field_t;
+
+typedef struct {
+	const char *key;
+	size_t offset;
+	field_t field;
+	gint64 min;
+	gint64 max;
+	gint64 initial;
+	const char *unit;
+	const char *help;
+} number_key_t;
+
+#define ENTRY_FIELD(name) offsetof(settings_t, entry.name)
+
+static const number_key_t number_keys[] = {
+	{ "entries_max", ENTRY_FIELD(entries_max), FIELD_UINT, 1, 1000, 18,
+	  "instances",
+	  "largest number of entry instances at any time; divides the probe "
+	  "budget and the connections of an endpoint" },
+	{ "request_id_block", ENTRY_FIELD(request_ids.block_size), FIELD_UINT,
+	  1, 65536, 64, "ids", "request ids handed out with one resolve" },
+	{ "request_id_lifetime_ms", ENTRY_FIELD(request_ids.lifetime),
+	  FIELD_MILLISECONDS, 100, 600000, 10000, "ms",
+	  "time from the issue of request ids to their expiry" },
+	{ "request_id_retention_ms", ENTRY_FIELD(request_ids.retention),
+	  FIELD_MILLISECONDS, 0, 3600000, 60000, "ms",
+	  "time that the record of an expired request id is kept" },
+	{ "held_answer_bytes", ENTRY_FIELD(request_ids.answer_bytes_max),
+	  FIELD_SIZE, 0, 1 << 30, 16 << 20, "bytes",
+	  "memory for answers that a duplicate request may ask for" },
+	{ "queue_max", ENTRY_FIELD(admission.queue_max), FIELD_UINT, 1, 100000,
+	  200, "calls", "waiting calls of one priority of one service" },
+	{ "caller_share_percent", ENTRY_FIELD(admission.caller_share_percent),
+	  FIELD_UINT, 1, 100, 100, "percent",
+	  "part of a queue that one caller may fill" },
+	{ "attempts_max", ENTRY_FIELD(attempts_max), FIELD_UINT, 1, 10, 3,
+	  "attempts", "attempts of one call, the first included" },
+	{ "retry_percent", ENTRY_FIELD(retry_percent), FIELD_UINT, 0, 100, 10,
+	  "percent", "retries allowed per hundred first attempts" },
+	{ "report_stale_after_ms", ENTRY_FIELD(report_stale_after),
+	  FIELD_MILLISECONDS, 10, 60000, 1000, "ms",
+	  "age from which a load report is refreshed by a probe" },
+	{ "resolve_ttl_ms", ENTRY_FIELD(resolve_ttl), FIELD_MILLISECONDS, 100,
+	  600000, 5000, "ms", "time that a caller keeps addresses" },
+	{ "resolve_addresses", ENTRY_FIELD(resolve_addresses), FIELD_UINT, 1,
+	  ENTRY_RESOLVE_ADDRESSES_MAX, 3, "addresses",
+	  "addresses in the answer of a resolve" },
+	{ "shutdown_max_ms", ENTRY_FIELD(shutdown_max), FIELD_MILLISECONDS, 0,
+	  3600000, 60000, "ms",
+	  "bound of a graceful shutdown; keep it above the longest deadline "
+	  "plus resolve_ttl_ms and request_id_lifetime_ms" },
+	{ "body_bytes_max", offsetof(settings_t, body_bytes_max), FIELD_INT64,
+	  1024, 64 << 20, 1 << 20, "bytes",
+	  "largest body of a request or an answer" },
+	{ "object_api_poll_ms", offsetof(settings_t, object_api_poll_ms),
+	  FIELD_INT64, 1000, 3600000, 60000, "ms",
+	  "time between fallback reads of the configuration" },
+	{ "instance_list_poll_ms", offsetof(settings_t, instance_list_poll_ms),
+	  FIELD_INT64, 100, 600000, 2000, "ms",
+	  "time between reads of the instance lists" },
+};
+
+static void set_number(settings_t *settings, const number_key_t *key,
+		       gint64 value)
+{
+	void *field = (char *)settings + key->offset;
+
+	switch (key->field) {
+	case FIELD_UINT:
+		*(guint *)field = (guint)value;
+		break;
+	case FIELD_SIZE:
+		*(gsize *)field = (gsize)value;
+		break;
+	case FIELD_INT64:
+		*(gint64 *)field = value;
+		break;
+	case FIELD_MILLISECONDS:
+		*(GTimeSpan *)field = value * G_TIME_SPAN_MILLISECOND;
+		break;
+	}
+}
+
+static void read_texts(json_reader_t *reader, JsonObject *object,
+		       settings_t *settings)
+{
+	const char *text;
+	gsize i;
+
+	for (i = 0; i < G_N_ELEMENTS(text_keys); i++) {
+		const text_key_t *key = &text_keys[i];
+
+		if (!key->required && !json_object_has_member(object, key->key))
+			continue;
+		text = json_reader_string(reader, "$", object, key->key);
+		*(char **)((char *)settings + key->offset) = g_strdup(text);
+	}
+}
+
+static void read_numbers(json_reader_t *reader, JsonObject *object,
+			 settings_t *settings)
+{
+	gsize i;
+
+	for (i = 0; i < G_N_ELEMENTS(number_keys); i++) {
+		const number_key_t *key = &number_keys[i];
+		gint64 value = key->initial;
+
+		if (json_object_has_member(object, key->key))
+			value = json_reader_integer(reader, "$", object,
+						    key->key, key->min,
+						    key->max);
+		set_number(settings, key, value);
+	}
+}
+
+static void read_seeds(json_reader_t *reader, JsonObject *object,
+		       settings_t *settings)
+{
+	JsonArray *array;
+	guint i;
+
+	if (!json_object_has_member(object, "seeds"))
+		return;
+	array = json_reader_array(reader, "$", object, "seeds");
+	for (i = 0; array && i < json_array_get_length(array); i++) {
+		JsonNode *node = json_array_get_element(array, i);
+
+		if (json_node_get_value_type(node) != G_TYPE_STRING)
+			json_reader_issue(reader, "$.seeds",
+					  "a seed must be a string "
+					  "\"ip:port\"");
+		else
+			g_ptr_array_add(settings->seeds,
+					json_node_dup_string(node));
+	}
+}
+
+static void read_routing(json_reader_t *reader, JsonObject *object,
+			 settings_t *settings)
+{
+	const char *name;
+	int policy;
+
+	settings->entry.routing = ROUTING_TWO_CHOICES;
+	if (!json_object_has_member(object, "routing"))
+		return;
+	name = json_reader_string(reader, "$", object, "routing");
+	for (policy = 0; name && policy < ROUTING_POLICY_COUNT; policy++)
+		if (g_str_equal(routing_policy_name((routing_policy_t)policy),
+				name)) {
+			settings->entry.routing = (routing_policy_t)policy;
+			return;
+		}
+	if (name)
+		json_reader_issue(reader, "$",
+				  "\"routing\" is \"%s\": use random, "
+				  "two_choices, subset or learnt_limit",
+				  name);
+}
+
+static void read_admission(json_reader_t *reader, JsonObject *object,
+			   settings_t *settings)
+{
+	const char *name;
+
+	settings->entry.admission.policy = ADMISSION_PRIORITY;
+	if (!json_object_has_member(object, "admission"))
+		return;
+	name = json_reader_string(reader, "$", object, "admission");
+	if (g_strcmp0(name, "fifo") == 0)
+		settings->entry.admission.policy = ADMISSION_FIFO;
+	else if (name && g_strcmp0(name, "priority") != 0)
+		json_reader_issue(reader, "$",
+				  "\"admission\" is \"%s\": use priority or "
+				  "fifo",
+				  name);
+}
+
+static void check_source(json_reader_t *reader, const settings_t *settings)
+{
+	if (!settings->object_api == !settings->config_file)
+		json_reader_issue(reader, "$",
+				  "set exactly one of \"object_api\" and "
+				  "\"config_file\"");
+}
+
+static void refuse_unknown(json_reader_t *reader, JsonObject *object)
+{
+	GPtrArray *known = g_ptr_array_new();
+	gsize i;
+
+	for (i = 0; i < G_N_ELEMENTS(text_keys); i++)
+		g_ptr_array_add(known, (gpointer)text_keys[i].key);
+	for (i = 0; i < G_N_ELEMENTS(number_keys); i++)
+		g_ptr_array_add(known, (gpointer)number_keys[i].key);
+	g_ptr_array_add(known, "seeds");
+	g_ptr_array_add(known, "routing");
+	g_ptr_array_add(known, "admission");
+	g_ptr_array_add(known, NULL);
+	json_reader_refuse_unknown(reader, "$", object,
+				   (const char *const *)known->pdata);
+	g_ptr_array_free(known, TRUE);
+}
+
+settings_t *settings_from_json(const char *text, gssize length,
+			       settings_issue_fn_t on_issue, void *ctx)
+{
+	json_reader_t reader = { .on_issue = on_issue, .ctx = ctx };
+	settings_t *settings = g_new0(settings_t, 1);
+	JsonObject *object;
+	JsonNode *root;
+
+	settings->seeds = g_ptr_array_new_with_free_func(g_free);
+	root = json_reader_parse(&reader, text, length);
+	if (!root)
+		goto out;
+	object = json_node_get_object(root);
+	refuse_unknown(&reader, object);
+	read_texts(&reader, object, settings);
+	read_numbers(&reader, object, settings);
+	read_seeds(&reader, object, settings);
+	read_routing(&reader, object, settings);
+	read_admission(&reader, object, settings);
+	check_source(&reader, settings);
+	json_node_unref(root);
+out:
+	if (reader.issues)
+		g_clear_pointer(&settings, settings_free);
+	return settings;
+}
+
+void settings_free(settings_t *settings)
+{
+	gsize i;
+
+	if (!settings)
+		return;
+	for (i = 0; i < G_N_ELEMENTS(text_keys); i++)
+		g_free(*(char **)((char *)settings + text_keys[i].offset));
+	g_ptr_array_unref(settings->seeds);
+	g_free(settings);
+}
+
+void settings_describe(settings_describe_fn_t describe, void *ctx)
+{
+	gsize i;
+
+	for (i = 0; i < G_N_ELEMENTS(number_keys); i++)
+		describe(ctx, number_keys[i].key, number_keys[i].unit,
+			 number_keys[i].min, number_keys[i].max,
+			 number_keys[i].initial, number_keys[i].help);
+}
--- /dev/null
+++ b/codec/settings_json.h
@@ -0,0 +1,50 @@
+/*
+ * The settings of one daemon, from a JSON file. docs/operations.md lists the
+ * keys with ranges, units and defaults; the table in settings_json.c is their
+ * source.
+ */
+#ifndef CATK_SETTINGS_JSON_H
+#define CATK_SETTINGS_JSON_H
+
+#include "lib/common/error.h"
+#include "lib/entry/entry.h"
+
+typedef struct {
+	char *instance;
+	char *data_centre;
+	char *caller_address; /* "ip:port" for callers and operators */
+	char *peer_address; /* "ip:port" for other instances, or NULL */
+	char *object_api; /* "ip:port", or NULL */
+	char *config_file; /* path of a schema in place of the object API */
+	char *instance_list; /* key of the list of entry instances, or NULL */
+	GPtrArray *seeds; /* of char *, peer addresses to join through */
+	gint64 body_bytes_max; /* of a caller's request or an answer */
+	gint64 object_api_poll_ms; /* between two fallback reads */
+	gint64 instance_list_poll_ms; /* between two reads of instance lists */
+	entry_limits_t entry;
+} settings_t;
+
+/* Called for each error with the place in the document. */
+typedef void (*settings_issue_fn_t)(void *ctx, const char *place,
+				    const char *message);
+
+/*
+ * Reads and checks settings. Every error is reported with the key, the value
+ * and the remedy; unknown keys are errors. Returns NULL when there was any.
+ * Free with settings_free().
+ */
+settings_t *settings_from_json(const char *text, gssize length,
+			       settings_issue_fn_t on_issue, void *ctx);
+
+/* Frees settings. NULL is allowed. */
+void settings_free(settings_t *settings);
+
+/* Describes one key, for help texts. */
+typedef void (*settings_describe_fn_t)(void *ctx, const char *key,
+				       const char *unit, gint64 min, gint64 max,
+				       gint64 initial, const char *help);
+
+/* Calls describe for each numeric key. */
+void settings_describe(settings_describe_fn_t describe, void *ctx);
+
+#endif
--- /dev/null
+++ b/lib/admission/admission.h
@@ -0,0 +1,71 @@
+/*
+ * The queue of one service in one entry: which waiting call is dispatched
+ * next, and which is refused. The queue links calls; it does not own them.
+ */
+#ifndef CATK_ADMISSION_H
+#define CATK_ADMISSION_H
+
+#include "lib/common/clock.h"
+#include "lib/common/counters.h"
+#include "lib/common/error.h"
+#include "lib/common/intrusive.h"
+#include "lib/schema/schema.h"
+
+/* Embedded in a call. The caller of this module fills the first group. */
+typedef struct admission_item {
+	guint priority; /* 0 is the most urgent */
+	GTimeSpan deadline; /* instant */
+	const char *caller; /* name; must outlive the queueing */
+
+	TAILQ_ENTRY(admission_item) link;
+	struct admission_lane *lane; /* NULL while not queued */
+} admission_item_t;
+
+typedef enum {
+	ADMISSION_PRIORITY, /* strict priority with floors */
+	ADMISSION_FIFO /* baseline: first come, first served, one queue */
+} admission_policy_t;
+
+typedef struct {
+	admission_policy_t policy;
+	guint queue_max; /* waiting calls of one priority, at least 1 */
+	guint caller_share_percent; /* of queue_max one caller may fill */
+} admission_limits_t;
+
+typedef struct admission admission_t;
+
+/* limits is copied. Free with admission_free(). */
+admission_t *admission_new(const admission_limits_t *limits,
+			   counters_t *counters);
+
+/* Frees the queue; the items are only unlinked. NULL is allowed. */
+void admission_free(admission_t *admission);
+
+/* Takes the number of priorities and their floors from a schema. */
+void admission_configure(admission_t *admission, const schema_t *schema);
+
+/*
+ * Queues an item. Returns FALSE, and leaves the item unqueued, with
+ * CATK_OVERLOADED (queue full, or the call cannot start before its deadline),
+ * CATK_RATE_LIMITED (the caller fills its share) or CATK_DEADLINE_EXCEEDED.
+ * All are OUTCOME_NOT_RUN; retry_after is an estimate from the drain rate.
+ */
+gboolean admission_offer(admission_t *admission, admission_item_t *item,
+			 GTimeSpan now, catk_error_t *err);
+
+/*
+ * Unlinks and returns the item to dispatch next, NULL when none waits. Its
+ * deadline may have passed: the caller checks it at dispatch.
+ */
+admission_item_t *admission_next(admission_t *admission, GTimeSpan now);
+
+/* Queues an item again after an attempt that did not run, ahead of others. */
+void admission_requeue(admission_t *admission, admission_item_t *item);
+
+/* Unlinks an item. Does nothing when it is not queued. */
+void admission_remove(admission_t *admission, admission_item_t *item);
+
+/* Waiting items of one priority. */
+guint admission_length(const admission_t *admission, guint priority);
+
+#endif
--- /dev/null
+++ b/lib/call/call.c
@@ -0,0 +1,106 @@
+#include "lib/call/call.h"
+
+call_t *call_new(const call_attributes_t *attributes)
+{
+	call_t *call = g_new0(call_t, 1);
+
+	call->service = g_strdup(attributes->service);
+	call->method = g_strdup(attributes->method->name);
+	call->caller = g_strdup(attributes->caller);
+	call->body = g_bytes_ref(attributes->body);
+	call->deadline = attributes->deadline;
+	call->idempotent = attributes->method->idempotent;
+	call->queue.priority = attributes->method->priority;
+	call->queue.deadline = attributes->deadline;
+	call->queue.caller = call->caller;
+	TAILQ_INIT(&call->attempts);
+	TAILQ_INIT(&call->waiters);
+	return call;
+}
+
+static void attempt_free(call_t *call, attempt_t *attempt)
+{
+	TAILQ_REMOVE(&call->attempts, attempt, link);
+	g_free(attempt);
+}
+
+static void waiter_free(call_t *call, call_waiter_t *waiter)
+{
+	TAILQ_REMOVE(&call->waiters, waiter, link);
+	g_free(waiter);
+}
+
+void call_free(call_t *call)
+{
+	g_assert(!call->queue.lane);
+	while (!TAILQ_EMPTY(&call->attempts))
+		attempt_free(call, TAILQ_FIRST(&call->attempts));
+	while (!TAILQ_EMPTY(&call->waiters))
+		waiter_free(call, TAILQ_FIRST(&call->waiters));
+	g_bytes_unref(call->body);
+	g_free(call->service);
+	g_free(call->method);
+	g_free(call->caller);
+	g_free(call);
+}
+
+void call_add_waiter(call_t *call, void *caller_ref)
+{
+	call_waiter_t *waiter = g_new0(call_waiter_t, 1);
+
+	waiter->caller_ref = caller_ref;
+	TAILQ_INSERT_TAIL(&call->waiters, waiter, link);
+}
+
+gboolean call_remove_waiter(call_t *call, const void *caller_ref)
+{
+	call_waiter_t *waiter;
+
+	TAILQ_FOREACH (waiter, &call->waiters, link)
+		if (waiter->caller_ref == caller_ref) {
+			waiter_free(call, waiter);
+			return TRUE;
+		}
+	return FALSE;
+}
+
+attempt_t *call_start_attempt(call_t *call, guint64 id, const char *address,
+			      GTimeSpan now)
+{
+	attempt_t *attempt = g_new0(attempt_t, 1);
+
+	attempt->id = id;
+	attempt->started = now;
+	g_strlcpy(attempt->address, address, sizeof(attempt->address));
+	g_strlcpy(call->last_address, address, sizeof(call->last_address));
+	TAILQ_INSERT_TAIL(&call->attempts, attempt, link);
+	call->attempts_made++;
+	return attempt;
+}
+
+attempt_t *call_find_attempt(const call_t *call, guint64 id)
+{
+	attempt_t *attempt;
+
+	TAILQ_FOREACH (attempt, &call->attempts, link)
+		if (attempt->id == id)
+			return attempt;
+	return NULL;
+}
+
+call_step_t call_end_attempt(call_t *call, attempt_t *attempt,
+			     attempt_end_t end, gboolean retry_allowed,
+			     GTimeSpan now)
+{
+	attempt_free(call, attempt);
+	if (end == ATTEMPT_ANSWERED)
+		return CALL_RAN;
+	if (!attempt_end_is_not_run(end))
+		call->may_have_run = TRUE;
+	if (!TAILQ_EMPTY(&call->attempts))
+		return CALL_WAIT;
+	if (retry_allowed && now < call->deadline &&
+	    (call->idempotent || !call->may_have_run))
+		return CALL_RETRY;
+	return call->may_have_run ? CALL_UNKNOWN : CALL_NOT_RUN;
+}
--- /dev/null
+++ b/lib/common/clock.h
@@ -0,0 +1,24 @@
+/*
+ * The clock as an interface. Instants and durations are GTimeSpan, GLib's
+ * standard type for microseconds. Code under lib/ never reads a system clock.
+ */
+#ifndef CATK_CLOCK_H
+#define CATK_CLOCK_H
+
+#include <glib.h>
+
+/* The instant of a timer that is not set. */
+#define CATK_NEVER G_MAXINT64
+
+typedef struct {
+	/* Microseconds since an arbitrary origin. Never goes backwards. */
+	GTimeSpan (*now)(void *ctx);
+	void *ctx;
+} catk_clock_t;
+
+static inline GTimeSpan catk_clock_now(const catk_clock_t *clock)
+{
+	return clock->now(clock->ctx);
+}
+
+#endif
--- /dev/null
+++ b/lib/common/counters.h
@@ -0,0 +1,62 @@
+/*
+ * Event counters of one process. One X line per counter: identifier, name in
+ * dumps, unit. docs/operations.md explains each.
+ */
+#ifndef CATK_COUNTERS_H
+#define CATK_COUNTERS_H
+
+#include <glib.h>
+
+#define COUNTER_LIST(X)                                                 \
+	X(CALLS_RECEIVED, "calls_received", "calls")                    \
+	X(CALLS_SUCCEEDED, "calls_succeeded", "calls")                  \
+	X(CALLS_REFUSED, "calls_refused_not_run", "calls")              \
+	X(CALLS_UNKNOWN, "calls_outcome_unknown", "calls")              \
+	X(CALLS_RAN_FAILED, "calls_ran_failed", "calls")                \
+	X(CALLS_CANCELLED, "calls_cancelled_by_caller", "calls")        \
+	X(CALLS_DUPLICATE, "calls_duplicate", "calls")                  \
+	X(CALLS_FORWARDED, "calls_forwarded_to_issuer", "calls")        \
+	X(CALLS_CUT_AT_SHUTDOWN, "calls_cut_at_shutdown", "calls")      \
+	X(ATTEMPTS_STARTED, "attempts_started", "attempts")             \
+	X(ATTEMPTS_RETRIED, "attempts_retried", "attempts")             \
+	X(ATTEMPTS_HEDGED, "attempts_hedged", "attempts")               \
+	X(ATTEMPTS_SHED, "attempts_shed_by_upstream", "attempts")       \
+	X(ATTEMPTS_FAILED, "attempts_failed", "attempts")               \
+	X(ANSWERS_DROPPED, "answers_dropped", "answers")                \
+	X(PROBES_SENT, "probes_sent", "probes")                         \
+	X(PROBES_SUPPRESSED, "probes_suppressed_by_budget", "probes")   \
+	X(IDS_MINTED, "request_ids_minted", "ids")                      \
+	X(IDS_SEALED, "request_ids_sealed", "ids")                      \
+	X(ANSWERS_EVICTED, "held_answers_evicted", "answers")           \
+	X(CONFIG_ACCEPTED, "config_versions_put_in_force", "versions")  \
+	X(CONFIG_REJECTED, "config_versions_rejected", "versions")      \
+	X(OBJECT_API_CALLS, "object_api_calls", "calls")                \
+	X(OBJECT_API_FAILURES, "object_api_failures", "calls")          \
+	X(PEER_MESSAGES_SENT, "peer_messages_sent", "messages")         \
+	X(PEER_BYTES_SENT, "peer_bytes_sent", "bytes")                  \
+	X(PEER_MESSAGES_RECEIVED, "peer_messages_received", "messages") \
+	X(CONNECTIONS_SILENT, "connections_closed_as_silent", "connections")
+
+typedef enum {
+#define X(id, name, unit) COUNTER_##id,
+	COUNTER_LIST(X)
+#undef X
+		COUNTER_COUNT
+} counter_t;
+
+typedef struct {
+	guint64 value[COUNTER_COUNT];
+} counters_t;
+
+static inline void counters_add(counters_t *counters, counter_t id, guint64 n)
+{
+	counters->value[id] += n;
+}
+
+/* Name of a counter in dumps. */
+const char *counter_name(counter_t id);
+
+/* Unit of a counter in dumps. */
+const char *counter_unit(counter_t id);
+
+#endif
--- /dev/null
+++ b/lib/config/config.c
@@ -0,0 +1,56 @@
+#include "lib/config/config.h"
+
+struct config {
+	counters_t *counters;
+	guint64 version;
+	schema_t *schema;
+	GBytes *document;
+};
+
+config_t *config_new(counters_t *counters)
+{
+	config_t *config = g_new0(config_t, 1);
+
+	config->counters = counters;
+	return config;
+}
+
+void config_free(config_t *config)
+{
+	if (!config)
+		return;
+	schema_free(config->schema);
+	g_clear_pointer(&config->document, g_bytes_unref);
+	g_free(config);
+}
+
+config_offer_t config_offer(config_t *config, guint64 version, schema_t *schema,
+			    GBytes *document)
+{
+	if (version <= config->version) {
+		schema_free(schema);
+		return CONFIG_OLD;
+	}
+	schema_free(config->schema);
+	g_clear_pointer(&config->document, g_bytes_unref);
+	config->version = version;
+	config->schema = schema;
+	config->document = g_bytes_ref(document);
+	counters_add(config->counters, COUNTER_CONFIG_ACCEPTED, 1);
+	return CONFIG_IN_FORCE;
+}
+
+guint64 config_version(const config_t *config)
+{
+	return config->version;
+}
+
+const schema_t *config_schema(const config_t *config)
+{
+	return config->schema;
+}
+
+GBytes *config_document(const config_t *config)
+{
+	return config->document;
+}
--- /dev/null
+++ b/lib/config/config.h
@@ -0,0 +1,41 @@
+/*
+ * The configuration in force. Versions are the object API's versions of the
+ * configuration object; they only rise, whatever order they arrive in.
+ */
+#ifndef CATK_CONFIG_H
+#define CATK_CONFIG_H
+
+#include "lib/common/counters.h"
+#include "lib/schema/schema.h"
+
+typedef struct config config_t;
+
+typedef enum {
+	CONFIG_IN_FORCE, /* the offered version is now in force */
+	CONFIG_OLD /* not newer than the version in force: ignored */
+} config_offer_t;
+
+/* No version is in force yet. Free with config_free(). */
+config_t *config_new(counters_t *counters);
+
+/* Frees the configuration and its schema. NULL is allowed. */
+void config_free(config_t *config);
+
+/*
+ * Offers an accepted version, 1 or higher, from any source: the object API, a
+ * peer, a local file. Takes ownership of schema in every case and keeps a
+ * reference to document, the text that it was read from.
+ */
+config_offer_t config_offer(config_t *config, guint64 version, schema_t *schema,
+			    GBytes *document);
+
+/* Version in force, 0 for none. */
+guint64 config_version(const config_t *config);
+
+/* Schema in force, NULL for none. Valid until the next config_offer(). */
+const schema_t *config_schema(const config_t *config);
+
+/* Document in force, NULL for none. Valid until the next config_offer(). */
+GBytes *config_document(const config_t *config);
+
+#endif
--- /dev/null
+++ b/lib/entry/entry.c
@@ -0,0 +1,291 @@
+#include "lib/entry/entry_internal.h"
+
+#include <string.h>
+
+/* Time that other instances may take to learn that this one is leaving. */
+#define LEAVING_SPREAD_TIME (2 * G_TIME_SPAN_SECOND)
+
+entry_t *entry_new(const member_t *self, const entry_limits_t *limits,
+		   const entry_actions_t *actions, const catk_clock_t *clock,
+		   GRand *random, counters_t *counters)
+{
+	entry_t *entry = g_new0(entry_t, 1);
+
+	g_assert(limits->attempts_max >= 1 && limits->entries_max >= 1);
+	g_assert(limits->resolve_addresses >= 1 &&
+		 limits->resolve_addresses <= ENTRY_RESOLVE_ADDRESSES_MAX);
+	entry->limits = *limits;
+	entry->actions = *actions;
+	entry->clock = clock;
+	entry->random = random;
+	entry->counters = counters;
+	entry->config = config_new(counters);
+	entry->membership = membership_new(self, counters);
+	entry->ids = request_ids_new(&limits->request_ids, counters);
+	TAILQ_INIT(&entry->services);
+	TAILQ_INIT(&entry->calls);
+	entry->calls_by_sequence =
+		g_hash_table_new(g_int64_hash, g_int64_equal);
+	entry->calls_by_attempt = g_hash_table_new(g_int64_hash, g_int64_equal);
+	entry->calls_by_ref = g_hash_table_new(NULL, NULL);
+	entry->next_attempt = 1;
+	entry->next_housekeeping = entry_now(entry);
+	return entry;
+}
+
+static void service_free(entry_t *entry, entry_service_t *service)
+{
+	TAILQ_REMOVE(&entry->services, service, link);
+	admission_free(service->admission);
+	upstream_free(service->upstream);
+	g_free(service);
+}
+
+void entry_free(entry_t *entry)
+{
+	if (!entry)
+		return;
+	entry_drop_calls(entry);
+	while (!TAILQ_EMPTY(&entry->services))
+		service_free(entry, TAILQ_FIRST(&entry->services));
+	g_hash_table_destroy(entry->calls_by_sequence);
+	g_hash_table_destroy(entry->calls_by_attempt);
+	g_hash_table_destroy(entry->calls_by_ref);
+	request_ids_free(entry->ids);
+	membership_free(entry->membership);
+	config_free(entry->config);
+	g_free(entry);
+}
+
+entry_service_t *entry_find_service(entry_t *entry, const char *name)
+{
+	entry_service_t *service;
+
+	TAILQ_FOREACH (service, &entry->services, link)
+		if (strcmp(upstream_service(service->upstream), name) == 0)
+			return service;
+	return NULL;
+}
+
+static entry_service_t *add_service(entry_t *entry, const char *name)
+{
+	entry_service_t *service = g_new0(entry_service_t, 1);
+	upstream_limits_t limits = {
+		.policy = entry->limits.routing,
+		.entries_max = entry->limits.entries_max,
+		.report_stale_after = entry->limits.report_stale_after,
+		.instance = membership_self(entry->membership)->name,
+	};
+
+	service->upstream =
+		upstream_new(name, &limits, entry->random, entry->counters);
+	service->admission =
+		admission_new(&entry->limits.admission, entry->counters);
+	TAILQ_INSERT_TAIL(&entry->services, service, link);
+	return service;
+}
+
+static void set_named_endpoints(entry_t *entry, entry_service_t *service,
+				const schema_service_t *declared)
+{
+	const schema_endpoint_t *endpoint;
+	endpoint_info_t *infos;
+	gsize count = 0;
+
+	TAILQ_FOREACH (endpoint, &declared->endpoints, link)
+		count++;
+	infos = g_new0(endpoint_info_t, count);
+	count = 0;
+	TAILQ_FOREACH (endpoint, &declared->endpoints, link)
+		g_strlcpy(infos[count++].address, endpoint->address,
+			  sizeof(infos->address));
+	upstream_set_endpoints(service->upstream, infos, count,
+			       entry_now(entry));
+	g_free(infos);
+}
+
+/* A service that is no longer declared keeps its calls in flight. */
+static void configure_services(entry_t *entry)
+{
+	const schema_t *schema = config_schema(entry->config);
+	const schema_service_t *declared;
+	entry_service_t *service;
+
+	TAILQ_FOREACH (service, &entry->services, link)
+		service->declared = FALSE;
+	TAILQ_FOREACH (declared, &schema->services, link) {
+		service = entry_find_service(entry, declared->name);
+		if (!service)
+			service = add_service(entry, declared->name);
+		service->declared = TRUE;
+		upstream_configure(service->upstream, declared,
+				   entry_now(entry));
+		admission_configure(service->admission, schema);
+		if (!declared->instance_list)
+			set_named_endpoints(entry, service, declared);
+	}
+}
+
+config_offer_t entry_offer_config(entry_t *entry, guint64 version,
+				  schema_t *schema, GBytes *document)
+{
+	config_offer_t result =
+		config_offer(entry->config, version, schema, document);
+
+	if (result == CONFIG_IN_FORCE)
+		configure_services(entry);
+	return result;
+}
+
+gboolean entry_set_endpoints(entry_t *entry, const char *name,
+			     const endpoint_info_t *infos, gsize count)
+{
+	entry_service_t *service = entry_find_service(entry, name);
+
+	if (!service || !service->declared)
+		return FALSE;
+	upstream_set_endpoints(service->upstream, infos, count,
+			       entry_now(entry));
+	entry_dispatch(entry, service);
+	return TRUE;
+}
+
+const config_t *entry_config(const entry_t *entry)
+{
+	return entry->config;
+}
+
+const membership_t *entry_membership(const entry_t *entry)
+{
+	return entry->membership;
+}
+
+static void add_address(resolve_result_t *result, const member_t *member)
+{
+	g_strlcpy(result->addresses[result->address_count],
+		  member->caller_address,
+		  sizeof(result->addresses[result->address_count]));
+	result->address_count++;
+}
+
+/* This instance first: the ids are its own, so calls need no forwarding. */
+static void fill_addresses(entry_t *entry, resolve_result_t *result)
+{
+	const member_t *member;
+
+	for (member = membership_first(entry->membership); member;
+	     member = membership_next(member)) {
+		if (result->address_count == entry->limits.resolve_addresses)
+			return;
+		if (member->state == MEMBER_LIVE)
+			add_address(result, member);
+	}
+}
+
+gboolean entry_resolve(entry_t *entry, resolve_result_t *result,
+		       catk_error_t *err)
+{
+	const member_t *self = membership_self(entry->membership);
+
+	memset(result, 0, sizeof(*result));
+	fill_addresses(entry, result);
+	if (result->address_count == 0) {
+		catk_error_set(err, CATK_UNAVAILABLE, OUTCOME_NOT_RUN,
+			       "no live instance is known: ask another "
+			       "instance or try again later");
+		return FALSE;
+	}
+	result->ttl = entry->limits.resolve_ttl;
+	result->config_version = config_version(entry->config);
+	result->has_ids = !entry->leaving;
+	if (!result->has_ids)
+		return TRUE;
+	g_strlcpy(result->instance, self->name, sizeof(result->instance));
+	result->incarnation = self->incarnation;
+	result->ids = request_ids_issue(entry->ids, entry_now(entry));
+	return TRUE;
+}
+
+static void send_probes(entry_t *entry, entry_service_t *service)
+{
+	const char *address;
+
+	while ((address = upstream_next_probe(service->upstream,
+					      entry_now(entry)))) {
+		counters_add(entry->counters, COUNTER_PROBES_SENT, 1);
+		entry->actions.send_probe(entry->actions.ctx,
+					  upstream_service(service->upstream),
+					  address);
+	}
+}
+
+static void housekeeping(entry_t *entry)
+{
+	entry_service_t *service;
+
+	entry->next_housekeeping =
+		entry_now(entry) + ENTRY_HOUSEKEEPING_INTERVAL;
+	request_ids_expire(entry->ids, entry_now(entry));
+	TAILQ_FOREACH (service, &entry->services, link)
+		if (service->declared)
+			send_probes(entry, service);
+}
+
+void entry_tick(entry_t *entry)
+{
+	entry_service_t *service;
+
+	entry_expire_calls(entry);
+	if (entry_now(entry) >= entry->next_housekeeping)
+		housekeeping(entry);
+	TAILQ_FOREACH (service, &entry->services, link)
+		entry_dispatch(entry, service);
+}
+
+GTimeSpan entry_next_wakeup(const entry_t *entry)
+{
+	GTimeSpan wakeup = entry->next_housekeeping;
+	const entry_service_t *service;
+
+	if (!TAILQ_EMPTY(&entry->calls))
+		wakeup = MIN(wakeup, TAILQ_FIRST(&entry->calls)->deadline);
+	TAILQ_FOREACH (service, &entry->services, link)
+		wakeup = MIN(wakeup, upstream_next_room(service->upstream,
+							entry_now(entry)));
+	return wakeup;
+}
+
+void entry_shutdown(entry_t *entry)
+{
+	if (entry->leaving)
+		return;
+	entry->leaving = TRUE;
+	entry->left = entry_now(entry);
+	membership_leave(entry->membership);
+}
+
+static gboolean is_drained(const entry_t *entry, GTimeSpan now)
+{
+	GTimeSpan last_expiry = request_ids_last_expiry(entry->ids);
+
+	if (now < entry->left + entry->limits.resolve_ttl + LEAVING_SPREAD_TIME)
+		return FALSE;
+	if (last_expiry != CATK_NEVER && now < last_expiry)
+		return FALSE;
+	return TAILQ_EMPTY(&entry->calls);
+}
+
+gboolean entry_is_stopped(entry_t *entry)
+{
+	GTimeSpan now = entry_now(entry);
+
+	if (!entry->leaving)
+		return FALSE;
+	if (is_drained(entry, now))
+		return TRUE;
+	if (now < entry->left + entry->limits.shutdown_max)
+		return FALSE;
+	counters_add(entry->counters, COUNTER_CALLS_CUT_AT_SHUTDOWN,
+		     g_hash_table_size(entry->calls_by_ref));
+	return TRUE;
+}
--- /dev/null
+++ b/lib/entry/entry_dump.c
@@ -0,0 +1,73 @@
+/* The state of an entry for operators. */
+#include "lib/entry/entry_internal.h"
+
+static void dump_self(entry_t *entry, const dump_writer_t *w)
+{
+	const member_t *self = membership_self(entry->membership);
+
+	w->string(w->ctx, "instance", self->name);
+	w->string(w->ctx, "data_centre", self->data_centre);
+	w->integer(w->ctx, "incarnation", (gint64)self->incarnation);
+	w->boolean(w->ctx, "leaving", entry->leaving);
+	w->integer(w->ctx, "config_version",
+		   (gint64)config_version(entry->config));
+	w->integer(w->ctx, "calls_in_flight",
+		   g_hash_table_size(entry->calls_by_ref));
+}
+
+static void dump_request_ids(entry_t *entry, const dump_writer_t *w)
+{
+	request_ids_stats_t stats = request_ids_stats(entry->ids);
+
+	w->begin_object(w->ctx, "request_ids");
+	w->integer(w->ctx, "blocks", (gint64)stats.blocks);
+	w->integer(w->ctx, "records", (gint64)stats.records);
+	w->integer(w->ctx, "in_progress", (gint64)stats.in_progress);
+	w->integer(w->ctx, "answer_bytes", (gint64)stats.answer_bytes);
+	w->end_object(w->ctx);
+}
+
+static void dump_queue(const entry_t *entry, const entry_service_t *service,
+		       const dump_writer_t *w)
+{
+	const schema_t *schema = config_schema(entry->config);
+	guint i;
+
+	w->begin_object(w->ctx, NULL);
+	w->string(w->ctx, "service", upstream_service(service->upstream));
+	for (i = 0; schema && i < schema->priority_count; i++)
+		w->integer(w->ctx, schema->priorities[i].name,
+			   admission_length(service->admission, i));
+	w->end_object(w->ctx);
+}
+
+static void dump_counters(const entry_t *entry, const dump_writer_t *w)
+{
+	int i;
+
+	w->begin_object(w->ctx, "counters");
+	for (i = 0; i < COUNTER_COUNT; i++)
+		w->integer(w->ctx, counter_name((counter_t)i),
+			   (gint64)entry->counters->value[i]);
+	w->end_object(w->ctx);
+}
+
+void entry_dump(entry_t *entry, const dump_writer_t *w)
+{
+	const entry_service_t *service;
+
+	w->begin_object(w->ctx, NULL);
+	dump_self(entry, w);
+	membership_dump(entry->membership, w);
+	w->begin_array(w->ctx, "upstreams");
+	TAILQ_FOREACH (service, &entry->services, link)
+		upstream_dump(service->upstream, w, entry_now(entry));
+	w->end_array(w->ctx);
+	w->begin_array(w->ctx, "queues");
+	TAILQ_FOREACH (service, &entry->services, link)
+		dump_queue(entry, service, w);
+	w->end_array(w->ctx);
+	dump_request_ids(entry, w);
+	dump_counters(entry, w);
+	w->end_object(w->ctx);
+}
--- /dev/null
+++ b/lib/schema/schema.h
@@ -0,0 +1,119 @@
+/*
+ * The declarations of an operator: priorities, services and their methods.
+ * A schema is built once, checked, and then read only.
+ */
+#ifndef CATK_SCHEMA_H
+#define CATK_SCHEMA_H
+
+#include <glib.h>
+
+#include "lib/common/error.h"
+#include "lib/common/intrusive.h"
+
+#define SCHEMA_PRIORITIES_MAX 8
+#define SCHEMA_NAME_MAX 64 /* bytes, without the terminating zero */
+#define SCHEMA_DEADLINE_MIN (1 * G_TIME_SPAN_MILLISECOND)
+#define SCHEMA_DEADLINE_MAX (10 * G_TIME_SPAN_MINUTE)
+#define SCHEMA_SLOTS_MAX 1024
+#define SCHEMA_CONNECTIONS_MAX 10000
+#define SCHEMA_PROBES_PER_SECOND_MAX 1000.0
+
+/* Index 0 is the most urgent. */
+typedef struct {
+	char *name;
+	guint floor_percent; /* least share of dispatches under overload */
+} schema_priority_t;
+
+typedef struct schema_method {
+	TAILQ_ENTRY(schema_method) link;
+	char *name;
+	guint priority; /* index into the schema's priorities */
+	gboolean idempotent;
+	GTimeSpan deadline; /* of a call that brings none, and its upper bound */
+} schema_method_t;
+
+/* An endpoint that the schema itself names. */
+typedef struct schema_endpoint {
+	TAILQ_ENTRY(schema_endpoint) link;
+	char *address; /* "ip:port" */
+} schema_endpoint_t;
+
+typedef struct schema_service {
+	TAILQ_ENTRY(schema_service) link;
+	char *name;
+	guint slots; /* concurrent requests an endpoint executes */
+	guint connections; /* open connections an endpoint takes, all entries */
+	double probes_per_second; /* budget per endpoint, all entries */
+	/* Key of the platform's instance list; NULL when endpoints are named. */
+	char *instance_list;
+	TAILQ_HEAD(schema_endpoint_list, schema_endpoint) endpoints;
+	TAILQ_HEAD(schema_method_list, schema_method) methods;
+} schema_service_t;
+
+typedef struct {
+	guint priority_count;
+	schema_priority_t priorities[SCHEMA_PRIORITIES_MAX];
+	TAILQ_HEAD(schema_service_list, schema_service) services;
+} schema_t;
+
+/* An empty schema. Free with schema_free(). */
+schema_t *schema_new(void);
+
+/* Frees the schema with its services and methods. NULL is allowed. */
+void schema_free(schema_t *schema);
+
+/*
+ * Appends a priority less urgent than all before it. floor_percent 0 to 100.
+ * Returns FALSE with CATK_INVALID_ARGUMENT for a bad name, a name that exists,
+ * too many priorities, or floors that add up to more than 100.
+ */
+gboolean schema_add_priority(schema_t *schema, const char *name,
+			     guint floor_percent, catk_error_t *err);
+
+/* Index of a priority, or -1. */
+int schema_find_priority(const schema_t *schema, const char *name);
+
+/*
+ * Adds a service without methods; the schema owns it. Returns NULL with
+ * CATK_INVALID_ARGUMENT for a bad or repeated name or a value out of range:
+ * slots 1 to SCHEMA_SLOTS_MAX, connections 1 to SCHEMA_CONNECTIONS_MAX,
+ * probes_per_second 0 to SCHEMA_PROBES_PER_SECOND_MAX.
+ */
+schema_service_t *schema_add_service(schema_t *schema, const char *name,
+				     guint slots, guint connections,
+				     double probes_per_second,
+				     catk_error_t *err);
+
+/*
+ * The service's endpoints come from the platform's instance list of that
+ * name. FALSE with CATK_INVALID_ARGUMENT for a bad name.
+ */
+gboolean schema_set_instance_list(schema_service_t *service, const char *name,
+				  catk_error_t *err);
+
+/*
+ * Names one endpoint, "ip:port". FALSE with CATK_INVALID_ARGUMENT when the
+ * address is not of that form or is named twice.
+ */
+gboolean schema_add_endpoint(schema_service_t *service, const char *address,
+			     catk_error_t *err);
+
+/*
+ * Adds a method; the service owns it. Returns NULL with CATK_INVALID_ARGUMENT
+ * for a bad or repeated name, an unknown priority, or a deadline outside
+ * SCHEMA_DEADLINE_MIN to SCHEMA_DEADLINE_MAX.
+ */
+schema_method_t *schema_add_method(schema_t *schema, schema_service_t *service,
+				   const char *name, const char *priority,
+				   gboolean idempotent, GTimeSpan deadline,
+				   catk_error_t *err);
+
+/* The service of that name, or NULL. */
+const schema_service_t *schema_find_service(const schema_t *schema,
+					    const char *name);
+
+/* The method of that name, or NULL. */
+const schema_method_t *schema_find_method(const schema_service_t *service,
+					  const char *name);
+
+#endif
--- /dev/null
+++ b/lib/upstream/upstream.h
@@ -0,0 +1,140 @@
+/*
+ * One upstream service: its endpoints, what is known of the load of each, and
+ * the choice of the endpoint for the next attempt.
+ */
+#ifndef CATK_UPSTREAM_H
+#define CATK_UPSTREAM_H
+
+#include "lib/common/clock.h"
+#include "lib/common/counters.h"
+#include "lib/common/dump.h"
+#include "lib/common/intrusive.h"
+#include "lib/probe/probe_budget.h"
+#include "lib/schema/schema.h"
+
+#define UPSTREAM_ADDRESS_MAX 64 /* bytes of "ip:port" */
+#define UPSTREAM_DATA_CENTRE_MAX 64 /* bytes */
+
+typedef struct upstream upstream_t;
+typedef struct endpoint endpoint_t;
+
+/* One line of the platform's instance list. */
+typedef struct {
+	char address[UPSTREAM_ADDRESS_MAX + 1];
+	char data_centre[UPSTREAM_DATA_CENTRE_MAX + 1];
+	gboolean leaving;
+} endpoint_info_t;
+
+/* What an endpoint says of itself, on an answer or to a probe. */
+typedef struct {
+	guint in_flight; /* requests executing or queued there */
+	guint slots;
+	gboolean draining;
+} load_report_t;
+
+/* How an attempt at an endpoint ended. */
+typedef enum {
+	ATTEMPT_ANSWERED, /* a whole answer that belongs to the attempt */
+	ATTEMPT_SHED, /* refused before start */
+	ATTEMPT_NOT_SENT, /* no connection, or no byte was written */
+	ATTEMPT_CANCELLED, /* cancelled before start, confirmed by upstream */
+	ATTEMPT_BAD_ANSWER, /* malformed, short or somebody else's answer */
+	ATTEMPT_SILENT, /* no byte came while other connections work */
+	ATTEMPT_FAILED, /* timeout, reset or close: it may have run */
+	ATTEMPT_ABANDONED /* the deadline passed or the caller left */
+} attempt_end_t;
+
+/* TRUE for the ends that prove that the attempt did not run. */
+gboolean attempt_end_is_not_run(attempt_end_t end);
+
+typedef enum {
+	ROUTING_RANDOM, /* baseline */
+	ROUTING_TWO_CHOICES,
+	ROUTING_SUBSET,
+	ROUTING_LEARNT_LIMIT,
+	ROUTING_POLICY_COUNT
+} routing_policy_t;
+
+/* Name in settings: "random", "two_choices", "subset", "learnt_limit". */
+const char *routing_policy_name(routing_policy_t policy);
+
+typedef struct {
+	routing_policy_t policy;
+	guint entries_max; /* configured maximum number of entries, >= 1 */
+	GTimeSpan report_stale_after;
+	const char *instance; /* name of this entry; outlives the upstream */
+} upstream_limits_t;
+
+/*
+ * An upstream without endpoints. limits is copied; random and counters must
+ * outlive it. Free with upstream_free().
+ */
+upstream_t *upstream_new(const char *service, const upstream_limits_t *limits,
+			 GRand *random, counters_t *counters);
+
+/* Frees the upstream and its endpoints. NULL is allowed. */
+void upstream_free(upstream_t *upstream);
+
+const char *upstream_service(const upstream_t *upstream);
+
+/* Takes slots, connections and probe budget from a schema. */
+void upstream_configure(upstream_t *upstream, const schema_service_t *service,
+			GTimeSpan now);
+
+/*
+ * Replaces the list of endpoints. An endpoint that is no longer listed gets no
+ * new work and is freed when its last attempt has ended.
+ */
+void upstream_set_endpoints(upstream_t *upstream, const endpoint_info_t *infos,
+			    gsize count, GTimeSpan now);
+
+/*
+ * The endpoint for the next attempt, NULL when none has room. avoid is the
+ * address of an endpoint to use only when there is no other, or NULL.
+ */
+const endpoint_t *upstream_choose(upstream_t *upstream, const char *avoid,
+				  GTimeSpan now);
+
+/*
+ * Instant at which upstream_choose() may succeed without an attempt ending
+ * first, CATK_NEVER when only the end of an attempt can change that.
+ */
+GTimeSpan upstream_next_room(const upstream_t *upstream, GTimeSpan now);
+
+const char *endpoint_address(const endpoint_t *endpoint);
+
+/* Connections that this entry may hold to one endpoint, at least 1. */
+guint upstream_connection_share(const upstream_t *upstream);
+
+/* An attempt at the endpoint starts. Unknown addresses are ignored. */
+void upstream_attempt_started(upstream_t *upstream, const char *address,
+			      GTimeSpan now);
+
+/*
+ * An attempt ended after the given time. report is NULL when the end carried
+ * none.
+ */
+void upstream_attempt_ended(upstream_t *upstream, const char *address,
+			    attempt_end_t end, GTimeSpan latency,
+			    const load_report_t *report, GTimeSpan now);
+
+/* The answer to a probe; report is NULL when the probe failed. */
+void upstream_probe_ended(upstream_t *upstream, const char *address,
+			  const load_report_t *report, GTimeSpan now);
+
+/*
+ * The address to probe now, within the budget, NULL for none. Takes the
+ * probe from the budget.
+ */
+const char *upstream_next_probe(upstream_t *upstream, GTimeSpan now);
+
+/* Mean latency of recent answers, 0 when none is known. */
+GTimeSpan upstream_mean_latency(const upstream_t *upstream);
+
+/* Attempts in flight from this entry. */
+guint upstream_in_flight(const upstream_t *upstream);
+
+void upstream_dump(const upstream_t *upstream, const dump_writer_t *writer,
+		   GTimeSpan now);
+
+#endif
--- /dev/null
+++ b/net/daemon.c
@@ -0,0 +1,275 @@
+#include "net/daemon.h"
+
+#include <glib-unix.h>
+#include <libsoup/soup.h>
+#include <signal.h>
+
+#include "net/caller_api.h"
+#include "net/config_source.h"
+#include "net/object_api.h"
+#include "net/operator_api.h"
+#include "net/system_clock.h"
+#include "net/upstream_client.h"
+
+#define OBJECT_API_TIMEOUT (2 * G_TIME_SPAN_SECOND)
+#define INCARNATION_RANDOM_BITS 10
+
+typedef struct {
+	const settings_t *settings;
+	GMainLoop *loop;
+	GRand *random;
+	counters_t counters;
+	guint64 incarnation;
+	entry_t *entry;
+	SoupServer *server;
+	caller_api_t *callers;
+	operator_api_t *operators;
+	upstream_client_t *upstreams;
+	object_api_t *object_api;
+	config_source_t *config_source;
+	GSource *timer;
+	guint sigterm;
+	guint sigint;
+} daemon_t;
+
+/* The loop's view of the entry's timer: asked before each wait. */
+typedef struct {
+	GSource source;
+	daemon_t *daemon;
+} entry_source_t;
+
+static gboolean entry_source_prepare(GSource *source, gint *timeout)
+{
+	daemon_t *daemon = ((entry_source_t *)source)->daemon;
+	GTimeSpan wait = entry_next_wakeup(daemon->entry) -
+			 catk_clock_now(&system_clock);
+
+	/* Rounded up, so that the loop does not wake just before the time. */
+	*timeout = wait <= 0 ? 0 :
+			       (gint)((wait + G_TIME_SPAN_MILLISECOND - 1) /
+				      G_TIME_SPAN_MILLISECOND);
+	return wait <= 0;
+}
+
+static gboolean entry_source_check(GSource *source)
+{
+	daemon_t *daemon = ((entry_source_t *)source)->daemon;
+
+	return catk_clock_now(&system_clock) >=
+	       entry_next_wakeup(daemon->entry);
+}
+
+static gboolean entry_source_dispatch(GSource *source, GSourceFunc callback,
+				      gpointer data)
+{
+	daemon_t *daemon = ((entry_source_t *)source)->daemon;
+
+	(void)callback;
+	(void)data;
+	entry_tick(daemon->entry);
+	if (entry_is_stopped(daemon->entry))
+		g_main_loop_quit(daemon->loop);
+	return G_SOURCE_CONTINUE;
+}
+
+static GSourceFuncs entry_source_funcs = {
+	.prepare = entry_source_prepare,
+	.check = entry_source_check,
+	.dispatch = entry_source_dispatch,
+};
+
+static void on_answer(void *ctx, void *caller_ref, const call_answer_t *answer)
+{
+	daemon_t *daemon = ctx;
+
+	caller_api_answer(daemon->callers, caller_ref, answer);
+}
+
+static void on_start_attempt(void *ctx, const attempt_request_t *request)
+{
+	daemon_t *daemon = ctx;
+
+	upstream_client_start(daemon->upstreams, request);
+}
+
+static void on_cancel_attempt(void *ctx, guint64 attempt_id)
+{
+	daemon_t *daemon = ctx;
+
+	upstream_client_cancel(daemon->upstreams, attempt_id);
+}
+
+static void on_send_probe(void *ctx, const char *service, const char *address)
+{
+	daemon_t *daemon = ctx;
+
+	upstream_client_probe(daemon->upstreams, service, address);
+}
+
+static void on_attempt_ended(void *ctx, const attempt_result_t *result)
+{
+	daemon_t *daemon = ctx;
+
+	entry_attempt_ended(daemon->entry, result);
+}
+
+static void on_probe_ended(void *ctx, const char *service, const char *address,
+			   const load_report_t *report)
+{
+	daemon_t *daemon = ctx;
+
+	entry_probe_ended(daemon->entry, service, address, report);
+}
+
+static gboolean on_signal(gpointer data)
+{
+	daemon_t *daemon = data;
+
+	g_message("shutdown requested: serving until handed-out addresses and "
+		  "request ids have expired");
+	entry_shutdown(daemon->entry);
+	return G_SOURCE_CONTINUE;
+}
+
+/* Rises from start to start of an instance, also within one microsecond. */
+static guint64 new_incarnation(GRand *random)
+{
+	guint64 now = (guint64)g_get_real_time();
+
+	return now << INCARNATION_RANDOM_BITS |
+	       g_rand_int_range(random, 0, 1 << INCARNATION_RANDOM_BITS);
+}
+
+static void set_up_entry(daemon_t *daemon)
+{
+	const settings_t *settings = daemon->settings;
+	member_t self = { 0 };
+	entry_actions_t actions = {
+		.answer = on_answer,
+		.start_attempt = on_start_attempt,
+		.cancel_attempt = on_cancel_attempt,
+		.send_probe = on_send_probe,
+		.ctx = daemon,
+	};
+
+	g_strlcpy(self.name, settings->instance, sizeof(self.name));
+	g_strlcpy(self.data_centre, settings->data_centre,
+		  sizeof(self.data_centre));
+	g_strlcpy(self.caller_address, settings->caller_address,
+		  sizeof(self.caller_address));
+	if (settings->peer_address)
+		g_strlcpy(self.peer_address, settings->peer_address,
+			  sizeof(self.peer_address));
+	self.incarnation = daemon->incarnation;
+	daemon->entry = entry_new(&self, &settings->entry, &actions,
+				  &system_clock, daemon->random,
+				  &daemon->counters);
+}
+
+static void set_up_upstreams(daemon_t *daemon)
+{
+	upstream_client_events_t events = {
+		.attempt_ended = on_attempt_ended,
+		.probe_ended = on_probe_ended,
+		.ctx = daemon,
+	};
+	/* With the incarnation, so that ids never repeat after a restart. */
+	gchar *name = g_strdup_printf("%s.%" G_GUINT64_FORMAT,
+				      daemon->settings->instance,
+				      daemon->incarnation);
+
+	daemon->upstreams = upstream_client_new(
+		&events, name, (gsize)daemon->settings->body_bytes_max);
+	g_free(name);
+}
+
+static gboolean listen_for_callers(daemon_t *daemon, catk_error_t *err)
+{
+	const char *text = daemon->settings->caller_address;
+	GSocketAddress *address = NULL;
+	GError *error = NULL;
+	gchar **parts = g_strsplit(text, ":", 2);
+	gboolean ok = FALSE;
+
+	if (g_strv_length(parts) == 2)
+		address = g_inet_socket_address_new_from_string(
+			parts[0], (guint)g_ascii_strtoull(parts[1], NULL, 10));
+	if (!address) {
+		catk_error_set(err, CATK_INVALID_ARGUMENT, OUTCOME_NOT_RUN,
+			       "caller_address is \"%s\": write ip:port", text);
+		goto out;
+	}
+	ok = soup_server_listen(daemon->server, address, 0, &error);
+	if (!ok)
+		catk_error_set(err, CATK_UNAVAILABLE, OUTCOME_NOT_RUN,
+			       "cannot listen on caller_address %s: %s; free "
+			       "the port or choose another",
+			       text, error->message);
+out:
+	g_clear_error(&error);
+	g_clear_object(&address);
+	g_strfreev(parts);
+	return ok;
+}
+
+static void start_timer(daemon_t *daemon)
+{
+	daemon->timer =
+		g_source_new(&entry_source_funcs, sizeof(entry_source_t));
+	((entry_source_t *)daemon->timer)->daemon = daemon;
+	g_source_attach(daemon->timer, NULL);
+	daemon->sigterm = g_unix_signal_add(SIGTERM, on_signal, daemon);
+	daemon->sigint = g_unix_signal_add(SIGINT, on_signal, daemon);
+}
+
+static void stop_timer(daemon_t *daemon)
+{
+	g_source_destroy(daemon->timer);
+	g_source_unref(daemon->timer);
+	g_source_remove(daemon->sigterm);
+	g_source_remove(daemon->sigint);
+}
+
+gboolean daemon_run(const settings_t *settings, catk_error_t *err)
+{
+	daemon_t daemon = { .settings = settings };
+	gboolean ok = FALSE;
+
+	daemon.loop = g_main_loop_new(NULL, FALSE);
+	daemon.random = g_rand_new();
+	daemon.incarnation = new_incarnation(daemon.random);
+	daemon.server = soup_server_new(NULL, NULL);
+	set_up_entry(&daemon);
+	set_up_upstreams(&daemon);
+	daemon.callers = caller_api_new(daemon.server, daemon.entry,
+					(gsize)settings->body_bytes_max);
+	if (settings->object_api)
+		daemon.object_api =
+			object_api_new(settings->object_api, settings->instance,
+				       OBJECT_API_TIMEOUT, &daemon.counters);
+	daemon.operators = operator_api_new(daemon.server, daemon.entry,
+					    daemon.object_api);
+	if (!listen_for_callers(&daemon, err))
+		goto out;
+	daemon.config_source =
+		config_source_new(settings, daemon.object_api, daemon.entry);
+	start_timer(&daemon);
+	g_message("instance %s serves callers on %s", settings->instance,
+		  settings->caller_address);
+	g_main_loop_run(daemon.loop);
+	stop_timer(&daemon);
+	g_message("shutdown complete");
+	ok = TRUE;
+out:
+	config_source_free(daemon.config_source);
+	operator_api_free(daemon.operators);
+	object_api_free(daemon.object_api);
+	caller_api_free(daemon.callers);
+	upstream_client_free(daemon.upstreams);
+	soup_server_disconnect(daemon.server);
+	g_object_unref(daemon.server);
+	entry_free(daemon.entry);
+	g_rand_free(daemon.random);
+	g_main_loop_unref(daemon.loop);
+	return ok;
+}
--- /dev/null
+++ b/programs/ctl.h
@@ -0,0 +1,56 @@
+/* What the commands of catkinctl share. */
+#ifndef CATK_CTL_H
+#define CATK_CTL_H
+
+#include <json-glib/json-glib.h>
+#include <libsoup/soup.h>
+
+#define CTL_ARGUMENTS_MAX 4
+
+typedef struct {
+	const char *entry; /* "ip:port" of an instance */
+	const char *body;
+	const char *request_id;
+	const char *caller;
+	guint deadline_ms; /* 0 for the method's own */
+	const char *change_id;
+	gint64 base_version; /* -1 for the version in force */
+	gboolean wait;
+	guint timeout_ms;
+	const char *arguments[CTL_ARGUMENTS_MAX]; /* after the command */
+	guint argument_count;
+} ctl_options_t;
+
+typedef struct {
+	guint status; /* HTTP status, 0 when there was no answer */
+	SoupMessageHeaders *headers;
+	GBytes *body;
+	char *error; /* without an answer */
+} ctl_reply_t;
+
+/*
+ * Sends one request to options->entry and waits for the answer. request_headers
+ * is a NULL-ended list of names and values, or NULL. body may be NULL. Clear
+ * the reply with ctl_reply_clear().
+ */
+void ctl_request(const ctl_options_t *options, const char *method,
+		 const char *path, const char *const *request_headers,
+		 GBytes *body, ctl_reply_t *reply);
+
+void ctl_reply_clear(ctl_reply_t *reply);
+
+/*
+ * Prints the body on standard output, or the error on standard error. Returns
+ * the exit status of the program: 0 for a status below 400.
+ */
+int ctl_print(const ctl_reply_t *reply);
+
+/* The commands. Each returns the exit status of the program. */
+int ctl_schema_check(const ctl_options_t *options);
+int ctl_resolve(const ctl_options_t *options);
+int ctl_call(const ctl_options_t *options);
+int ctl_dump(const ctl_options_t *options);
+int ctl_drain(const ctl_options_t *options);
+int ctl_config_show(const ctl_options_t *options);
+
+#endif
--- /dev/null
+++ b/programs/ctl_commands.c
@@ -0,0 +1,164 @@
+#include "programs/ctl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "codec/schema_json.h"
+
+static void print_issue(void *ctx, const char *place, const char *message)
+{
+	fprintf(stderr, "%s: %s: %s\n", (const char *)ctx, place, message);
+}
+
+int ctl_schema_check(const ctl_options_t *options)
+{
+	const char *path = options->arguments[0];
+	GError *error = NULL;
+	GBytes *document;
+	schema_t *schema;
+	gchar *text;
+	gsize size;
+
+	if (!g_file_get_contents(path, &text, &size, &error)) {
+		fprintf(stderr, "%s\n", error->message);
+		g_clear_error(&error);
+		return EXIT_FAILURE;
+	}
+	document = g_bytes_new_take(text, size);
+	schema = schema_from_json(document, print_issue, (void *)path);
+	g_bytes_unref(document);
+	if (!schema)
+		return EXIT_FAILURE;
+	schema_free(schema);
+	printf("%s: valid\n", path);
+	return EXIT_SUCCESS;
+}
+
+static int simple_request(const ctl_options_t *options, const char *method,
+			  const char *path)
+{
+	ctl_reply_t reply;
+	int status;
+
+	ctl_request(options, method, path, NULL, NULL, &reply);
+	status = ctl_print(&reply);
+	ctl_reply_clear(&reply);
+	return status;
+}
+
+int ctl_resolve(const ctl_options_t *options)
+{
+	return simple_request(options, SOUP_METHOD_GET, "/v1/resolve");
+}
+
+int ctl_dump(const ctl_options_t *options)
+{
+	return simple_request(options, SOUP_METHOD_GET, "/v1/operator/dump");
+}
+
+int ctl_drain(const ctl_options_t *options)
+{
+	return simple_request(options, SOUP_METHOD_POST, "/v1/operator/drain");
+}
+
+int ctl_config_show(const ctl_options_t *options)
+{
+	return simple_request(options, SOUP_METHOD_GET, "/v1/operator/config");
+}
+
+/* The first id of the block in the answer of a resolve, or NULL. */
+static gchar *read_request_id(const ctl_reply_t *reply)
+{
+	JsonParser *parser = json_parser_new();
+	gsize size;
+	const char *text = g_bytes_get_data(reply->body, &size);
+	JsonObject *ids = NULL;
+	gchar *id = NULL;
+
+	if (json_parser_load_from_data(parser, text, (gssize)size, NULL) &&
+	    JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser))) {
+		JsonObject *root =
+			json_node_get_object(json_parser_get_root(parser));
+
+		if (json_object_has_member(root, "request_ids"))
+			ids = json_object_get_object_member(root,
+							    "request_ids");
+	}
+	if (ids)
+		id = g_strdup_printf("%s.%" G_GINT64_FORMAT,
+				     json_object_get_string_member(ids,
+								   "prefix"),
+				     json_object_get_int_member(ids, "first"));
+	g_object_unref(parser);
+	return id;
+}
+
+static gchar *take_request_id(const ctl_options_t *options)
+{
+	gchar *id = NULL;
+	ctl_reply_t reply;
+
+	if (options->request_id)
+		return g_strdup(options->request_id);
+	ctl_request(options, SOUP_METHOD_GET, "/v1/resolve", NULL, NULL,
+		    &reply);
+	if (reply.status == SOUP_STATUS_OK)
+		id = read_request_id(&reply);
+	ctl_reply_clear(&reply);
+	return id;
+}
+
+static void print_outcome(const ctl_reply_t *reply, const char *id)
+{
+	const char *outcome = NULL;
+
+	if (reply->headers)
+		outcome = soup_message_headers_get_one(reply->headers,
+						       "Catkinstall-Outcome");
+	fprintf(stderr, "request id %s, outcome %s\n", id ? id : "none",
+		outcome ? outcome : "unknown");
+}
+
+int ctl_call(const ctl_options_t *options)
+{
+	gchar **names = g_strsplit(options->arguments[0], ".", 2);
+	const char *headers[9] = { 0 };
+	const char *text = options->body ? options->body : "";
+	GBytes *body = g_bytes_new(text, strlen(text));
+	gchar *id = NULL, *path = NULL, *deadline = NULL;
+	guint n = 0;
+	ctl_reply_t reply = { 0 };
+	int status = EXIT_FAILURE;
+
+	if (g_strv_length(names) != 2) {
+		fprintf(stderr, "\"%s\" is not SERVICE.METHOD\n",
+			options->arguments[0]);
+		goto out;
+	}
+	id = take_request_id(options);
+	if (id) {
+		headers[n++] = "Catkinstall-Request-Id";
+		headers[n++] = id;
+	}
+	if (options->deadline_ms) {
+		deadline = g_strdup_printf("%u", options->deadline_ms);
+		headers[n++] = "Catkinstall-Deadline-Ms";
+		headers[n++] = deadline;
+	}
+	if (options->caller) {
+		headers[n++] = "Catkinstall-Caller";
+		headers[n++] = options->caller;
+	}
+	path = g_strdup_printf("/v1/call/%s/%s", names[0], names[1]);
+	ctl_request(options, SOUP_METHOD_POST, path, headers, body, &reply);
+	print_outcome(&reply, id);
+	status = ctl_print(&reply);
+out:
+	ctl_reply_clear(&reply);
+	g_bytes_unref(body);
+	g_strfreev(names);
+	g_free(id);
+	g_free(path);
+	g_free(deadline);
+	return status;
+}
--- /dev/null
+++ b/tests/fakes/fake_object_api.c
@@ -0,0 +1,385 @@
+/*
+ * Stand-in for the platform's object API: versioned objects, conditional
+ * updates, watches, instance lists, a call counter per client, and faults.
+ *
+ * POST /control?outage=0|1&slow_ms=N&lose_answers=N changes its behaviour:
+ * lose_answers closes the connection of the next N writes after they took
+ * effect. POST /instances/NAME with a JSON list sets an instance list. POST
+ * /stats gives the calls of each client.
+ */
+#include <argp.h>
+#include <json-glib/json-glib.h>
+#include <libsoup/soup.h>
+#include <stdlib.h>
+
+#include "codec/dump_json.h"
+#include "lib/common/intrusive.h"
+#include "net/http_reply.h"
+
+typedef struct object {
+	TAILQ_ENTRY(object) link;
+	char *key;
+	guint64 version;
+	GBytes *value;
+} object_t;
+
+/* A watch that waits for a newer version. */
+typedef struct watch {
+	TAILQ_ENTRY(watch) link;
+	SoupServerMessage *message;
+	char *key;
+	guint64 after;
+	guint timer;
+	gulong finished;
+} watch_t;
+
+static struct {
+	guint port;
+	SoupServer *server;
+	gboolean outage;
+	guint slow_ms;
+	guint lose_answers;
+	TAILQ_HEAD(object_list, object) objects;
+	TAILQ_HEAD(watch_list, watch) watches;
+	GHashTable *instances; /* service -> GBytes */
+	GHashTable *calls; /* client -> count */
+} fake = { .port = 7000 };
+
+static void reply_object(SoupServerMessage *message, guint status,
+			 guint64 version, GBytes *value)
+{
+	gchar *text = g_strdup_printf("%" G_GUINT64_FORMAT, version);
+
+	soup_message_headers_replace(
+		soup_server_message_get_response_headers(message),
+		"Object-Version", text);
+	g_free(text);
+	soup_server_message_set_status(message, status, NULL);
+	if (value)
+		http_reply_bytes(message, status, "application/json", value);
+}
+
+static object_t *find_object(const char *key)
+{
+	object_t *object;
+
+	TAILQ_FOREACH (object, &fake.objects, link)
+		if (g_str_equal(object->key, key))
+			return object;
+	return NULL;
+}
+
+static void close_connection(SoupServerMessage *message)
+{
+	GSocket *socket = soup_server_message_get_socket(message);
+
+	g_socket_shutdown(socket, TRUE, TRUE, NULL);
+}
+
+static void watch_free(watch_t *watch)
+{
+	TAILQ_REMOVE(&fake.watches, watch, link);
+	if (watch->timer)
+		g_source_remove(watch->timer);
+	g_clear_signal_handler(&watch->finished, watch->message);
+	g_object_unref(watch->message);
+	g_free(watch->key);
+	g_free(watch);
+}
+
+static void end_watch(watch_t *watch, guint status, const object_t *object)
+{
+	if (object)
+		reply_object(watch->message, status, object->version,
+			     object->value);
+	else
+		soup_server_message_set_status(watch->message, status, NULL);
+	soup_server_message_unpause(watch->message);
+	watch_free(watch);
+}
+
+static void notify_watches(const object_t *object)
+{
+	watch_t *watch, *next;
+
+	TAILQ_FOREACH_SAFE (watch, &fake.watches, link, next)
+		if (g_str_equal(watch->key, object->key) &&
+		    object->version > watch->after)
+			end_watch(watch, SOUP_STATUS_OK, object);
+}
+
+static guint64 query_number(GHashTable *query, const char *name,
+			    guint64 initial)
+{
+	const char *text = query ? g_hash_table_lookup(query, name) : NULL;
+
+	return text ? g_ascii_strtoull(text, NULL, 10) : initial;
+}
+
+static void handle_get(SoupServerMessage *message, const char *key)
+{
+	const object_t *object = find_object(key);
+
+	if (object)
+		reply_object(message, SOUP_STATUS_OK, object->version,
+			     object->value);
+	else
+		soup_server_message_set_status(message, SOUP_STATUS_NOT_FOUND,
+					       NULL);
+}
+
+static void handle_put(SoupServerMessage *message, const char *key,
+		       GHashTable *query)
+{
+	guint64 expected = query_number(query, "if_version", 0);
+	object_t *object = find_object(key);
+
+	if ((object ? object->version : 0) != expected) {
+		reply_object(message, SOUP_STATUS_CONFLICT,
+			     object ? object->version : 0, NULL);
+		return;
+	}
+	if (!object) {
+		object = g_new0(object_t, 1);
+		object->key = g_strdup(key);
+		TAILQ_INSERT_TAIL(&fake.objects, object, link);
+	}
+	g_clear_pointer(&object->value, g_bytes_unref);
+	object->value = soup_message_body_flatten(
+		soup_server_message_get_request_body(message));
+	object->version++;
+	reply_object(message, SOUP_STATUS_OK, object->version, NULL);
+	notify_watches(object);
+	if (fake.lose_answers > 0) {
+		fake.lose_answers--;
+		close_connection(message);
+	}
+}
+
+static gboolean on_watch_timeout(gpointer data)
+{
+	watch_t *watch = data;
+
+	watch->timer = 0;
+	end_watch(watch, SOUP_STATUS_NO_CONTENT, NULL);
+	return G_SOURCE_REMOVE;
+}
+
+static void on_watch_gone(SoupServerMessage *message, gpointer data)
+{
+	(void)message;
+	watch_free(data);
+}
+
+static void handle_watch(SoupServerMessage *message, const char *key,
+			 GHashTable *query)
+{
+	guint64 after = query_number(query, "after", 0);
+	const object_t *object = find_object(key);
+	watch_t *watch;
+
+	if (object && object->version > after) {
+		handle_get(message, key);
+		return;
+	}
+	watch = g_new0(watch_t, 1);
+	watch->message = g_object_ref(message);
+	watch->key = g_strdup(key);
+	watch->after = after;
+	watch->timer =
+		g_timeout_add((guint)query_number(query, "timeout_ms", 1000),
+			      on_watch_timeout, watch);
+	watch->finished = g_signal_connect(message, "disconnected",
+					   G_CALLBACK(on_watch_gone), watch);
+	TAILQ_INSERT_TAIL(&fake.watches, watch, link);
+	soup_server_message_pause(message);
+}
+
+static void handle_instances(SoupServerMessage *message, const char *name)
+{
+	GBytes *list = g_hash_table_lookup(fake.instances, name);
+
+	if (list)
+		http_reply_bytes(message, SOUP_STATUS_OK, "application/json",
+				 list);
+	else
+		soup_server_message_set_status(message, SOUP_STATUS_NOT_FOUND,
+					       NULL);
+}
+
+static void count_call(SoupServerMessage *message)
+{
+	const char *client = soup_message_headers_get_one(
+		soup_server_message_get_request_headers(message), "Client");
+	guint count;
+
+	if (!client)
+		client = "";
+	count = GPOINTER_TO_UINT(g_hash_table_lookup(fake.calls, client));
+	g_hash_table_insert(fake.calls, g_strdup(client),
+			    GUINT_TO_POINTER(count + 1));
+}
+
+typedef struct {
+	SoupServerMessage *message;
+	char *path;
+	GHashTable *query;
+} call_t;
+
+static void handle_call(call_t *call)
+{
+	if (g_str_has_prefix(call->path, "/v1/get/"))
+		handle_get(call->message, call->path + strlen("/v1/get/"));
+	else if (g_str_has_prefix(call->path, "/v1/put/"))
+		handle_put(call->message, call->path + strlen("/v1/put/"),
+			   call->query);
+	else if (g_str_has_prefix(call->path, "/v1/watch/"))
+		handle_watch(call->message, call->path + strlen("/v1/watch/"),
+			     call->query);
+	else if (g_str_has_prefix(call->path, "/v1/instances/"))
+		handle_instances(call->message,
+				 call->path + strlen("/v1/instances/"));
+	else
+		soup_server_message_set_status(call->message,
+					       SOUP_STATUS_NOT_FOUND, NULL);
+}
+
+static gboolean on_slow_call(gpointer data)
+{
+	call_t *call = data;
+
+	soup_server_message_unpause(call->message);
+	handle_call(call);
+	g_object_unref(call->message);
+	g_free(call->path);
+	g_clear_pointer(&call->query, g_hash_table_unref);
+	g_free(call);
+	return G_SOURCE_REMOVE;
+}
+
+static void on_call(SoupServer *server, SoupServerMessage *message,
+		    const char *path, GHashTable *query, gpointer data)
+{
+	call_t call = { message, (char *)path, query };
+	call_t *slow;
+
+	(void)server;
+	(void)data;
+	count_call(message);
+	if (fake.outage) {
+		close_connection(message);
+		return;
+	}
+	if (!fake.slow_ms) {
+		handle_call(&call);
+		return;
+	}
+	slow = g_new0(call_t, 1);
+	slow->message = g_object_ref(message);
+	slow->path = g_strdup(path);
+	slow->query = query ? g_hash_table_ref(query) : NULL;
+	soup_server_message_pause(message);
+	g_timeout_add(fake.slow_ms, on_slow_call, slow);
+}
+
+static void drop_watches(void)
+{
+	watch_t *watch, *next;
+
+	TAILQ_FOREACH_SAFE (watch, &fake.watches, link, next)
+		close_connection(watch->message);
+}
+
+static void on_control(SoupServer *server, SoupServerMessage *message,
+		       const char *path, GHashTable *query, gpointer data)
+{
+	(void)server;
+	(void)path;
+	(void)data;
+	fake.outage = query_number(query, "outage", fake.outage) != 0;
+	fake.slow_ms = (guint)query_number(query, "slow_ms", fake.slow_ms);
+	fake.lose_answers =
+		(guint)query_number(query, "lose_answers", fake.lose_answers);
+	if (fake.outage)
+		drop_watches();
+	soup_server_message_set_status(message, SOUP_STATUS_OK, NULL);
+}
+
+static void on_set_instances(SoupServer *server, SoupServerMessage *message,
+			     const char *path, GHashTable *query, gpointer data)
+{
+	(void)server;
+	(void)query;
+	(void)data;
+	g_hash_table_insert(
+		fake.instances, g_strdup(path + strlen("/instances/")),
+		soup_message_body_flatten(
+			soup_server_message_get_request_body(message)));
+	soup_server_message_set_status(message, SOUP_STATUS_OK, NULL);
+}
+
+static void on_stats(SoupServer *server, SoupServerMessage *message,
+		     const char *path, GHashTable *query, gpointer data)
+{
+	JsonBuilder *builder = json_builder_new();
+	dump_writer_t w = dump_json_writer(builder);
+	GHashTableIter iter;
+	gpointer client, count;
+
+	(void)server;
+	(void)path;
+	(void)query;
+	(void)data;
+	w.begin_object(w.ctx, NULL);
+	w.begin_object(w.ctx, "calls");
+	g_hash_table_iter_init(&iter, fake.calls);
+	while (g_hash_table_iter_next(&iter, &client, &count))
+		w.integer(w.ctx, client, GPOINTER_TO_UINT(count));
+	w.end_object(w.ctx);
+	w.end_object(w.ctx);
+	http_reply_json(message, builder);
+	g_object_unref(builder);
+}
+
+static error_t parse_option(int key, char *argument, struct argp_state *state)
+{
+	(void)state;
+	if (key != 'p')
+		return ARGP_ERR_UNKNOWN;
+	fake.port = (guint)atoi(argument);
+	return 0;
+}
+
+int main(int argc, char **argv)
+{
+	static const struct argp_option options[] = {
+		{ "port", 'p', "N", 0, "Port to listen on", 0 }, { 0 }
+	};
+	const struct argp argp = { .options = options, .parser = parse_option };
+	GMainLoop *loop = g_main_loop_new(NULL, FALSE);
+	GSocketAddress *address;
+	GError *error = NULL;
+
+	argp_parse(&argp, argc, argv, 0, NULL, NULL);
+	TAILQ_INIT(&fake.objects);
+	TAILQ_INIT(&fake.watches);
+	fake.instances = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       (GDestroyNotify)g_bytes_unref);
+	fake.calls =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	fake.server = soup_server_new(NULL, NULL);
+	soup_server_add_handler(fake.server, "/v1", on_call, NULL, NULL);
+	soup_server_add_handler(fake.server, "/control", on_control, NULL,
+				NULL);
+	soup_server_add_handler(fake.server, "/instances", on_set_instances,
+				NULL, NULL);
+	soup_server_add_handler(fake.server, "/stats", on_stats, NULL, NULL);
+	address = g_inet_socket_address_new_from_string("127.0.0.1", fake.port);
+	if (!soup_server_listen(fake.server, address, 0, &error)) {
+		fprintf(stderr, "port %u: %s\n", fake.port, error->message);
+		return EXIT_FAILURE;
+	}
+	g_object_unref(address);
+	g_main_loop_run(loop);
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/test_whole_path.c
@@ -0,0 +1,220 @@
+/* Guards the path from a caller through one entry to an upstream and back. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <signal.h>
+
+#include "tests/support.h"
+
+#define START_TIMEOUT_MS 5000
+
+static const char schema_text[] =
+	"{\"priorities\":[{\"name\":\"urgent\",\"floor_percent\":10}],"
+	"\"services\":[{\"name\":\"booking\",\"slots\":3,\"connections\":200,"
+	"\"probes_per_second\":0,\"instance_list\":\"booking\",\"methods\":["
+	"{\"name\":\"book\",\"priority\":\"urgent\",\"idempotent\":false,"
+	"\"deadline_ms\":2000},{\"name\":\"status\",\"priority\":\"urgent\","
+	"\"idempotent\":true,\"deadline_ms\":2000}]}]}";
+
+typedef struct {
+	guint entry_port;
+	guint upstream_port;
+	guint object_port;
+	process_t *object_api;
+	process_t *upstream;
+	process_t *entry;
+} system_t;
+
+static process_t *start_on_port(const char *program, guint port)
+{
+	gchar *text = g_strdup_printf("%u", port);
+	process_t *process = process_start(program, "--port", text, NULL);
+
+	g_free(text);
+	return process;
+}
+
+static gboolean put_configuration(void *ctx)
+{
+	system_t *system = ctx;
+	gchar *list = g_strdup_printf(
+		"{\"instances\":[{\"name\":\"b1\",\"address\":\"127.0.0.1:%u\""
+		",\"data_centre\":\"k1\",\"state\":\"live\"}]}",
+		system->upstream_port);
+	gboolean ok;
+	reply_t reply;
+
+	http_request(&reply, "POST", system->object_port, "/instances/booking",
+		     list, NULL);
+	ok = reply.status == 200;
+	reply_clear(&reply);
+	if (ok) {
+		http_request(&reply, "POST", system->object_port,
+			     "/v1/put/config/schema?if_version=0", schema_text,
+			     NULL);
+		ok = reply.status == 200;
+		reply_clear(&reply);
+	}
+	g_free(list);
+	return ok;
+}
+
+static gboolean call_succeeds(void *ctx)
+{
+	system_t *system = ctx;
+	reply_t reply;
+	gboolean ok;
+
+	http_request(&reply, "POST", system->entry_port,
+		     "/v1/call/booking/status", "x", NULL);
+	ok = reply.status == 200;
+	reply_clear(&reply);
+	return ok;
+}
+
+static int set_up(void **state)
+{
+	system_t *system = g_new0(system_t, 1);
+	char *settings;
+
+	system->entry_port = support_port(0);
+	system->upstream_port = support_port(1);
+	system->object_port = support_port(2);
+	system->object_api =
+		start_on_port("fake_object_api", system->object_port);
+	system->upstream =
+		start_on_port("fake_upstream", system->upstream_port);
+	assert_true(wait_until(put_configuration, system, START_TIMEOUT_MS));
+	settings = write_file("whole_path.json",
+			      "{\"instance\":\"e1\",\"data_centre\":\"k1\","
+			      "\"caller_address\":\"127.0.0.1:%u\","
+			      "\"object_api\":\"127.0.0.1:%u\","
+			      "\"instance_list_poll_ms\":100,"
+			      "\"request_id_lifetime_ms\":1000,"
+			      "\"resolve_ttl_ms\":500}",
+			      system->entry_port, system->object_port);
+	system->entry =
+		process_start("catkinstalld", "--settings", settings, NULL);
+	g_free(settings);
+	assert_true(wait_until(daemon_answers,
+			       GUINT_TO_POINTER(system->entry_port),
+			       START_TIMEOUT_MS));
+	assert_true(wait_until(call_succeeds, system, START_TIMEOUT_MS));
+	*state = system;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	system_t *system = *state;
+
+	process_free(system->entry);
+	process_free(system->upstream);
+	process_free(system->object_api);
+	g_free(system);
+	return 0;
+}
+
+static void assert_runs(const system_t *system, const char *body,
+			const char *runs)
+{
+	gchar *path = g_strdup_printf("/runs?body=%s", body);
+	reply_t reply;
+
+	http_request(&reply, "POST", system->upstream_port, path, NULL, NULL);
+	assert_string_equal(reply.body, runs);
+	reply_clear(&reply);
+	g_free(path);
+}
+
+/* Fails when a call does not reach the upstream or its answer is changed. */
+static void call_is_served_once(void **state)
+{
+	system_t *system = *state;
+	char *id = take_request_id(system->entry_port);
+	reply_t reply;
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		http_request(&reply, "POST", system->entry_port,
+			     "/v1/call/booking/book", "pole7",
+			     "Catkinstall-Request-Id", id, NULL);
+		assert_int_equal(reply.status, 200);
+		assert_string_equal(reply.body, "pole7");
+		assert_string_equal(reply.outcome, "ran");
+		reply_clear(&reply);
+	}
+	assert_runs(system, "pole7", "1");
+	g_free(id);
+}
+
+static void assert_refused(const system_t *system, const char *method,
+			   const char *path, const char *header,
+			   const char *value, guint status)
+{
+	reply_t reply;
+
+	http_request(&reply, method, system->entry_port, path, "refused",
+		     header, value, NULL);
+	assert_int_equal(reply.status, status);
+	assert_string_equal(reply.outcome, "not_run");
+	reply_clear(&reply);
+}
+
+/* Fails when bad input gets another status, or runs at the upstream. */
+static void bad_input_is_refused_as_not_run(void **state)
+{
+	const system_t *system = *state;
+	const char *book = "/v1/call/booking/book";
+	const char *id = "Catkinstall-Request-Id";
+
+	assert_refused(system, "POST", book, "X", "y", 400);
+	assert_refused(system, "POST", book, id, "nonsense", 400);
+	assert_refused(system, "POST", "/v1/call/booking/x", "X", "y", 404);
+	assert_refused(system, "POST", "/v1/call/booking", "X", "y", 404);
+	assert_refused(system, "PUT", book, "X", "y", 400);
+	assert_refused(system, "POST", "/v1/call/booking/status",
+		       "Catkinstall-Deadline-Ms", "0", 400);
+	assert_runs(system, "refused", "0");
+}
+
+/*
+ * Fails when SIGTERM cuts a call, or refuses a caller that kept the address
+ * from an earlier resolve.
+ */
+static void shutdown_cuts_no_call(void **state)
+{
+	system_t *system = *state;
+	async_request_t *running;
+	reply_t reply;
+	char *id = take_request_id(system->entry_port);
+
+	running = http_start("POST", system->entry_port,
+			     "/v1/call/booking/status", "running", NULL);
+	run_loop_for(2);
+	process_signal(system->entry, SIGTERM);
+	run_loop_for(100);
+	http_request(&reply, "POST", system->entry_port,
+		     "/v1/call/booking/book", "late", "Catkinstall-Request-Id",
+		     id, NULL);
+	assert_int_equal(reply.status, 200);
+	reply_clear(&reply);
+	http_join(running, &reply);
+	assert_int_equal(reply.status, 200);
+	reply_clear(&reply);
+	assert_int_equal(process_wait(system->entry), 0);
+	g_free(id);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(call_is_served_once),
+		cmocka_unit_test(bad_input_is_refused_as_not_run),
+		cmocka_unit_test(shutdown_cuts_no_call),
+	};
+
+	return cmocka_run_group_tests(tests, set_up, tear_down);
+}
