--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 PROGRAMS = $(BUILD)/catkinstalld $(BUILD)/catkinctl
 FAKES = $(patsubst tests/fakes/%.c,$(BUILD)/%,$(wildcard tests/fakes/*.c))
 TESTS = $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_*.c))
-BENCHES = $(patsubst bench/%.c,$(BUILD)/%,$(wildcard bench/bench_*.c))
+BENCHES = $(patsubst bench/%.c,$(BUILD)/%,$(wildcard bench/*.c))
 
 all: $(PROGRAMS)
 
@@ -118,7 +118,7 @@
 
 bench: deps
 	$(MAKE) all $(FAKES) $(BENCHES)
-	bench/run $(BUILD)
+	bench/added-latency $(BUILD)
 
 SOURCES = $(shell git ls-files '*.c' '*.h' | grep -v pb-c)
 
