--- a/programs/ctl_request.c
+++ b/programs/ctl_request.c
@@ -7,7 +7,8 @@
 		 const char *path, const char *const *request_headers,
 		 GBytes *body, ctl_reply_t *reply)
 {
-	SoupSession *session = soup_session_new();
+	SoupSession *session =
+		soup_session_new_with_options("proxy-resolver", NULL, NULL);
 	gchar *uri = g_strdup_printf("http://%s%s", options->entry, path);
 	SoupMessage *message = soup_message_new(method, uri);
 	GError *error = NULL;
--- a/tests/support.c
+++ b/tests/support.c
@@ -112,7 +112,8 @@
 	gchar *uri = g_strdup_printf("http://127.0.0.1:%u%s", port, path);
 	const char *name;
 
-	request->session = soup_session_new();
+	request->session =
+		soup_session_new_with_options("proxy-resolver", NULL, NULL);
 	request->cancellable = g_cancellable_new();
 	request->message = soup_message_new(method, uri);
 	while ((name = va_arg(headers, const char *)))
