--- /dev/null
+++ b/codec/peer_codec.c
@@ -0,0 +1,354 @@
+#include "codec/peer_codec.h"
+
+#include <string.h>
+
+#include "proto/peer.pb-c.h"
+
+/* A name longer than this is no method or service of a schema. */
+#define TEXT_MAX 1024
+
+static void member_to_wire(const member_t *member, Catk__Member *wire)
+{
+	catk__member__init(wire);
+	wire->name = (char *)member->name;
+	wire->data_centre = (char *)member->data_centre;
+	wire->caller_address = (char *)member->caller_address;
+	wire->peer_address = (char *)member->peer_address;
+	wire->incarnation = member->incarnation;
+	wire->refutation = member->refutation;
+	wire->state = member->state;
+	wire->config_version = member->config_version;
+}
+
+static gboolean copy_text(char *target, gsize size, const char *source)
+{
+	return g_strlcpy(target, source, size) < size;
+}
+
+static gboolean member_from_wire(const Catk__Member *wire, member_t *member)
+{
+	memset(member, 0, sizeof(*member));
+	if (!wire || !wire->name[0] || wire->state > MEMBER_GONE)
+		return FALSE;
+	member->incarnation = wire->incarnation;
+	member->refutation = wire->refutation;
+	member->state = (member_state_t)wire->state;
+	member->config_version = wire->config_version;
+	return copy_text(member->name, sizeof(member->name), wire->name) &&
+	       copy_text(member->data_centre, sizeof(member->data_centre),
+			 wire->data_centre) &&
+	       copy_text(member->caller_address, sizeof(member->caller_address),
+			 wire->caller_address) &&
+	       copy_text(member->peer_address, sizeof(member->peer_address),
+			 wire->peer_address);
+}
+
+static void bytes_to_wire(GBytes *bytes, ProtobufCBinaryData *wire)
+{
+	gsize size = 0;
+
+	wire->data = bytes ? (uint8_t *)g_bytes_get_data(bytes, &size) : NULL;
+	wire->len = size;
+}
+
+static GByteArray *pack(const Catk__Envelope *envelope)
+{
+	gsize size = catk__envelope__get_packed_size(envelope);
+	GByteArray *bytes = g_byte_array_sized_new((guint)size);
+
+	g_byte_array_set_size(bytes, (guint)size);
+	catk__envelope__pack(envelope, bytes->data);
+	return bytes;
+}
+
+static GByteArray *encode_membership(Catk__Envelope *envelope,
+				     const membership_message_t *message)
+{
+	Catk__Member sender, *members, **updates;
+	Catk__PingRequest request = CATK__PING_REQUEST__INIT;
+	Catk__Ping ping = CATK__PING__INIT;
+	Catk__Ack ack = CATK__ACK__INIT;
+	GByteArray *bytes;
+	guint i;
+
+	members = g_new(Catk__Member, message->update_count);
+	updates = g_new(Catk__Member *, message->update_count);
+	for (i = 0; i < message->update_count; i++) {
+		member_to_wire(&message->updates[i], &members[i]);
+		updates[i] = &members[i];
+	}
+	member_to_wire(&message->sender, &sender);
+#define FILL(wire)                                        \
+	do {                                              \
+		(wire).sequence = message->sequence;      \
+		(wire).sender = &sender;                  \
+		(wire).n_updates = message->update_count; \
+		(wire).updates = updates;                 \
+	} while (0)
+	switch (message->kind) {
+	case MEMBERSHIP_PING:
+		FILL(ping);
+		ping.want_members = message->want_members;
+		envelope->body_case = CATK__ENVELOPE__BODY_PING;
+		envelope->ping = &ping;
+		break;
+	case MEMBERSHIP_PING_REQUEST:
+		FILL(request);
+		request.target = (char *)message->target;
+		envelope->body_case = CATK__ENVELOPE__BODY_PING_REQUEST;
+		envelope->ping_request = &request;
+		break;
+	case MEMBERSHIP_ACK:
+		FILL(ack);
+		envelope->body_case = CATK__ENVELOPE__BODY_ACK;
+		envelope->ack = &ack;
+		break;
+	}
+#undef FILL
+	bytes = pack(envelope);
+	g_free(members);
+	g_free(updates);
+	return bytes;
+}
+
+static GByteArray *encode_config(Catk__Envelope *envelope,
+				 const peer_message_t *message)
+{
+	Catk__ConfigDocument document = CATK__CONFIG_DOCUMENT__INIT;
+
+	document.version = message->u.config.version;
+	bytes_to_wire(message->u.config.document, &document.document);
+	envelope->body_case = CATK__ENVELOPE__BODY_CONFIG_DOCUMENT;
+	envelope->config_document = &document;
+	return pack(envelope);
+}
+
+static GByteArray *encode_call(Catk__Envelope *envelope,
+			       const peer_forward_call_t *call)
+{
+	Catk__ForwardCall wire = CATK__FORWARD_CALL__INIT;
+
+	wire.number = call->number;
+	wire.service = (char *)call->service;
+	wire.method = (char *)call->method;
+	wire.request_id = (char *)call->request_id;
+	wire.caller = (char *)call->caller;
+	wire.remaining_us = (guint64)call->remaining;
+	bytes_to_wire(call->body, &wire.body);
+	envelope->body_case = CATK__ENVELOPE__BODY_FORWARD_CALL;
+	envelope->forward_call = &wire;
+	return pack(envelope);
+}
+
+static GByteArray *encode_answer(Catk__Envelope *envelope,
+				 const peer_forward_answer_t *answer)
+{
+	Catk__ForwardAnswer wire = CATK__FORWARD_ANSWER__INIT;
+	gboolean failed = answer->error.kind != CATK_OK;
+
+	wire.number = answer->number;
+	wire.error_kind = (char *)catk_error_kind_name(answer->error.kind);
+	wire.outcome = (char *)outcome_name(answer->error.outcome);
+	wire.retry_after_us = (guint64)answer->error.retry_after;
+	if (failed)
+		wire.message = (char *)answer->error.message;
+	wire.status = answer->status;
+	bytes_to_wire(answer->body, &wire.body);
+	envelope->body_case = CATK__ENVELOPE__BODY_FORWARD_ANSWER;
+	envelope->forward_answer = &wire;
+	return pack(envelope);
+}
+
+GByteArray *peer_codec_encode(const peer_message_t *message)
+{
+	Catk__Envelope envelope = CATK__ENVELOPE__INIT;
+	Catk__Hello hello = CATK__HELLO__INIT;
+	Catk__ConfigPull pull = CATK__CONFIG_PULL__INIT;
+	Catk__ForwardCancel cancel = CATK__FORWARD_CANCEL__INIT;
+
+	envelope.config_version = message->config_version;
+	switch (message->kind) {
+	case PEER_HELLO:
+		hello.protocol_version = message->u.protocol_version;
+		envelope.body_case = CATK__ENVELOPE__BODY_HELLO;
+		envelope.hello = &hello;
+		break;
+	case PEER_MEMBERSHIP:
+		return encode_membership(&envelope, &message->u.membership);
+	case PEER_CONFIG_PULL:
+		envelope.body_case = CATK__ENVELOPE__BODY_CONFIG_PULL;
+		envelope.config_pull = &pull;
+		break;
+	case PEER_CONFIG_DOCUMENT:
+		return encode_config(&envelope, message);
+	case PEER_FORWARD_CALL:
+		return encode_call(&envelope, &message->u.call);
+	case PEER_FORWARD_ANSWER:
+		return encode_answer(&envelope, &message->u.answer);
+	case PEER_FORWARD_CANCEL:
+		cancel.number = message->u.cancelled;
+		envelope.body_case = CATK__ENVELOPE__BODY_FORWARD_CANCEL;
+		envelope.forward_cancel = &cancel;
+		break;
+	}
+	return pack(&envelope);
+}
+
+/* Allocates message->updates, also when it returns FALSE. */
+static gboolean decode_updates(const Catk__Member *sender,
+			       Catk__Member *const *updates, gsize count,
+			       membership_message_t *message)
+{
+	if (count > MEMBERSHIP_MEMBERS_MAX ||
+	    !member_from_wire(sender, &message->sender))
+		return FALSE;
+	message->updates = g_new(member_t, count);
+	while (message->update_count < count) {
+		guint i = message->update_count++;
+
+		if (!member_from_wire(updates[i], &message->updates[i]))
+			return FALSE;
+	}
+	return TRUE;
+}
+
+static gboolean decode_membership(const Catk__Envelope *wire,
+				  membership_message_t *message)
+{
+	switch (wire->body_case) {
+	case CATK__ENVELOPE__BODY_PING:
+		message->kind = MEMBERSHIP_PING;
+		message->sequence = wire->ping->sequence;
+		message->want_members = wire->ping->want_members;
+		return decode_updates(wire->ping->sender, wire->ping->updates,
+				      wire->ping->n_updates, message);
+	case CATK__ENVELOPE__BODY_PING_REQUEST:
+		message->kind = MEMBERSHIP_PING_REQUEST;
+		message->sequence = wire->ping_request->sequence;
+		return copy_text(message->target, sizeof(message->target),
+				 wire->ping_request->target) &&
+		       decode_updates(wire->ping_request->sender,
+				      wire->ping_request->updates,
+				      wire->ping_request->n_updates, message);
+	default:
+		message->kind = MEMBERSHIP_ACK;
+		message->sequence = wire->ack->sequence;
+		return decode_updates(wire->ack->sender, wire->ack->updates,
+				      wire->ack->n_updates, message);
+	}
+}
+
+/* A copy, since the receiver keeps a reference beyond the callback. */
+static GBytes *bytes_from_wire(const ProtobufCBinaryData *wire)
+{
+	return g_bytes_new(wire->data, wire->len);
+}
+
+static gboolean decode_call(const Catk__ForwardCall *wire,
+			    peer_forward_call_t *call)
+{
+	if (wire->remaining_us > G_MAXINT64 ||
+	    strlen(wire->service) > TEXT_MAX ||
+	    strlen(wire->method) > TEXT_MAX ||
+	    strlen(wire->request_id) > TEXT_MAX ||
+	    strlen(wire->caller) > TEXT_MAX)
+		return FALSE;
+	call->number = wire->number;
+	call->service = wire->service;
+	call->method = wire->method;
+	call->request_id = wire->request_id;
+	call->caller = wire->caller;
+	call->remaining = (GTimeSpan)wire->remaining_us;
+	call->body = bytes_from_wire(&wire->body);
+	return TRUE;
+}
+
+static gboolean decode_answer(const Catk__ForwardAnswer *wire,
+			      peer_forward_answer_t *answer)
+{
+	if (wire->retry_after_us > G_MAXINT64)
+		return FALSE;
+	answer->number = wire->number;
+	catk_error_set(&answer->error,
+		       catk_error_kind_from_name(wire->error_kind),
+		       outcome_from_name(wire->outcome), "%s", wire->message);
+	answer->error.retry_after = (GTimeSpan)wire->retry_after_us;
+	answer->status = wire->status;
+	if (answer->error.kind == CATK_OK)
+		answer->body = bytes_from_wire(&wire->body);
+	return TRUE;
+}
+
+static gboolean decode_body(const Catk__Envelope *wire, peer_message_t *message)
+{
+	message->config_version = wire->config_version;
+	switch (wire->body_case) {
+	case CATK__ENVELOPE__BODY_HELLO:
+		message->kind = PEER_HELLO;
+		message->u.protocol_version = wire->hello->protocol_version;
+		return TRUE;
+	case CATK__ENVELOPE__BODY_PING:
+	case CATK__ENVELOPE__BODY_PING_REQUEST:
+	case CATK__ENVELOPE__BODY_ACK:
+		message->kind = PEER_MEMBERSHIP;
+		return decode_membership(wire, &message->u.membership);
+	case CATK__ENVELOPE__BODY_CONFIG_PULL:
+		message->kind = PEER_CONFIG_PULL;
+		return TRUE;
+	case CATK__ENVELOPE__BODY_CONFIG_DOCUMENT:
+		message->kind = PEER_CONFIG_DOCUMENT;
+		message->u.config.version = wire->config_document->version;
+		message->u.config.document =
+			bytes_from_wire(&wire->config_document->document);
+		return TRUE;
+	case CATK__ENVELOPE__BODY_FORWARD_CALL:
+		message->kind = PEER_FORWARD_CALL;
+		return decode_call(wire->forward_call, &message->u.call);
+	case CATK__ENVELOPE__BODY_FORWARD_ANSWER:
+		message->kind = PEER_FORWARD_ANSWER;
+		return decode_answer(wire->forward_answer, &message->u.answer);
+	case CATK__ENVELOPE__BODY_FORWARD_CANCEL:
+		message->kind = PEER_FORWARD_CANCEL;
+		message->u.cancelled = wire->forward_cancel->number;
+		return TRUE;
+	default:
+		return FALSE;
+	}
+}
+
+static void clear_message(peer_message_t *message)
+{
+	switch (message->kind) {
+	case PEER_MEMBERSHIP:
+		g_free(message->u.membership.updates);
+		break;
+	case PEER_CONFIG_DOCUMENT:
+		g_clear_pointer(&message->u.config.document, g_bytes_unref);
+		break;
+	case PEER_FORWARD_CALL:
+		g_clear_pointer(&message->u.call.body, g_bytes_unref);
+		break;
+	case PEER_FORWARD_ANSWER:
+		g_clear_pointer(&message->u.answer.body, g_bytes_unref);
+		break;
+	default:
+		break;
+	}
+}
+
+gboolean peer_codec_decode(const guint8 *data, gsize size,
+			   peer_codec_fn_t on_message, void *ctx)
+{
+	Catk__Envelope *wire = catk__envelope__unpack(NULL, size, data);
+	peer_message_t message = { 0 };
+	gboolean ok;
+
+	if (!wire)
+		return FALSE;
+	ok = decode_body(wire, &message);
+	if (ok)
+		on_message(ctx, &message);
+	clear_message(&message);
+	catk__envelope__free_unpacked(wire, NULL);
+	return ok;
+}
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -20,7 +20,7 @@
 	entry->random = random;
 	entry->counters = counters;
 	entry->config = config_new(counters);
-	entry->membership = membership_new(self, counters);
+	entry_peers_init(entry, self);
 	entry->ids = request_ids_new(&limits->request_ids, counters);
 	TAILQ_INIT(&entry->services);
 	TAILQ_INIT(&entry->calls);
@@ -52,7 +52,7 @@
 	g_hash_table_destroy(entry->calls_by_attempt);
 	g_hash_table_destroy(entry->calls_by_ref);
 	request_ids_free(entry->ids);
-	membership_free(entry->membership);
+	entry_peers_free(entry);
 	config_free(entry->config);
 	g_free(entry);
 }
@@ -168,20 +168,62 @@
 	result->address_count++;
 }
 
-/* This instance first: the ids are its own, so calls need no forwarding. */
-static void fill_addresses(entry_t *entry, resolve_result_t *result)
+static gboolean is_other(const entry_t *entry, const member_t *member,
+			 member_state_t state, gboolean same_data_centre)
+{
+	const member_t *self = membership_self(entry->membership);
+
+	return member != self && member->state == state &&
+	       member->caller_address[0] &&
+	       same_data_centre ==
+		       (strcmp(member->data_centre, self->data_centre) == 0);
+}
+
+/* Adds the others of one kind, starting at a place that rotates. */
+static void add_others(entry_t *entry, resolve_result_t *result,
+		       member_state_t state, gboolean same_data_centre)
 {
+	const member_t *first = membership_first(entry->membership);
 	const member_t *member;
+	guint count = 0, place = 0, start;
 
-	for (member = membership_first(entry->membership); member;
+	for (member = first; member; member = membership_next(member))
+		count += is_other(entry, member, state, same_data_centre);
+	if (!count)
+		return;
+	start = entry->resolve_turn % count;
+	for (member = first; place < start + count;
 	     member = membership_next(member)) {
+		if (!member)
+			member = first;
+		if (!is_other(entry, member, state, same_data_centre))
+			continue;
 		if (result->address_count == entry->limits.resolve_addresses)
 			return;
-		if (member->state == MEMBER_LIVE)
+		if (place++ >= start)
 			add_address(result, member);
 	}
 }
 
+/*
+ * This instance first: the ids are its own, so calls need no forwarding. A
+ * suspect is better than no address, a leaving instance is not.
+ */
+static void fill_addresses(entry_t *entry, resolve_result_t *result)
+{
+	const member_t *self = membership_self(entry->membership);
+
+	if (self->state == MEMBER_LIVE)
+		add_address(result, self);
+	add_others(entry, result, MEMBER_LIVE, TRUE);
+	add_others(entry, result, MEMBER_LIVE, FALSE);
+	if (result->address_count == 0) {
+		add_others(entry, result, MEMBER_SUSPECT, TRUE);
+		add_others(entry, result, MEMBER_SUSPECT, FALSE);
+	}
+	entry->resolve_turn++;
+}
+
 gboolean entry_resolve(entry_t *entry, resolve_result_t *result,
 		       catk_error_t *err)
 {
@@ -236,6 +278,7 @@
 	entry_service_t *service;
 
 	entry_expire_calls(entry);
+	entry_peers_tick(entry);
 	if (entry_now(entry) >= entry->next_housekeeping)
 		housekeeping(entry);
 	TAILQ_FOREACH (service, &entry->services, link)
@@ -244,7 +287,8 @@
 
 GTimeSpan entry_next_wakeup(const entry_t *entry)
 {
-	GTimeSpan wakeup = entry->next_housekeeping;
+	GTimeSpan wakeup = MIN(entry->next_housekeeping,
+			       membership_next_wakeup(entry->membership));
 	const entry_service_t *service;
 
 	if (!TAILQ_EMPTY(&entry->calls))
@@ -272,7 +316,7 @@
 		return FALSE;
 	if (last_expiry != CATK_NEVER && now < last_expiry)
 		return FALSE;
-	return TAILQ_EMPTY(&entry->calls);
+	return TAILQ_EMPTY(&entry->calls) && !entry_has_forwards(entry);
 }
 
 gboolean entry_is_stopped(entry_t *entry)
--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -17,6 +17,7 @@
 #include "lib/common/dump.h"
 #include "lib/common/error.h"
 #include "lib/config/config.h"
+#include "lib/entry/peer_message.h"
 #include "lib/membership/membership.h"
 #include "lib/request_id/request_id.h"
 #include "lib/upstream/upstream.h"
@@ -82,6 +83,20 @@
 	void (*cancel_attempt)(void *ctx, guint64 attempt_id);
 	/* Asks an endpoint for its load; ends with entry_probe_ended(). */
 	void (*send_probe)(void *ctx, const char *service, const char *address);
+	/*
+	 * Sends on the connection that this instance opens to the address. When
+	 * it fails or closes, entry_peer_lost() follows.
+	 */
+	void (*send_peer)(void *ctx, const char *address,
+			  const peer_message_t *message);
+	/* Sends on a connection that a message came from. */
+	void (*reply_peer)(void *ctx, guint64 connection,
+			   const peer_message_t *message);
+	/*
+	 * A peer has a newer configuration, to be read and offered; unlike
+	 * other actions, this one may call entry_offer_config() at once.
+	 */
+	void (*config_received)(void *ctx, guint64 version, GBytes *document);
 	void *ctx;
 } entry_actions_t;
 
@@ -156,6 +171,22 @@
 void entry_probe_ended(entry_t *entry, const char *service, const char *address,
 		       const load_report_t *report);
 
+/* Adds the peer address of an instance to join through. */
+void entry_add_seed(entry_t *entry, const char *peer_address);
+
+/* A message of another instance. connection names where it came from. */
+void entry_peer_message(entry_t *entry, guint64 connection,
+			const peer_message_t *message);
+
+/* A connection that messages came from has closed. */
+void entry_peer_closed(entry_t *entry, guint64 connection);
+
+/*
+ * The connection opened for send_peer has closed or could not be established:
+ * what was forwarded to the address has an unknown outcome.
+ */
+void entry_peer_lost(entry_t *entry, const char *address);
+
 /* Does what is due. To be called at or after entry_next_wakeup(). */
 void entry_tick(entry_t *entry);
 
--- a/lib/entry/entry_calls.c
+++ b/lib/entry/entry_calls.c
@@ -23,7 +23,7 @@
 		counters_add(entry->counters, COUNTER_CALLS_UNKNOWN, 1);
 		break;
 	}
-	entry->actions.answer(entry->actions.ctx, caller_ref, &answer);
+	entry_send_answer(entry, caller_ref, &answer);
 }
 
 static void answer_success(entry_t *entry, void *caller_ref, guint status,
@@ -33,7 +33,16 @@
 
 	answer.error.outcome = OUTCOME_RAN;
 	counters_add(entry->counters, COUNTER_CALLS_SUCCEEDED, 1);
-	entry->actions.answer(entry->actions.ctx, caller_ref, &answer);
+	entry_send_answer(entry, caller_ref, &answer);
+}
+
+void entry_pass_answer(entry_t *entry, void *caller_ref,
+		       const call_answer_t *answer)
+{
+	if (answer->error.kind == CATK_OK)
+		answer_success(entry, caller_ref, answer->status, answer->body);
+	else
+		answer_error(entry, caller_ref, &answer->error);
 }
 
 /* Deadlines mostly arrive in order, so the search from the end is short. */
@@ -348,6 +357,20 @@
 	       id->incarnation == self->incarnation;
 }
 
+/* longest bounds the time to the deadline, 0 when it is not known here. */
+static void call_issuer(entry_t *entry, const call_request_t *request,
+			const request_id_t *id, GTimeSpan longest)
+{
+	catk_error_t error;
+
+	if (entry_forward(entry, request, id, longest))
+		return;
+	catk_error_set(&error, CATK_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN,
+		       "the issuer of this request id is gone: read the "
+		       "effect before sending it with a new id");
+	answer_error(entry, request->caller_ref, &error);
+}
+
 static void call_with_id(entry_t *entry, entry_service_t *service,
 			 const schema_method_t *method,
 			 const call_request_t *request)
@@ -363,10 +386,7 @@
 		return;
 	}
 	if (!is_own_id(entry, &id)) {
-		catk_error_set(&error, CATK_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN,
-			       "the issuer of this request id is gone: read "
-			       "the effect before sending it with a new id");
-		answer_error(entry, request->caller_ref, &error);
+		call_issuer(entry, request, &id, method->deadline);
 		return;
 	}
 	state = request_ids_begin(entry->ids, id.sequence, fingerprint(request),
@@ -407,6 +427,22 @@
 	return method;
 }
 
+/*
+ * The issuer may have run the request under a schema that this instance does
+ * not have: only the issuer may refuse its ids.
+ */
+static gboolean decided_by_issuer(entry_t *entry, const call_request_t *request)
+{
+	request_id_t id;
+
+	if (!request->request_id ||
+	    !request_id_parse(request->request_id, &id, NULL) ||
+	    is_own_id(entry, &id))
+		return FALSE;
+	call_issuer(entry, request, &id, 0);
+	return TRUE;
+}
+
 void entry_call(entry_t *entry, const call_request_t *request)
 {
 	const schema_method_t *method;
@@ -416,7 +452,8 @@
 	counters_add(entry->counters, COUNTER_CALLS_RECEIVED, 1);
 	method = find_method(entry, request, &error);
 	if (!method) {
-		answer_error(entry, request->caller_ref, &error);
+		if (!decided_by_issuer(entry, request))
+			answer_error(entry, request->caller_ref, &error);
 		return;
 	}
 	service = entry_find_service(entry, request->service);
@@ -441,8 +478,12 @@
 	call_t *call = g_hash_table_lookup(entry->calls_by_ref, caller_ref);
 	catk_error_t error;
 
-	if (!call)
+	if (!call) {
+		if (entry_cancel_forward(entry, caller_ref))
+			counters_add(entry->counters, COUNTER_CALLS_CANCELLED,
+				     1);
 		return;
+	}
 	counters_add(entry->counters, COUNTER_CALLS_CANCELLED, 1);
 	g_hash_table_remove(entry->calls_by_ref, caller_ref);
 	call_remove_waiter(call, caller_ref);
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -8,6 +8,8 @@
 /* Time between two rounds of expiry and probing. */
 #define ENTRY_HOUSEKEEPING_INTERVAL (50 * G_TIME_SPAN_MILLISECOND)
 
+typedef struct entry_peers entry_peers_t;
+
 typedef struct entry_service {
 	TAILQ_ENTRY(entry_service) link;
 	upstream_t *upstream;
@@ -24,6 +26,8 @@
 
 	config_t *config;
 	membership_t *membership;
+	entry_peers_t *peers;
+	guint resolve_turn; /* rotates the addresses handed out */
 	request_ids_t *ids;
 	TAILQ_HEAD(entry_service_list, entry_service) services;
 
@@ -56,4 +60,33 @@
 /* Frees all calls without an answer. */
 void entry_drop_calls(entry_t *entry);
 
+/* Counts an answer that another instance gave and passes it on. */
+void entry_pass_answer(entry_t *entry, void *caller_ref,
+		       const call_answer_t *answer);
+
+/* Creates the membership and the state of forwarded calls. */
+void entry_peers_init(entry_t *entry, const member_t *self);
+
+void entry_peers_free(entry_t *entry);
+
+void entry_peers_tick(entry_t *entry);
+
+/* Gives an answer to the local caller or the instance that waits for it. */
+void entry_send_answer(entry_t *entry, void *caller_ref,
+		       const call_answer_t *answer);
+
+/*
+ * Sends a call to the issuer of its id. FALSE when there is no such instance
+ * or the call was forwarded before: the outcome is unknown then. longest bounds
+ * the time to the deadline, 0 when the method is not known here.
+ */
+gboolean entry_forward(entry_t *entry, const call_request_t *request,
+		       const request_id_t *id, GTimeSpan longest);
+
+/* FALSE when no forwarded call has this caller. */
+gboolean entry_cancel_forward(entry_t *entry, void *caller_ref);
+
+/* TRUE while a local caller waits for another instance. */
+gboolean entry_has_forwards(const entry_t *entry);
+
 #endif
--- /dev/null
+++ b/lib/entry/entry_peers.c
@@ -0,0 +1,402 @@
+/*
+ * What an entry does with other instances: membership, the spread of
+ * configurations, and calls under ids that another instance issued.
+ */
+#include "lib/entry/entry_internal.h"
+
+#include <string.h>
+
+/* A pull that brought nothing is repeated after this time. */
+#define PULL_TIMEOUT (1 * G_TIME_SPAN_SECOND)
+/* Time beyond the deadline for the issuer's answer to travel back. */
+#define FORWARD_GRACE (100 * G_TIME_SPAN_MILLISECOND)
+/* Bound of a forwarded call whose method is not in the schema in force. */
+#define UNKNOWN_METHOD_DEADLINE (60 * G_TIME_SPAN_SECOND)
+
+/* A call of a local caller that its issuer decides. */
+typedef struct forward {
+	TAILQ_ENTRY(forward) link;
+	guint64 number;
+	void *caller_ref;
+	char address[MEMBER_ADDRESS_MAX + 1]; /* of the issuer */
+	GTimeSpan expiry;
+} forward_t;
+
+/* A call that another instance forwarded; its address is the caller_ref. */
+typedef struct remote_call {
+	TAILQ_ENTRY(remote_call) link;
+	guint64 connection;
+	guint64 number;
+} remote_call_t;
+
+struct entry_peers {
+	TAILQ_HEAD(forward_list, forward) forwards;
+	GHashTable *forwards_by_number;
+	GHashTable *forwards_by_ref;
+	TAILQ_HEAD(remote_list, remote_call) remotes;
+	GHashTable *remotes_by_ref; /* keys only */
+	guint64 last_number;
+	guint64 pulled_version; /* asked for last */
+	GTimeSpan pull_again_at;
+	guint64 told_version; /* known to the membership */
+};
+
+static void send_to_peer(entry_t *entry, const char *address,
+			 peer_message_t *message)
+{
+	message->config_version = config_version(entry->config);
+	entry->actions.send_peer(entry->actions.ctx, address, message);
+}
+
+static void reply_to_peer(entry_t *entry, guint64 connection,
+			  peer_message_t *message)
+{
+	message->config_version = config_version(entry->config);
+	entry->actions.reply_peer(entry->actions.ctx, connection, message);
+}
+
+static void on_membership_send(void *ctx, const char *address,
+			       const membership_message_t *membership)
+{
+	peer_message_t message = { .kind = PEER_MEMBERSHIP };
+
+	message.u.membership = *membership;
+	send_to_peer(ctx, address, &message);
+}
+
+static void on_membership_reply(void *ctx, guint64 connection,
+				const membership_message_t *membership)
+{
+	peer_message_t message = { .kind = PEER_MEMBERSHIP };
+
+	message.u.membership = *membership;
+	reply_to_peer(ctx, connection, &message);
+}
+
+void entry_peers_init(entry_t *entry, const member_t *self)
+{
+	membership_actions_t actions = {
+		.send = on_membership_send,
+		.reply = on_membership_reply,
+		.ctx = entry,
+	};
+	entry_peers_t *peers = g_new0(entry_peers_t, 1);
+
+	TAILQ_INIT(&peers->forwards);
+	TAILQ_INIT(&peers->remotes);
+	peers->forwards_by_number =
+		g_hash_table_new(g_int64_hash, g_int64_equal);
+	peers->forwards_by_ref = g_hash_table_new(NULL, NULL);
+	peers->remotes_by_ref = g_hash_table_new(NULL, NULL);
+	entry->peers = peers;
+	entry->membership =
+		membership_new(self, &actions, entry->random, entry->counters);
+}
+
+static void forward_free(entry_peers_t *peers, forward_t *forward)
+{
+	g_hash_table_remove(peers->forwards_by_number, &forward->number);
+	g_hash_table_remove(peers->forwards_by_ref, forward->caller_ref);
+	TAILQ_REMOVE(&peers->forwards, forward, link);
+	g_free(forward);
+}
+
+static void remote_free(entry_peers_t *peers, remote_call_t *remote)
+{
+	g_hash_table_remove(peers->remotes_by_ref, remote);
+	TAILQ_REMOVE(&peers->remotes, remote, link);
+	g_free(remote);
+}
+
+void entry_peers_free(entry_t *entry)
+{
+	entry_peers_t *peers = entry->peers;
+
+	while (!TAILQ_EMPTY(&peers->forwards))
+		forward_free(peers, TAILQ_FIRST(&peers->forwards));
+	while (!TAILQ_EMPTY(&peers->remotes))
+		remote_free(peers, TAILQ_FIRST(&peers->remotes));
+	g_hash_table_destroy(peers->forwards_by_number);
+	g_hash_table_destroy(peers->forwards_by_ref);
+	g_hash_table_destroy(peers->remotes_by_ref);
+	g_free(peers);
+	membership_free(entry->membership);
+}
+
+void entry_add_seed(entry_t *entry, const char *peer_address)
+{
+	membership_add_seed(entry->membership, peer_address);
+}
+
+gboolean entry_has_forwards(const entry_t *entry)
+{
+	return !TAILQ_EMPTY(&entry->peers->forwards);
+}
+
+/* Time to the deadline of a call that is to be forwarded. */
+static GTimeSpan remaining_time(const call_request_t *request,
+				GTimeSpan longest)
+{
+	if (longest <= 0)
+		longest = UNKNOWN_METHOD_DEADLINE;
+	return request->remaining > 0 ? MIN(request->remaining, longest) :
+					longest;
+}
+
+static forward_t *add_forward(entry_t *entry, void *caller_ref,
+			      const member_t *issuer, GTimeSpan remaining)
+{
+	entry_peers_t *peers = entry->peers;
+	forward_t *forward = g_new0(forward_t, 1);
+
+	forward->number = ++peers->last_number;
+	forward->caller_ref = caller_ref;
+	forward->expiry = entry_now(entry) + remaining + FORWARD_GRACE;
+	g_strlcpy(forward->address, issuer->peer_address,
+		  sizeof(forward->address));
+	TAILQ_INSERT_TAIL(&peers->forwards, forward, link);
+	g_hash_table_insert(peers->forwards_by_number, &forward->number,
+			    forward);
+	g_hash_table_insert(peers->forwards_by_ref, caller_ref, forward);
+	return forward;
+}
+
+/* The live incarnation that issued the id, or NULL. */
+static const member_t *find_issuer(const entry_t *entry, const request_id_t *id)
+{
+	const member_t *issuer =
+		membership_find(entry->membership, id->instance);
+
+	if (!issuer || issuer == membership_self(entry->membership) ||
+	    issuer->incarnation != id->incarnation ||
+	    issuer->state == MEMBER_GONE)
+		return NULL;
+	return issuer;
+}
+
+gboolean entry_forward(entry_t *entry, const call_request_t *request,
+		       const request_id_t *id, GTimeSpan longest)
+{
+	GTimeSpan remaining = remaining_time(request, longest);
+	const member_t *issuer = find_issuer(entry, id);
+	peer_message_t message = { .kind = PEER_FORWARD_CALL };
+	const forward_t *forward;
+
+	if (!issuer || g_hash_table_contains(entry->peers->remotes_by_ref,
+					     request->caller_ref))
+		return FALSE;
+	forward = add_forward(entry, request->caller_ref, issuer, remaining);
+	counters_add(entry->counters, COUNTER_CALLS_FORWARDED, 1);
+	message.u.call.number = forward->number;
+	message.u.call.service = request->service;
+	message.u.call.method = request->method;
+	message.u.call.request_id = request->request_id;
+	message.u.call.caller = request->caller;
+	message.u.call.remaining = remaining;
+	message.u.call.body = request->body;
+	send_to_peer(entry, forward->address, &message);
+	return TRUE;
+}
+
+static void end_forward(entry_t *entry, forward_t *forward,
+			const call_answer_t *answer)
+{
+	void *caller_ref = forward->caller_ref;
+
+	forward_free(entry->peers, forward);
+	entry_pass_answer(entry, caller_ref, answer);
+}
+
+/* Only the issuer may say that a call did not run. */
+static void end_forward_unknown(entry_t *entry, forward_t *forward,
+				catk_error_kind_t kind)
+{
+	call_answer_t answer = { 0 };
+
+	catk_error_set(&answer.error, kind, OUTCOME_UNKNOWN,
+		       "no answer from the issuer of the request id: read the "
+		       "effect before sending the call with a new id");
+	end_forward(entry, forward, &answer);
+}
+
+gboolean entry_cancel_forward(entry_t *entry, void *caller_ref)
+{
+	entry_peers_t *peers = entry->peers;
+	forward_t *forward =
+		g_hash_table_lookup(peers->forwards_by_ref, caller_ref);
+	peer_message_t message = { .kind = PEER_FORWARD_CANCEL };
+
+	if (!forward)
+		return FALSE;
+	message.u.cancelled = forward->number;
+	send_to_peer(entry, forward->address, &message);
+	forward_free(peers, forward);
+	return TRUE;
+}
+
+void entry_send_answer(entry_t *entry, void *caller_ref,
+		       const call_answer_t *answer)
+{
+	peer_message_t message = { .kind = PEER_FORWARD_ANSWER };
+	remote_call_t *remote = caller_ref;
+
+	if (!g_hash_table_contains(entry->peers->remotes_by_ref, caller_ref)) {
+		entry->actions.answer(entry->actions.ctx, caller_ref, answer);
+		return;
+	}
+	message.u.answer.number = remote->number;
+	message.u.answer.error = answer->error;
+	message.u.answer.status = answer->status;
+	message.u.answer.body = answer->body;
+	reply_to_peer(entry, remote->connection, &message);
+	remote_free(entry->peers, remote);
+}
+
+static void take_forwarded_call(entry_t *entry, guint64 connection,
+				const peer_forward_call_t *call)
+{
+	remote_call_t *remote = g_new0(remote_call_t, 1);
+	call_request_t request = {
+		.service = call->service,
+		.method = call->method,
+		.request_id = call->request_id,
+		.caller = call->caller,
+		.remaining = call->remaining,
+		.body = call->body,
+		.caller_ref = remote,
+	};
+
+	remote->connection = connection;
+	remote->number = call->number;
+	TAILQ_INSERT_TAIL(&entry->peers->remotes, remote, link);
+	g_hash_table_add(entry->peers->remotes_by_ref, remote);
+	entry_call(entry, &request);
+}
+
+static void take_forward_answer(entry_t *entry,
+				const peer_forward_answer_t *answer)
+{
+	forward_t *forward = g_hash_table_lookup(
+		entry->peers->forwards_by_number, &answer->number);
+	call_answer_t passed = {
+		.error = answer->error,
+		.status = answer->status,
+		.body = answer->body,
+	};
+
+	if (forward)
+		end_forward(entry, forward, &passed);
+	else
+		counters_add(entry->counters, COUNTER_ANSWERS_DROPPED, 1);
+}
+
+static void cancel_remote(entry_t *entry, remote_call_t *remote)
+{
+	entry_cancel(entry, remote);
+	remote_free(entry->peers, remote);
+}
+
+static void take_forward_cancel(entry_t *entry, guint64 connection,
+				guint64 number)
+{
+	remote_call_t *remote, *next;
+
+	TAILQ_FOREACH_SAFE (remote, &entry->peers->remotes, link, next)
+		if (remote->connection == connection &&
+		    remote->number == number)
+			cancel_remote(entry, remote);
+}
+
+static void pull_config(entry_t *entry, guint64 connection, guint64 version)
+{
+	peer_message_t message = { .kind = PEER_CONFIG_PULL };
+	entry_peers_t *peers = entry->peers;
+	GTimeSpan now = entry_now(entry);
+
+	if (version <= config_version(entry->config) ||
+	    (version <= peers->pulled_version && now < peers->pull_again_at))
+		return;
+	peers->pulled_version = version;
+	peers->pull_again_at = now + PULL_TIMEOUT;
+	reply_to_peer(entry, connection, &message);
+}
+
+static void send_config(entry_t *entry, guint64 connection)
+{
+	peer_message_t message = { .kind = PEER_CONFIG_DOCUMENT };
+
+	if (!config_document(entry->config))
+		return;
+	message.u.config.version = config_version(entry->config);
+	message.u.config.document = config_document(entry->config);
+	reply_to_peer(entry, connection, &message);
+}
+
+void entry_peer_message(entry_t *entry, guint64 connection,
+			const peer_message_t *message)
+{
+	switch (message->kind) {
+	case PEER_HELLO:
+		break;
+	case PEER_MEMBERSHIP:
+		membership_receive(entry->membership, connection,
+				   &message->u.membership, entry_now(entry));
+		break;
+	case PEER_CONFIG_PULL:
+		send_config(entry, connection);
+		break;
+	case PEER_CONFIG_DOCUMENT:
+		if (message->u.config.version > config_version(entry->config))
+			entry->actions.config_received(
+				entry->actions.ctx, message->u.config.version,
+				message->u.config.document);
+		break;
+	case PEER_FORWARD_CALL:
+		take_forwarded_call(entry, connection, &message->u.call);
+		break;
+	case PEER_FORWARD_ANSWER:
+		take_forward_answer(entry, &message->u.answer);
+		break;
+	case PEER_FORWARD_CANCEL:
+		take_forward_cancel(entry, connection, message->u.cancelled);
+		break;
+	}
+	pull_config(entry, connection, message->config_version);
+}
+
+void entry_peer_closed(entry_t *entry, guint64 connection)
+{
+	remote_call_t *remote, *next;
+
+	TAILQ_FOREACH_SAFE (remote, &entry->peers->remotes, link, next)
+		if (remote->connection == connection)
+			cancel_remote(entry, remote);
+}
+
+void entry_peer_lost(entry_t *entry, const char *address)
+{
+	forward_t *forward, *next;
+
+	TAILQ_FOREACH_SAFE (forward, &entry->peers->forwards, link, next)
+		if (strcmp(forward->address, address) == 0)
+			end_forward_unknown(entry, forward,
+					    CATK_OUTCOME_UNKNOWN);
+}
+
+void entry_peers_tick(entry_t *entry)
+{
+	guint64 version = config_version(entry->config);
+	entry_peers_t *peers = entry->peers;
+	GTimeSpan now = entry_now(entry);
+	forward_t *forward, *next;
+
+	TAILQ_FOREACH_SAFE (forward, &peers->forwards, link, next)
+		if (now >= forward->expiry)
+			end_forward_unknown(entry, forward,
+					    CATK_DEADLINE_EXCEEDED);
+	membership_tick(entry->membership, now);
+	if (version == peers->told_version)
+		return;
+	peers->told_version = version;
+	membership_set_config_version(entry->membership, version);
+}
--- a/lib/membership/membership.c
+++ b/lib/membership/membership.c
@@ -1,12 +1,13 @@
-#include "lib/membership/membership.h"
+/* The list of members: what is newer, and what is still to be told. */
+#include "lib/membership/membership_internal.h"
 
 #include <string.h>
 
-struct membership {
-	counters_t *counters;
-	member_t *self; /* first of members */
-	TAILQ_HEAD(member_list, member) members;
-};
+/*
+ * Times that one instance sends the same news: a multiple of log2 of the number
+ * of members reaches all with high probability (SWIM, section 4.1).
+ */
+#define SPREAD_FACTOR 3
 
 const char *member_state_name(member_state_t state)
 {
@@ -21,45 +22,200 @@
 	return names[state];
 }
 
-static member_t *add_member(membership_t *membership, const member_t *source)
+static void spread(membership_t *membership, node_t *node)
 {
-	member_t *member = g_new0(member_t, 1);
+	if (!node->transmissions_left)
+		TAILQ_INSERT_HEAD(&membership->spread, node, to_spread);
+	node->transmissions_left =
+		SPREAD_FACTOR * g_bit_storage(membership->count);
+}
+
+static void stop_spreading(membership_t *membership, node_t *node)
+{
+	if (node->transmissions_left)
+		TAILQ_REMOVE(&membership->spread, node, to_spread);
+	node->transmissions_left = 0;
+}
+
+/* At a random place, so that instances ping in different orders. */
+static void insert_turn(membership_t *membership, node_t *node)
+{
+	gint32 skip = g_rand_int_range(membership->random, 0,
+				       (gint32)membership->count);
+	node_t *place = TAILQ_FIRST(&membership->turns);
+
+	while (place && skip-- > 0)
+		place = TAILQ_NEXT(place, by_turn);
+	if (place)
+		TAILQ_INSERT_BEFORE(place, node, by_turn);
+	else
+		TAILQ_INSERT_TAIL(&membership->turns, node, by_turn);
+}
+
+static node_t *add_node(membership_t *membership, const member_t *source)
+{
+	node_t *node = g_new0(node_t, 1);
 
-	*member = *source;
-	TAILQ_INSERT_TAIL(&membership->members, member, link);
-	return member;
+	node->info = *source;
+	TAILQ_INSERT_TAIL(&membership->members, &node->info, link);
+	membership->count++;
+	return node;
 }
 
-membership_t *membership_new(const member_t *self, counters_t *counters)
+membership_t *membership_new(const member_t *self,
+			     const membership_actions_t *actions, GRand *random,
+			     counters_t *counters)
 {
 	membership_t *membership = g_new0(membership_t, 1);
 
 	membership->counters = counters;
+	membership->random = random;
+	membership->actions = *actions;
 	TAILQ_INIT(&membership->members);
-	membership->self = add_member(membership, self);
+	TAILQ_INIT(&membership->turns);
+	TAILQ_INIT(&membership->spread);
+	TAILQ_INIT(&membership->seeds);
+	TAILQ_INIT(&membership->relays);
+	membership->self = &add_node(membership, self)->info;
 	membership->self->state = MEMBER_LIVE;
 	return membership;
 }
 
+static void node_free(membership_t *membership, node_t *node)
+{
+	stop_spreading(membership, node);
+	if (node->info.state != MEMBER_GONE && &node->info != membership->self)
+		TAILQ_REMOVE(&membership->turns, node, by_turn);
+	TAILQ_REMOVE(&membership->members, &node->info, link);
+	membership->count--;
+	g_free(node);
+}
+
 void membership_free(membership_t *membership)
 {
-	member_t *member, *next;
+	relay_t *relay, *next_relay;
+	seed_t *seed, *next_seed;
 
 	if (!membership)
 		return;
-	TAILQ_FOREACH_SAFE (member, &membership->members, link, next)
-		g_free(member);
+	TAILQ_FOREACH_SAFE (relay, &membership->relays, link, next_relay)
+		g_free(relay);
+	TAILQ_FOREACH_SAFE (seed, &membership->seeds, link, next_seed)
+		g_free(seed);
+	while (!TAILQ_EMPTY(&membership->members))
+		node_free(membership,
+			  node_of(TAILQ_FIRST(&membership->members)));
 	g_free(membership);
 }
 
-const member_t *membership_self(const membership_t *membership)
+node_t *membership_find_node(const membership_t *membership, const char *name)
 {
-	return membership->self;
+	const member_t *member = membership_find(membership, name);
+
+	return member ? node_of(member) : NULL;
+}
+
+void membership_set_state(membership_t *membership, node_t *node,
+			  member_state_t state, GTimeSpan now)
+{
+	if (state == MEMBER_GONE && node->info.state != MEMBER_GONE)
+		TAILQ_REMOVE(&membership->turns, node, by_turn);
+	if (state != MEMBER_GONE && node->info.state == MEMBER_GONE)
+		insert_turn(membership, node);
+	node->info.state = state;
+	node->since = now;
+	spread(membership, node);
 }
 
-void membership_leave(membership_t *membership)
+/* A later start, then a later refutation, then the worse state is newer. */
+static gboolean is_newer(const member_t *update, const member_t *known)
 {
-	membership->self->state = MEMBER_LEAVING;
+	if (update->incarnation != known->incarnation)
+		return update->incarnation > known->incarnation;
+	if (update->refutation != known->refutation)
+		return update->refutation > known->refutation;
+	return update->state > known->state;
+}
+
+static void merge_self(member_t *self, const member_t *update)
+{
+	if (update->incarnation != self->incarnation ||
+	    update->refutation < self->refutation)
+		return;
+	if (update->state == MEMBER_SUSPECT || update->state == MEMBER_GONE)
+		self->refutation = update->refutation + 1;
+}
+
+static void replace_info(membership_t *membership, node_t *node,
+			 const member_t *update, GTimeSpan now)
+{
+	member_state_t old_state = node->info.state;
+	member_t *previous = TAILQ_PREV(&node->info, member_list, link);
+
+	TAILQ_REMOVE(&membership->members, &node->info, link);
+	node->info = *update;
+	node->info.state = old_state;
+	TAILQ_INSERT_AFTER(&membership->members, previous, &node->info, link);
+	membership_set_state(membership, node, update->state, now);
+}
+
+void membership_merge(membership_t *membership, const member_t *update,
+		      GTimeSpan now)
+{
+	node_t *node = membership_find_node(membership, update->name);
+
+	if (node && &node->info == membership->self) {
+		merge_self(membership->self, update);
+		return;
+	}
+	if (!node && (update->state == MEMBER_GONE ||
+		      membership->count >= MEMBERSHIP_MEMBERS_MAX))
+		return;
+	if (!node) {
+		node = add_node(membership, update);
+		insert_turn(membership, node);
+		membership_set_state(membership, node, update->state, now);
+	} else if (is_newer(update, &node->info)) {
+		replace_info(membership, node, update, now);
+	} else if (update->incarnation == node->info.incarnation) {
+		node->info.config_version =
+			MAX(node->info.config_version, update->config_version);
+	}
+}
+
+guint membership_take_updates(membership_t *membership, member_t *updates,
+			      guint max)
+{
+	guint pending = 0;
+	node_t *node;
+	guint i;
+
+	TAILQ_FOREACH (node, &membership->spread, to_spread)
+		pending++;
+	pending = MIN(pending, max);
+	for (i = 0; i < pending; i++) {
+		node = TAILQ_FIRST(&membership->spread);
+		updates[i] = node->info;
+		TAILQ_REMOVE(&membership->spread, node, to_spread);
+		if (--node->transmissions_left)
+			TAILQ_INSERT_TAIL(&membership->spread, node, to_spread);
+	}
+	return pending;
+}
+
+void membership_forget_gone(membership_t *membership, GTimeSpan now)
+{
+	member_t *member, *next;
+
+	TAILQ_FOREACH_SAFE (member, &membership->members, link, next)
+		if (member->state == MEMBER_GONE &&
+		    now >= node_of(member)->since + MEMBERSHIP_GONE_RETENTION)
+			node_free(membership, node_of(member));
+}
+
+const member_t *membership_self(const membership_t *membership)
+{
+	return membership->self;
 }
 
 const member_t *membership_find(const membership_t *membership,
@@ -96,6 +252,7 @@
 		w->string(w->ctx, "peer_address", member->peer_address);
 		w->string(w->ctx, "state", member_state_name(member->state));
 		w->integer(w->ctx, "incarnation", (gint64)member->incarnation);
+		w->integer(w->ctx, "refutation", member->refutation);
 		w->integer(w->ctx, "config_version",
 			   (gint64)member->config_version);
 		w->end_object(w->ctx);
--- a/lib/membership/membership.h
+++ b/lib/membership/membership.h
@@ -1,5 +1,9 @@
 /*
- * The entry instances as this one sees them.
+ * The entry instances as this one sees them, after the SWIM protocol: each
+ * period one member is pinged, directly and then through two others; one that
+ * does not answer is suspect, then gone. News travels on these messages, so
+ * the load of an instance does not depend on their number. A suspect that
+ * lives refutes with a higher refutation counter.
  */
 #ifndef CATK_MEMBERSHIP_H
 #define CATK_MEMBERSHIP_H
@@ -9,6 +13,21 @@
 #include "lib/common/dump.h"
 #include "lib/common/intrusive.h"
 
+/* One ping each; with 5 members a stopped one is gone within 4 s. */
+#define MEMBERSHIP_PERIOD (400 * G_TIME_SPAN_MILLISECOND)
+/* Wait for the direct answer, far above a round trip between regions. */
+#define MEMBERSHIP_PING_TIMEOUT (150 * G_TIME_SPAN_MILLISECOND)
+/* Time that a suspect has to refute: four periods. */
+#define MEMBERSHIP_SUSPECT_TIMEOUT (4 * MEMBERSHIP_PERIOD)
+/* Time between pings of lost seeds and gone members, below the bound of R7. */
+#define MEMBERSHIP_REJOIN_INTERVAL (2 * G_TIME_SPAN_SECOND)
+/* Longer than regions usually lose contact with each other. */
+#define MEMBERSHIP_GONE_RETENTION (15 * G_TIME_SPAN_MINUTE)
+/* A longer time between two ticks is a pause of this process. */
+#define MEMBERSHIP_PAUSE (1 * G_TIME_SPAN_SECOND)
+#define MEMBERSHIP_UPDATES_MAX 8 /* in a message */
+#define MEMBERSHIP_MEMBERS_MAX 1000 /* in the answer to a joining instance */
+
 #define MEMBER_NAME_MAX 64 /* bytes of an instance name */
 #define MEMBER_ADDRESS_MAX 64 /* bytes of "ip:port" */
 
@@ -29,14 +48,46 @@
 	char caller_address[MEMBER_ADDRESS_MAX + 1];
 	char peer_address[MEMBER_ADDRESS_MAX + 1];
 	guint64 incarnation; /* a later start has a higher one */
+	guint32 refutation; /* raised by the member itself */
 	member_state_t state;
 	guint64 config_version; /* in force there, as last heard */
 } member_t;
 
 typedef struct membership membership_t;
 
-/* self is copied; its state is live. Free with membership_free(). */
-membership_t *membership_new(const member_t *self, counters_t *counters);
+typedef enum {
+	MEMBERSHIP_PING,
+	MEMBERSHIP_PING_REQUEST, /* ping target for me */
+	MEMBERSHIP_ACK
+} membership_message_kind_t;
+
+typedef struct {
+	membership_message_kind_t kind;
+	guint64 sequence; /* of the ping; an ack repeats it */
+	member_t sender;
+	char target[MEMBER_NAME_MAX + 1]; /* of a ping request */
+	gboolean want_members; /* of a ping: the ack shall name all members */
+	member_t *updates;
+	guint update_count; /* at most MEMBERSHIP_MEMBERS_MAX */
+} membership_message_t;
+
+/* Messages are valid during the callback. */
+typedef struct {
+	void (*send)(void *ctx, const char *peer_address,
+		     const membership_message_t *message);
+	/* Sends on the connection that a message came from. */
+	void (*reply)(void *ctx, guint64 connection,
+		      const membership_message_t *message);
+	void *ctx;
+} membership_actions_t;
+
+/*
+ * self and actions are copied; self's state is live. An instance without a peer
+ * address sends nothing. Free with membership_free().
+ */
+membership_t *membership_new(const member_t *self,
+			     const membership_actions_t *actions, GRand *random,
+			     counters_t *counters);
 
 /* Frees all members. NULL is allowed. */
 void membership_free(membership_t *membership);
@@ -44,9 +95,25 @@
 /* This instance. */
 const member_t *membership_self(const membership_t *membership);
 
-/* Marks this instance as leaving. */
+/* Adds a peer address to join through. Its own address is ignored. */
+void membership_add_seed(membership_t *membership, const char *peer_address);
+
+/* Marks this instance as leaving and tells others at once. */
 void membership_leave(membership_t *membership);
 
+/* Records the version in force here and tells others at once. */
+void membership_set_config_version(membership_t *membership, guint64 version);
+
+/* Takes a message; connection is for the answer. */
+void membership_receive(membership_t *membership, guint64 connection,
+			const membership_message_t *message, GTimeSpan now);
+
+/* Does what is due. To be called at or after membership_next_wakeup(). */
+void membership_tick(membership_t *membership, GTimeSpan now);
+
+/* Instant at which membership_tick() has something to do. */
+GTimeSpan membership_next_wakeup(const membership_t *membership);
+
 /* The member of that name, in whatever state, or NULL. */
 const member_t *membership_find(const membership_t *membership,
 				const char *name);
--- a/net/daemon.c
+++ b/net/daemon.c
@@ -8,6 +8,7 @@
 #include "net/config_source.h"
 #include "net/object_api.h"
 #include "net/operator_api.h"
+#include "net/peer_link.h"
 #include "net/system_clock.h"
 #include "net/upstream_client.h"
 
@@ -27,6 +28,7 @@
 	upstream_client_t *upstreams;
 	object_api_t *object_api;
 	config_source_t *config_source;
+	peer_link_t *peers; /* NULL without a peer address */
 	GSource *timer;
 	guint sigterm;
 	guint sigint;
@@ -121,6 +123,55 @@
 	entry_probe_ended(daemon->entry, service, address, report);
 }
 
+static void on_send_peer(void *ctx, const char *address,
+			 const peer_message_t *message)
+{
+	daemon_t *daemon = ctx;
+
+	peer_link_send(daemon->peers, address, message);
+}
+
+static void on_reply_peer(void *ctx, guint64 connection,
+			  const peer_message_t *message)
+{
+	daemon_t *daemon = ctx;
+
+	peer_link_reply(daemon->peers, connection, message);
+}
+
+static void on_config_received(void *ctx, guint64 version, GBytes *document)
+{
+	daemon_t *daemon = ctx;
+	catk_error_t error;
+
+	if (!config_source_offer(daemon->entry, version, document, &error))
+		g_warning("configuration version %" G_GUINT64_FORMAT
+			  " of a peer is not valid and stays out of force: %s",
+			  version, error.message);
+}
+
+static void on_peer_message(void *ctx, guint64 connection,
+			    const peer_message_t *message)
+{
+	daemon_t *daemon = ctx;
+
+	entry_peer_message(daemon->entry, connection, message);
+}
+
+static void on_peer_closed(void *ctx, guint64 connection)
+{
+	daemon_t *daemon = ctx;
+
+	entry_peer_closed(daemon->entry, connection);
+}
+
+static void on_peer_lost(void *ctx, const char *address)
+{
+	daemon_t *daemon = ctx;
+
+	entry_peer_lost(daemon->entry, address);
+}
+
 static gboolean on_signal(gpointer data)
 {
 	daemon_t *daemon = data;
@@ -149,6 +200,9 @@
 		.start_attempt = on_start_attempt,
 		.cancel_attempt = on_cancel_attempt,
 		.send_probe = on_send_probe,
+		.send_peer = on_send_peer,
+		.reply_peer = on_reply_peer,
+		.config_received = on_config_received,
 		.ctx = daemon,
 	};
 
@@ -183,6 +237,28 @@
 	g_free(name);
 }
 
+/* TRUE also when the settings name no peer address: there are no peers then. */
+static gboolean set_up_peers(daemon_t *daemon, catk_error_t *err)
+{
+	const settings_t *settings = daemon->settings;
+	peer_link_events_t events = {
+		.message = on_peer_message,
+		.closed = on_peer_closed,
+		.lost = on_peer_lost,
+		.ctx = daemon,
+	};
+	guint i;
+
+	if (!settings->peer_address)
+		return TRUE;
+	daemon->peers = peer_link_new(settings->peer_address,
+				      (gsize)settings->body_bytes_max, &events,
+				      &daemon->counters, err);
+	for (i = 0; i < settings->seeds->len; i++)
+		entry_add_seed(daemon->entry, settings->seeds->pdata[i]);
+	return daemon->peers != NULL;
+}
+
 static gboolean listen_for_callers(daemon_t *daemon, catk_error_t *err)
 {
 	const char *text = daemon->settings->caller_address;
@@ -249,7 +325,7 @@
 				       OBJECT_API_TIMEOUT, &daemon.counters);
 	daemon.operators = operator_api_new(daemon.server, daemon.entry,
 					    daemon.object_api);
-	if (!listen_for_callers(&daemon, err))
+	if (!listen_for_callers(&daemon, err) || !set_up_peers(&daemon, err))
 		goto out;
 	daemon.config_source =
 		config_source_new(settings, daemon.object_api, daemon.entry);
@@ -262,6 +338,7 @@
 	ok = TRUE;
 out:
 	config_source_free(daemon.config_source);
+	peer_link_free(daemon.peers);
 	operator_api_free(daemon.operators);
 	object_api_free(daemon.object_api);
 	caller_api_free(daemon.callers);
