--- a/codec/peer_codec.c
+++ b/codec/peer_codec.c
@@ -51,19 +51,23 @@
 	wire->len = size;
 }
 
-static GByteArray *pack(const Catk__Envelope *envelope)
+static GByteArray *pack(Catk__Envelope *envelope, const peer_message_t *message)
 {
-	gsize size = catk__envelope__get_packed_size(envelope);
-	GByteArray *bytes = g_byte_array_sized_new((guint)size);
+	GByteArray *bytes;
+	gsize size;
 
+	envelope->config_version = message->config_version;
+	size = catk__envelope__get_packed_size(envelope);
+	bytes = g_byte_array_sized_new((guint)size);
 	g_byte_array_set_size(bytes, (guint)size);
 	catk__envelope__pack(envelope, bytes->data);
 	return bytes;
 }
 
-static GByteArray *encode_membership(Catk__Envelope *envelope,
-				     const membership_message_t *message)
+static GByteArray *encode_membership(const peer_message_t *peer_message)
 {
+	const membership_message_t *message = &peer_message->u.membership;
+	Catk__Envelope envelope = CATK__ENVELOPE__INIT;
 	Catk__Member sender, *members, **updates;
 	Catk__PingRequest request = CATK__PING_REQUEST__INIT;
 	Catk__Ping ping = CATK__PING__INIT;
@@ -89,43 +93,44 @@
 	case MEMBERSHIP_PING:
 		FILL(ping);
 		ping.want_members = message->want_members;
-		envelope->body_case = CATK__ENVELOPE__BODY_PING;
-		envelope->ping = &ping;
+		envelope.body_case = CATK__ENVELOPE__BODY_PING;
+		envelope.ping = &ping;
 		break;
 	case MEMBERSHIP_PING_REQUEST:
 		FILL(request);
 		request.target = (char *)message->target;
-		envelope->body_case = CATK__ENVELOPE__BODY_PING_REQUEST;
-		envelope->ping_request = &request;
+		envelope.body_case = CATK__ENVELOPE__BODY_PING_REQUEST;
+		envelope.ping_request = &request;
 		break;
 	case MEMBERSHIP_ACK:
 		FILL(ack);
-		envelope->body_case = CATK__ENVELOPE__BODY_ACK;
-		envelope->ack = &ack;
+		envelope.body_case = CATK__ENVELOPE__BODY_ACK;
+		envelope.ack = &ack;
 		break;
 	}
 #undef FILL
-	bytes = pack(envelope);
+	bytes = pack(&envelope, peer_message);
 	g_free(members);
 	g_free(updates);
 	return bytes;
 }
 
-static GByteArray *encode_config(Catk__Envelope *envelope,
-				 const peer_message_t *message)
+static GByteArray *encode_config(const peer_message_t *message)
 {
+	Catk__Envelope envelope = CATK__ENVELOPE__INIT;
 	Catk__ConfigDocument document = CATK__CONFIG_DOCUMENT__INIT;
 
 	document.version = message->u.config.version;
 	bytes_to_wire(message->u.config.document, &document.document);
-	envelope->body_case = CATK__ENVELOPE__BODY_CONFIG_DOCUMENT;
-	envelope->config_document = &document;
-	return pack(envelope);
+	envelope.body_case = CATK__ENVELOPE__BODY_CONFIG_DOCUMENT;
+	envelope.config_document = &document;
+	return pack(&envelope, message);
 }
 
-static GByteArray *encode_call(Catk__Envelope *envelope,
-			       const peer_forward_call_t *call)
+static GByteArray *encode_call(const peer_message_t *message)
 {
+	const peer_forward_call_t *call = &message->u.call;
+	Catk__Envelope envelope = CATK__ENVELOPE__INIT;
 	Catk__ForwardCall wire = CATK__FORWARD_CALL__INIT;
 
 	wire.number = call->number;
@@ -135,14 +140,15 @@
 	wire.caller = (char *)call->caller;
 	wire.remaining_us = (guint64)call->remaining;
 	bytes_to_wire(call->body, &wire.body);
-	envelope->body_case = CATK__ENVELOPE__BODY_FORWARD_CALL;
-	envelope->forward_call = &wire;
-	return pack(envelope);
+	envelope.body_case = CATK__ENVELOPE__BODY_FORWARD_CALL;
+	envelope.forward_call = &wire;
+	return pack(&envelope, message);
 }
 
-static GByteArray *encode_answer(Catk__Envelope *envelope,
-				 const peer_forward_answer_t *answer)
+static GByteArray *encode_answer(const peer_message_t *message)
 {
+	const peer_forward_answer_t *answer = &message->u.answer;
+	Catk__Envelope envelope = CATK__ENVELOPE__INIT;
 	Catk__ForwardAnswer wire = CATK__FORWARD_ANSWER__INIT;
 	gboolean failed = answer->error.kind != CATK_OK;
 
@@ -154,9 +160,9 @@
 		wire.message = (char *)answer->error.message;
 	wire.status = answer->status;
 	bytes_to_wire(answer->body, &wire.body);
-	envelope->body_case = CATK__ENVELOPE__BODY_FORWARD_ANSWER;
-	envelope->forward_answer = &wire;
-	return pack(envelope);
+	envelope.body_case = CATK__ENVELOPE__BODY_FORWARD_ANSWER;
+	envelope.forward_answer = &wire;
+	return pack(&envelope, message);
 }
 
 GByteArray *peer_codec_encode(const peer_message_t *message)
@@ -166,7 +172,6 @@
 	Catk__ConfigPull pull = CATK__CONFIG_PULL__INIT;
 	Catk__ForwardCancel cancel = CATK__FORWARD_CANCEL__INIT;
 
-	envelope.config_version = message->config_version;
 	switch (message->kind) {
 	case PEER_HELLO:
 		hello.protocol_version = message->u.protocol_version;
@@ -174,24 +179,24 @@
 		envelope.hello = &hello;
 		break;
 	case PEER_MEMBERSHIP:
-		return encode_membership(&envelope, &message->u.membership);
+		return encode_membership(message);
 	case PEER_CONFIG_PULL:
 		envelope.body_case = CATK__ENVELOPE__BODY_CONFIG_PULL;
 		envelope.config_pull = &pull;
 		break;
 	case PEER_CONFIG_DOCUMENT:
-		return encode_config(&envelope, message);
+		return encode_config(message);
 	case PEER_FORWARD_CALL:
-		return encode_call(&envelope, &message->u.call);
+		return encode_call(message);
 	case PEER_FORWARD_ANSWER:
-		return encode_answer(&envelope, &message->u.answer);
+		return encode_answer(message);
 	case PEER_FORWARD_CANCEL:
 		cancel.number = message->u.cancelled;
 		envelope.body_case = CATK__ENVELOPE__BODY_FORWARD_CANCEL;
 		envelope.forward_cancel = &cancel;
 		break;
 	}
-	return pack(&envelope);
+	return pack(&envelope, message);
 }
 
 /* Allocates message->updates, also when it returns FALSE. */
