--- a/lib/membership/membership.c
+++ b/lib/membership/membership.c
@@ -1,8 +1,6 @@
 /* The list of members: what is newer, and what is still to be told. */
 #include "lib/membership/membership_internal.h"
 
-#include <string.h>
-
 /*
  * Times that one instance sends the same news: a multiple of log2 of the number
  * of members reaches all with high probability (SWIM, section 4.1).
@@ -58,6 +56,7 @@
 
 	node->info = *source;
 	TAILQ_INSERT_TAIL(&membership->members, &node->info, link);
+	g_hash_table_insert(membership->by_name, node->info.name, node);
 	membership->count++;
 	return node;
 }
@@ -72,6 +71,7 @@
 	membership->random = random;
 	membership->actions = *actions;
 	TAILQ_INIT(&membership->members);
+	membership->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	TAILQ_INIT(&membership->turns);
 	TAILQ_INIT(&membership->spread);
 	TAILQ_INIT(&membership->seeds);
@@ -87,6 +87,7 @@
 	if (node->info.state != MEMBER_GONE && &node->info != membership->self)
 		TAILQ_REMOVE(&membership->turns, node, by_turn);
 	TAILQ_REMOVE(&membership->members, &node->info, link);
+	g_hash_table_remove(membership->by_name, node->info.name);
 	membership->count--;
 	g_free(node);
 }
@@ -105,14 +106,13 @@
 	while (!TAILQ_EMPTY(&membership->members))
 		node_free(membership,
 			  node_of(TAILQ_FIRST(&membership->members)));
+	g_hash_table_destroy(membership->by_name);
 	g_free(membership);
 }
 
 node_t *membership_find_node(const membership_t *membership, const char *name)
 {
-	const member_t *member = membership_find(membership, name);
-
-	return member ? node_of(member) : NULL;
+	return g_hash_table_lookup(membership->by_name, name);
 }
 
 void membership_set_state(membership_t *membership, node_t *node,
@@ -152,6 +152,9 @@
 	member_state_t old_state = node->info.state;
 	member_t *previous = TAILQ_PREV(&node->info, member_list, link);
 
+	if (old_state == MEMBER_GONE && update->state != MEMBER_GONE &&
+	    update->incarnation == node->info.incarnation)
+		membership_contact_returned(membership, now);
 	TAILQ_REMOVE(&membership->members, &node->info, link);
 	node->info = *update;
 	node->info.state = old_state;
@@ -221,12 +224,9 @@
 const member_t *membership_find(const membership_t *membership,
 				const char *name)
 {
-	const member_t *member;
+	const node_t *node = membership_find_node(membership, name);
 
-	TAILQ_FOREACH (member, &membership->members, link)
-		if (strcmp(member->name, name) == 0)
-			return member;
-	return NULL;
+	return node ? &node->info : NULL;
 }
 
 const member_t *membership_first(const membership_t *membership)
--- a/lib/membership/membership_internal.h
+++ b/lib/membership/membership_internal.h
@@ -33,6 +33,7 @@
 	member_t *self; /* first of members */
 	guint count; /* of members */
 	TAILQ_HEAD(member_list, member) members;
+	GHashTable *by_name; /* name -> node_t */
 	TAILQ_HEAD(turn_list, node) turns; /* next to ping first */
 	TAILQ_HEAD(spread_list, node) spread; /* next to send first */
 	TAILQ_HEAD(seed_list, seed) seeds;
@@ -44,7 +45,10 @@
 	gboolean asked_others;
 	GTimeSpan ask_others_at;
 	GTimeSpan next_period;
+	GTimeSpan next_expiry; /* of suspects and relays */
 	GTimeSpan next_rejoin;
+	GTimeSpan next_full_list; /* CATK_NEVER when none is due */
+	GTimeSpan full_list_wait; /* to the one after the next */
 	GTimeSpan last_tick;
 };
 
@@ -68,6 +72,9 @@
 guint membership_take_updates(membership_t *membership, member_t *updates,
 			      guint max);
 
+/* A gone member was only out of reach. */
+void membership_contact_returned(membership_t *membership, GTimeSpan now);
+
 /* Removes members that have been gone for long. */
 void membership_forget_gone(membership_t *membership, GTimeSpan now);
 
--- a/lib/membership/membership_ping.c
+++ b/lib/membership/membership_ping.c
@@ -6,6 +6,19 @@
 #define HELPERS 2 /* members asked to ping one that did not answer */
 #define TELL_AT_ONCE 2 /* members that hear of a change without delay */
 
+/* Small against the time of a suspect; each round looks at all members. */
+#define EXPIRY_INTERVAL (100 * G_TIME_SPAN_MILLISECOND)
+
+/*
+ * After a start, and after a partition, whole lists are asked for at growing
+ * intervals: when 200 instances start together, their news would take minutes
+ * with MEMBERSHIP_UPDATES_MAX in a message.
+ */
+#define FULL_LIST_FIRST (1 * G_TIME_SPAN_SECOND)
+#define FULL_LIST_LAST (16 * G_TIME_SPAN_SECOND)
+/* One part in this many is gone: a partition, not single failures. */
+#define PARTITION_PART 4
+
 static gboolean is_alone(const membership_t *membership)
 {
 	return TAILQ_EMPTY(&membership->turns);
@@ -30,14 +43,14 @@
 }
 
 /* about is the receiver when it is known, or NULL. Returns the sequence. */
-static guint64 send_ping(membership_t *membership, const char *address,
-			 const node_t *about)
+static guint64 send_ping_for(membership_t *membership, const char *address,
+			     const node_t *about, gboolean want_members)
 {
 	member_t updates[MEMBERSHIP_UPDATES_MAX];
 	membership_message_t message = {
 		.kind = MEMBERSHIP_PING,
 		.sequence = ++membership->last_sequence,
-		.want_members = is_alone(membership),
+		.want_members = want_members,
 	};
 
 	fill_message(membership, &message, about, updates);
@@ -45,6 +58,12 @@
 	return message.sequence;
 }
 
+static guint64 send_ping(membership_t *membership, const char *address,
+			 const node_t *about)
+{
+	return send_ping_for(membership, address, about, is_alone(membership));
+}
+
 static node_t *random_node(const membership_t *membership)
 {
 	node_t *node = TAILQ_FIRST(&membership->turns);
@@ -279,8 +298,7 @@
 	return FALSE;
 }
 
-/* Makes address the choice with the chance 1 / *seen: all are equally likely.
- */
+/* Makes address the choice with the chance 1 / *seen: all equally likely. */
 static void consider(const membership_t *membership, const char *address,
 		     const char **choice, guint *seen)
 {
@@ -317,6 +335,45 @@
 	send_ping(membership, choice, about);
 }
 
+static void ask_for_all(membership_t *membership, GTimeSpan now)
+{
+	const seed_t *seed = TAILQ_FIRST(&membership->seeds);
+	const node_t *node = random_node(membership);
+
+	if (seed && g_rand_boolean(membership->random))
+		send_ping_for(membership, seed->address, NULL, TRUE);
+	else if (node)
+		send_ping_for(membership, node->info.peer_address, node, TRUE);
+	membership->next_full_list = now + membership->full_list_wait;
+	membership->full_list_wait *= 2;
+	if (membership->full_list_wait > FULL_LIST_LAST)
+		membership->next_full_list = CATK_NEVER;
+}
+
+static void start_full_lists(membership_t *membership, GTimeSpan now)
+{
+	membership->next_full_list = now + FULL_LIST_FIRST;
+	membership->full_list_wait = FULL_LIST_FIRST;
+}
+
+/*
+ * After a partition each side takes the other for gone. This instance refutes
+ * that for itself at once, so that the lists of others already contain it.
+ */
+void membership_contact_returned(membership_t *membership, GTimeSpan now)
+{
+	const node_t *node;
+	guint gone = membership->count - 1;
+
+	TAILQ_FOREACH (node, &membership->turns, by_turn)
+		gone--;
+	if (gone * PARTITION_PART < membership->count ||
+	    membership->next_full_list != CATK_NEVER)
+		return;
+	membership->self->refutation++;
+	start_full_lists(membership, now);
+}
+
 /*
  * After a pause, silence is more likely the own fault than that of others:
  * this instance refutes what others may think of it, and pings the suspects
@@ -340,12 +397,16 @@
 {
 	if (!membership->self->peer_address[0])
 		return;
-	if (membership->last_tick &&
-	    now > membership->last_tick + MEMBERSHIP_PAUSE)
+	if (!membership->last_tick)
+		start_full_lists(membership, now);
+	else if (now > membership->last_tick + MEMBERSHIP_PAUSE)
 		resume(membership, now);
 	membership->last_tick = now;
-	expire_suspects(membership, now);
-	expire_relays(membership, now);
+	if (now >= membership->next_expiry) {
+		membership->next_expiry = now + EXPIRY_INTERVAL;
+		expire_suspects(membership, now);
+		expire_relays(membership, now);
+	}
 	if (membership->pinged_sequence && !membership->asked_others &&
 	    now >= membership->ask_others_at)
 		ask_others(membership);
@@ -356,6 +417,8 @@
 	}
 	if (now >= membership->next_rejoin)
 		rejoin(membership, now);
+	if (now >= membership->next_full_list)
+		ask_for_all(membership, now);
 }
 
 GTimeSpan membership_next_wakeup(const membership_t *membership)
@@ -365,6 +428,7 @@
 
 	if (!membership->self->peer_address[0])
 		return CATK_NEVER;
+	wakeup = MIN(wakeup, membership->next_full_list);
 	if (membership->pinged_sequence && !membership->asked_others)
 		wakeup = MIN(wakeup, membership->ask_others_at);
 	return wakeup;
--- /dev/null
+++ b/tests/test_membership.c
@@ -0,0 +1,352 @@
+/* Membership on a simulated network with a simulated clock. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/membership/membership.h"
+
+#define NODES_MAX 200
+#define STEP (20 * G_TIME_SPAN_MILLISECOND) /* also the latency of a message */
+#define JOIN_MAX (20 * G_TIME_SPAN_SECOND) /* all start at the same moment */
+#define DETECTION_MAX (5 * G_TIME_SPAN_SECOND)
+#define SEED 7
+
+typedef struct packet {
+	TAILQ_ENTRY(packet) link;
+	guint from;
+	guint to;
+	membership_message_t message;
+} packet_t;
+
+typedef struct {
+	membership_t *membership;
+	gboolean paused; /* gets no time; its messages wait */
+	gboolean dead; /* its messages are lost */
+	guint sent;
+	guint updates_sent;
+} node_t;
+
+static struct {
+	node_t nodes[NODES_MAX];
+	guint count;
+	guint side; /* nodes below it cannot reach the others; 0 for no cut */
+	gboolean pair_cut; /* between nodes 0 and 1 */
+	GTimeSpan now;
+	GRand *random;
+	counters_t counters;
+	TAILQ_HEAD(packet_list, packet) packets;
+} net;
+
+static gboolean is_cut(guint a, guint b)
+{
+	if (net.pair_cut && a + b == 1)
+		return TRUE;
+	return (a < net.side) != (b < net.side);
+}
+
+static void post(node_t *sender, guint to, const membership_message_t *message)
+{
+	guint from = (guint)(sender - net.nodes);
+	packet_t *packet;
+
+	sender->sent++;
+	sender->updates_sent += message->update_count;
+	if (to >= net.count || is_cut(from, to))
+		return;
+	packet = g_new0(packet_t, 1);
+	packet->from = from;
+	packet->to = to;
+	packet->message = *message;
+	packet->message.updates = g_memdup2(
+		message->updates, message->update_count * sizeof(member_t));
+	TAILQ_INSERT_TAIL(&net.packets, packet, link);
+}
+
+static void on_send(void *ctx, const char *address,
+		    const membership_message_t *message)
+{
+	post(ctx, (guint)atoi(address), message);
+}
+
+static void on_reply(void *ctx, guint64 connection,
+		     const membership_message_t *message)
+{
+	post(ctx, (guint)connection, message);
+}
+
+static void start_node(guint index, guint64 incarnation)
+{
+	node_t *node = &net.nodes[index];
+	membership_actions_t actions = { on_send, on_reply, node };
+	member_t self = { .incarnation = incarnation };
+
+	memset(node, 0, sizeof(*node));
+	g_snprintf(self.name, sizeof(self.name), "n%u", index);
+	g_snprintf(self.peer_address, sizeof(self.peer_address), "%u", index);
+	node->membership =
+		membership_new(&self, &actions, net.random, &net.counters);
+	membership_add_seed(node->membership, "0");
+}
+
+static void deliver(packet_t *packet)
+{
+	node_t *node = &net.nodes[packet->to];
+
+	if (node->paused)
+		return;
+	TAILQ_REMOVE(&net.packets, packet, link);
+	if (!node->dead)
+		membership_receive(node->membership, packet->from,
+				   &packet->message, net.now);
+	g_free(packet->message.updates);
+	g_free(packet);
+}
+
+static void step(void)
+{
+	packet_t *last = TAILQ_LAST(&net.packets, packet_list);
+	packet_t *packet = TAILQ_FIRST(&net.packets), *next;
+	guint i;
+
+	net.now += STEP;
+	for (; packet; packet = packet == last ? NULL : next) {
+		next = TAILQ_NEXT(packet, link);
+		deliver(packet);
+	}
+	for (i = 0; i < net.count; i++)
+		if (!net.nodes[i].paused && !net.nodes[i].dead)
+			membership_tick(net.nodes[i].membership, net.now);
+}
+
+static void run_for(GTimeSpan time)
+{
+	GTimeSpan end = net.now + time;
+
+	while (net.now < end)
+		step();
+}
+
+static const member_t *view(guint of, guint about)
+{
+	gchar *name = g_strdup_printf("n%u", about);
+	const member_t *member =
+		membership_find(net.nodes[of].membership, name);
+
+	g_free(name);
+	return member;
+}
+
+static gboolean all_see(guint about, member_state_t state)
+{
+	guint i;
+
+	for (i = 0; i < net.count; i++)
+		if (i != about && !net.nodes[i].dead &&
+		    (!view(i, about) || view(i, about)->state != state))
+			return FALSE;
+	return TRUE;
+}
+
+static gboolean all_live(void)
+{
+	guint i;
+
+	for (i = 0; i < net.count; i++)
+		if (!all_see(i, MEMBER_LIVE))
+			return FALSE;
+	return TRUE;
+}
+
+static void start_net(guint count)
+{
+	guint i;
+
+	memset(&net, 0, sizeof(net));
+	TAILQ_INIT(&net.packets);
+	net.random = g_rand_new_with_seed(SEED);
+	net.now = G_TIME_SPAN_SECOND;
+	net.count = count;
+	for (i = 0; i < count; i++)
+		start_node(i, 1);
+	run_for(JOIN_MAX);
+	assert_true(all_live());
+}
+
+static int stop_net(void **state)
+{
+	guint i;
+
+	(void)state;
+	for (i = 0; i < net.count; i++) {
+		net.nodes[i].paused = FALSE;
+		net.nodes[i].dead = TRUE;
+	}
+	while (!TAILQ_EMPTY(&net.packets))
+		deliver(TAILQ_FIRST(&net.packets));
+	for (i = 0; i < net.count; i++)
+		membership_free(net.nodes[i].membership);
+	g_rand_free(net.random);
+	return 0;
+}
+
+/* Fails when a killed member stays live, or a live one is declared gone. */
+static void killed_member_is_gone(void **state)
+{
+	guint i;
+
+	(void)state;
+	start_net(18);
+	net.nodes[3].dead = TRUE;
+	run_for(DETECTION_MAX);
+	assert_true(all_see(3, MEMBER_GONE));
+	for (i = 0; i < net.count; i++)
+		assert_true(i == 3 || all_see(i, MEMBER_LIVE));
+}
+
+/* Fails when a paused member does not return or takes others for gone. */
+static void paused_member_refutes(void **state)
+{
+	guint i;
+
+	(void)state;
+	start_net(5);
+	net.nodes[2].paused = TRUE;
+	run_for(6 * G_TIME_SPAN_SECOND);
+	assert_true(all_see(2, MEMBER_GONE));
+	net.nodes[2].paused = FALSE;
+	for (i = 0; i < 200; i++) {
+		step();
+		assert_true(view(2, 0)->state == MEMBER_LIVE);
+		assert_true(view(2, 4)->state == MEMBER_LIVE);
+	}
+	assert_true(all_live());
+}
+
+/* Fails when a pause of an hour counts as silence of the suspects. */
+static void long_pause_gives_suspects_new_time(void **state)
+{
+	(void)state;
+	start_net(3);
+	net.nodes[1].dead = TRUE;
+	while (view(0, 1)->state != MEMBER_SUSPECT)
+		step();
+	net.nodes[0].paused = TRUE;
+	net.nodes[2].paused = TRUE;
+	net.now += G_TIME_SPAN_HOUR;
+	net.nodes[0].paused = FALSE;
+	net.nodes[2].paused = FALSE;
+	run_for(STEP);
+	assert_true(view(0, 1)->state == MEMBER_SUSPECT);
+	run_for(DETECTION_MAX);
+	assert_true(all_see(1, MEMBER_GONE));
+	assert_true(view(0, 2)->state == MEMBER_LIVE);
+}
+
+/* Fails when a restarted member keeps the record of its earlier life. */
+static void restart_has_the_higher_incarnation(void **state)
+{
+	(void)state;
+	start_net(5);
+	net.nodes[1].dead = TRUE;
+	run_for(DETECTION_MAX);
+	membership_free(net.nodes[1].membership);
+	start_node(1, 2);
+	run_for(3 * G_TIME_SPAN_SECOND);
+	assert_true(all_live());
+	assert_int_equal(view(4, 1)->incarnation, 2);
+}
+
+/* Fails when others go on naming a leaving member to callers. */
+static void leaving_is_announced(void **state)
+{
+	(void)state;
+	start_net(18);
+	membership_leave(net.nodes[4].membership);
+	run_for(2 * G_TIME_SPAN_SECOND);
+	assert_true(all_see(4, MEMBER_LEAVING));
+	net.nodes[4].dead = TRUE;
+	run_for(DETECTION_MAX);
+	assert_true(all_see(4, MEMBER_GONE));
+}
+
+/* Fails when one broken path makes a member suspect. */
+static void broken_path_is_bridged(void **state)
+{
+	guint i;
+
+	(void)state;
+	start_net(5);
+	net.pair_cut = TRUE;
+	for (i = 0; i < 2000; i++) {
+		step();
+		assert_true(view(0, 1)->state == MEMBER_LIVE);
+		assert_true(view(1, 0)->state == MEMBER_LIVE);
+	}
+}
+
+/* Fails when two halves stay apart after contact returns. */
+static void halves_join_again(void **state)
+{
+	(void)state;
+	start_net(18);
+	run_for(JOIN_MAX);
+	net.side = 9;
+	run_for(30 * G_TIME_SPAN_SECOND);
+	assert_true(view(0, 12)->state == MEMBER_GONE);
+	assert_true(view(0, 5)->state == MEMBER_LIVE);
+	net.side = 0;
+	run_for(6 * G_TIME_SPAN_SECOND);
+	assert_true(all_live());
+}
+
+/* Messages and updates of node 5 in 20 s without news. */
+static guint quiet_load(guint count, guint *updates)
+{
+	guint sent;
+
+	start_net(count);
+	run_for(120 * G_TIME_SPAN_SECOND); /* the news of the start */
+	net.nodes[5].sent = 0;
+	net.nodes[5].updates_sent = 0;
+	run_for(20 * G_TIME_SPAN_SECOND);
+	sent = net.nodes[5].sent;
+	*updates = net.nodes[5].updates_sent;
+	return sent;
+}
+
+/* Fails when the load of a member grows with the number of members. */
+static void load_does_not_grow_with_members(void **state)
+{
+	/* 50 periods: a ping and, on average, an ack in each. */
+	const guint allowed = 150;
+	guint updates;
+
+	assert_in_range(quiet_load(18, &updates), 50, allowed);
+	assert_int_equal(updates, 0);
+	stop_net(state);
+	assert_in_range(quiet_load(NODES_MAX, &updates), 50, allowed);
+	assert_int_equal(updates, 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_teardown(killed_member_is_gone, stop_net),
+		cmocka_unit_test_teardown(paused_member_refutes, stop_net),
+		cmocka_unit_test_teardown(long_pause_gives_suspects_new_time,
+					  stop_net),
+		cmocka_unit_test_teardown(restart_has_the_higher_incarnation,
+					  stop_net),
+		cmocka_unit_test_teardown(leaving_is_announced, stop_net),
+		cmocka_unit_test_teardown(broken_path_is_bridged, stop_net),
+		cmocka_unit_test_teardown(halves_join_again, stop_net),
+		cmocka_unit_test_teardown(load_does_not_grow_with_members,
+					  stop_net),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_peer_codec.c
@@ -0,0 +1,206 @@
+/* Guards the form of peer messages on the wire. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <string.h>
+
+#include "codec/peer_codec.h"
+
+#define RANDOM_FRAMES 20000
+#define SEED 11
+
+static void count_call(void *ctx, const peer_message_t *message)
+{
+	(void)message;
+	(*(guint *)ctx)++;
+}
+
+/* Encodes what was decoded; equal bytes mean that nothing was lost. */
+static void encode_again(void *ctx, const peer_message_t *message)
+{
+	*(GByteArray **)ctx = peer_codec_encode(message);
+}
+
+static void assert_survives(const peer_message_t *message)
+{
+	GByteArray *bytes = peer_codec_encode(message);
+	GByteArray *again = NULL;
+
+	assert_true(peer_codec_decode(bytes->data, bytes->len, encode_again,
+				      &again));
+	assert_int_equal(again->len, bytes->len);
+	assert_memory_equal(again->data, bytes->data, bytes->len);
+	g_byte_array_unref(bytes);
+	g_byte_array_unref(again);
+}
+
+static member_t a_member(void)
+{
+	member_t member = {
+		.name = "entry-7",
+		.data_centre = "k1",
+		.caller_address = "127.0.0.1:18100",
+		.peer_address = "127.0.0.1:18101",
+		.incarnation = G_MAXUINT64,
+		.refutation = 3,
+		.state = MEMBER_LEAVING,
+		.config_version = 12,
+	};
+
+	return member;
+}
+
+/* Fails when a field of a message is lost or changed on the way. */
+static void messages_survive(void **state)
+{
+	member_t updates[2] = { a_member(), a_member() };
+	GBytes *body = g_bytes_new("a\0b", 3);
+	peer_message_t message = { .kind = PEER_HELLO, .config_version = 5 };
+	membership_message_kind_t kind;
+
+	(void)state;
+	message.u.protocol_version = PEER_PROTOCOL_VERSION;
+	assert_survives(&message);
+	for (kind = MEMBERSHIP_PING; kind <= MEMBERSHIP_ACK; kind++) {
+		memset(&message.u, 0, sizeof(message.u));
+		message.kind = PEER_MEMBERSHIP;
+		message.u.membership.kind = kind;
+		message.u.membership.sequence = 9;
+		message.u.membership.want_members = TRUE;
+		message.u.membership.sender = a_member();
+		g_strlcpy(message.u.membership.target, "entry-8",
+			  sizeof(message.u.membership.target));
+		message.u.membership.updates = updates;
+		message.u.membership.update_count = G_N_ELEMENTS(updates);
+		assert_survives(&message);
+	}
+	message.kind = PEER_CONFIG_DOCUMENT;
+	message.u.config.version = 4;
+	message.u.config.document = body;
+	assert_survives(&message);
+	message.kind = PEER_FORWARD_CALL;
+	message.u.call = (peer_forward_call_t){
+		1, "booking", "book", "e1.2.3", "pole", 500, body
+	};
+	assert_survives(&message);
+	message.kind = PEER_FORWARD_CANCEL;
+	message.u.cancelled = 8;
+	assert_survives(&message);
+	g_bytes_unref(body);
+}
+
+static void expect_refusal(void *ctx, const peer_message_t *message)
+{
+	const peer_forward_answer_t *answer = &message->u.answer;
+
+	(void)ctx;
+	assert_int_equal(message->kind, PEER_FORWARD_ANSWER);
+	assert_int_equal(answer->error.kind, CATK_OVERLOADED);
+	assert_int_equal(answer->error.outcome, OUTCOME_NOT_RUN);
+	assert_int_equal(answer->error.retry_after, 70);
+	assert_string_equal(answer->error.message, "busy");
+}
+
+/* Fails when an issuer's refusal arrives as another outcome. */
+static void refusal_keeps_its_outcome(void **state)
+{
+	peer_message_t message = { .kind = PEER_FORWARD_ANSWER };
+	GByteArray *bytes;
+
+	(void)state;
+	message.u.answer.number = 2;
+	catk_error_set(&message.u.answer.error, CATK_OVERLOADED,
+		       OUTCOME_NOT_RUN, "busy");
+	message.u.answer.error.retry_after = 70;
+	bytes = peer_codec_encode(&message);
+	assert_true(peer_codec_decode(bytes->data, bytes->len, expect_refusal,
+				      NULL));
+	g_byte_array_unref(bytes);
+}
+
+/* Fails when a ping without news takes more than the budget of 3 KB/s allows:
+ * 2.5 pings and 2.5 acks a second leave 600 bytes for each.
+ */
+static void quiet_ping_is_small(void **state)
+{
+	peer_message_t message = { .kind = PEER_MEMBERSHIP };
+	GByteArray *bytes;
+
+	(void)state;
+	message.u.membership.sequence = G_MAXUINT32;
+	message.u.membership.sender = a_member();
+	bytes = peer_codec_encode(&message);
+	assert_in_range(bytes->len, 1, 600);
+	g_byte_array_unref(bytes);
+}
+
+/* Fails when a message out of bounds reaches the entry. */
+static void bad_members_are_refused(void **state)
+{
+	peer_message_t message = { .kind = PEER_MEMBERSHIP };
+	guint calls = 0;
+	GByteArray *bytes;
+
+	(void)state;
+	message.u.membership.sender = a_member();
+	message.u.membership.sender.state = MEMBER_GONE + 1;
+	bytes = peer_codec_encode(&message);
+	assert_false(peer_codec_decode(bytes->data, bytes->len, count_call,
+				       &calls));
+	g_byte_array_unref(bytes);
+	message.u.membership.sender = a_member();
+	message.u.membership.update_count = MEMBERSHIP_MEMBERS_MAX + 1;
+	message.u.membership.updates =
+		g_new(member_t, MEMBERSHIP_MEMBERS_MAX + 1);
+	for (guint i = 0; i <= MEMBERSHIP_MEMBERS_MAX; i++)
+		message.u.membership.updates[i] = a_member();
+	bytes = peer_codec_encode(&message);
+	assert_false(peer_codec_decode(bytes->data, bytes->len, count_call,
+				       &calls));
+	g_byte_array_unref(bytes);
+	g_free(message.u.membership.updates);
+	assert_int_equal(calls, 0);
+}
+
+/* Fails when damaged bytes crash the decoder; make asan sees more. */
+static void damaged_bytes_are_harmless(void **state)
+{
+	peer_message_t message = { .kind = PEER_MEMBERSHIP };
+	GRand *random = g_rand_new_with_seed(SEED);
+	GByteArray *bytes;
+	guint calls = 0;
+	int i;
+
+	(void)state;
+	message.u.membership.sender = a_member();
+	bytes = peer_codec_encode(&message);
+	for (i = 0; i < RANDOM_FRAMES; i++) {
+		gint32 place =
+			g_rand_int_range(random, 0, (gint32)bytes->len);
+		guint8 kept = bytes->data[place];
+
+		bytes->data[place] = (guint8)g_rand_int(random);
+		peer_codec_decode(bytes->data,
+				  bytes->len - g_rand_int(random) % 8,
+				  count_call, &calls);
+		bytes->data[place] = kept;
+	}
+	assert_true(calls < RANDOM_FRAMES);
+	g_byte_array_unref(bytes);
+	g_rand_free(random);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(messages_survive),
+		cmocka_unit_test(refusal_keeps_its_outcome),
+		cmocka_unit_test(quiet_ping_is_small),
+		cmocka_unit_test(bad_members_are_refused),
+		cmocka_unit_test(damaged_bytes_are_harmless),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
