--- a/tests/test_peer_codec.c
+++ b/tests/test_peer_codec.c
@@ -81,9 +81,9 @@
 	message.u.config.document = body;
 	assert_survives(&message);
 	message.kind = PEER_FORWARD_CALL;
-	message.u.call = (peer_forward_call_t){
-		1, "booking", "book", "e1.2.3", "pole", 500, body
-	};
+	message.u.call = (peer_forward_call_t){ 1,	  "booking", "book",
+						"e1.2.3", "pole",    500,
+						body };
 	assert_survives(&message);
 	message.kind = PEER_FORWARD_CANCEL;
 	message.u.cancelled = 8;
@@ -147,8 +147,8 @@
 	message.u.membership.sender = a_member();
 	message.u.membership.sender.state = MEMBER_GONE + 1;
 	bytes = peer_codec_encode(&message);
-	assert_false(peer_codec_decode(bytes->data, bytes->len, count_call,
-				       &calls));
+	assert_false(
+		peer_codec_decode(bytes->data, bytes->len, count_call, &calls));
 	g_byte_array_unref(bytes);
 	message.u.membership.sender = a_member();
 	message.u.membership.update_count = MEMBERSHIP_MEMBERS_MAX + 1;
@@ -157,8 +157,8 @@
 	for (guint i = 0; i <= MEMBERSHIP_MEMBERS_MAX; i++)
 		message.u.membership.updates[i] = a_member();
 	bytes = peer_codec_encode(&message);
-	assert_false(peer_codec_decode(bytes->data, bytes->len, count_call,
-				       &calls));
+	assert_false(
+		peer_codec_decode(bytes->data, bytes->len, count_call, &calls));
 	g_byte_array_unref(bytes);
 	g_free(message.u.membership.updates);
 	assert_int_equal(calls, 0);
@@ -177,8 +177,7 @@
 	message.u.membership.sender = a_member();
 	bytes = peer_codec_encode(&message);
 	for (i = 0; i < RANDOM_FRAMES; i++) {
-		gint32 place =
-			g_rand_int_range(random, 0, (gint32)bytes->len);
+		gint32 place = g_rand_int_range(random, 0, (gint32)bytes->len);
 		guint8 kept = bytes->data[place];
 
 		bytes->data[place] = (guint8)g_rand_int(random);
--- /dev/null
+++ b/tests/test_peers.c
@@ -0,0 +1,378 @@
+/* Several daemons: membership, forwarded calls, configuration from peers. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <signal.h>
+#include <string.h>
+
+#include "tests/support.h"
+
+#define ENTRIES 5
+#define SPARE ENTRIES /* an instance that only some tests start */
+#define CALLER_PORT 100 /* offsets of the ports; the others follow */
+#define PEER_PORT 120
+#define UPSTREAM_PORT 140
+#define OBJECT_PORT 141
+#define START_MS 5000
+#define DETECTION_MS 5000
+#define BOOK "/v1/call/booking/book"
+#define ID_HEADER "Catkinstall-Request-Id"
+
+static struct {
+	process_t *entries[ENTRIES + 1];
+	process_t *upstream;
+	char *schema;
+} all;
+
+static guint caller_port(guint entry)
+{
+	return support_port(CALLER_PORT + entry);
+}
+
+/* source is a further setting, the place of the configuration. */
+static void start_entry(guint entry, const char *source, const char *value)
+{
+	char *settings = write_file(
+		"peers.json",
+		"{\"instance\":\"e%u\",\"data_centre\":\"k%u\","
+		"\"caller_address\":\"127.0.0.1:%u\","
+		"\"peer_address\":\"127.0.0.1:%u\",\"%s\":\"%s\","
+		"\"seeds\":[\"127.0.0.1:%u\"],\"resolve_addresses\":%d,"
+		"\"request_id_lifetime_ms\":60000,\"resolve_ttl_ms\":200}",
+		entry, entry % 2, caller_port(entry),
+		support_port(PEER_PORT + entry), source, value,
+		support_port(PEER_PORT), ENTRIES);
+
+	all.entries[entry] =
+		process_start("catkinstalld", "--settings", settings, NULL);
+	assert_true(wait_until(daemon_answers,
+			       GUINT_TO_POINTER(caller_port(entry)), START_MS));
+	g_free(settings);
+}
+
+static void stop_entry(guint entry)
+{
+	g_clear_pointer(&all.entries[entry], process_free);
+}
+
+static char *dump_of(guint entry)
+{
+	reply_t reply;
+	char *text;
+
+	http_request(&reply, "GET", caller_port(entry), "/v1/operator/dump",
+		     NULL, NULL);
+	assert_int_equal(reply.status, 200);
+	text = g_steal_pointer(&reply.body);
+	reply_clear(&reply);
+	return text;
+}
+
+/* Members that an instance sees in a state; about limits them, or is NULL. */
+static guint count_seen(guint entry, const char *about, const char *state)
+{
+	char *text = dump_of(entry);
+	JsonNode *root = json_from_string(text, NULL);
+	JsonArray *members = json_object_get_array_member(
+		json_node_get_object(root), "members");
+	guint count = 0, i;
+
+	for (i = 0; i < json_array_get_length(members); i++) {
+		JsonObject *member = json_array_get_object_element(members, i);
+
+		if (about && g_strcmp0(json_object_get_string_member(
+					       member, "name"),
+				       about) != 0)
+			continue;
+		count += g_str_equal(
+			json_object_get_string_member(member, "state"), state);
+	}
+	json_node_unref(root);
+	g_free(text);
+	return count;
+}
+
+static gboolean all_are_live(void *ctx)
+{
+	guint i;
+
+	(void)ctx;
+	for (i = 0; i < ENTRIES; i++)
+		if (count_seen(i, NULL, "live") != ENTRIES)
+			return FALSE;
+	return TRUE;
+}
+
+/* TRUE when all but the instance itself see it as gone. */
+static gboolean is_gone(void *ctx)
+{
+	guint entry = GPOINTER_TO_UINT(ctx), i;
+	gchar *name = g_strdup_printf("e%u", entry);
+	gboolean gone = TRUE;
+
+	for (i = 0; i < ENTRIES && gone; i++)
+		gone = i == entry || count_seen(i, name, "gone") == 1;
+	g_free(name);
+	return gone;
+}
+
+static void assert_call(guint entry, const char *id, const char *body,
+			guint status, const char *outcome)
+{
+	reply_t reply;
+
+	http_request(&reply, "POST", caller_port(entry), BOOK, body, ID_HEADER,
+		     id, "Catkinstall-Deadline-Ms", "1500", NULL);
+	assert_int_equal(reply.status, status);
+	assert_string_equal(reply.outcome, outcome);
+	if (status == 200)
+		assert_string_equal(reply.body, body);
+	reply_clear(&reply);
+}
+
+static void assert_runs(const char *body, const char *runs)
+{
+	gchar *path = g_strdup_printf("/runs?body=%s", body);
+	reply_t reply;
+
+	http_request(&reply, "POST", support_port(UPSTREAM_PORT), path, NULL,
+		     NULL);
+	assert_string_equal(reply.body, runs);
+	reply_clear(&reply);
+	g_free(path);
+}
+
+static int set_up(void **state)
+{
+	gchar *port = g_strdup_printf("%u", support_port(UPSTREAM_PORT));
+	guint i;
+
+	(void)state;
+	all.upstream = process_start("fake_upstream", "--port", port,
+				     "--service-ms", "50", NULL);
+	g_free(port);
+	all.schema = write_file(
+		"peers_schema.json",
+		"{\"priorities\":[{\"name\":\"urgent\",\"floor_percent\":10}],"
+		"\"services\":[{\"name\":\"booking\",\"slots\":3,"
+		"\"connections\":200,\"probes_per_second\":0,"
+		"\"endpoints\":[\"127.0.0.1:%u\"],\"methods\":["
+		"{\"name\":\"book\",\"priority\":\"urgent\","
+		"\"idempotent\":false,\"deadline_ms\":5000}]}]}",
+		support_port(UPSTREAM_PORT));
+	for (i = 0; i < ENTRIES; i++)
+		start_entry(i, "config_file", all.schema);
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	guint i;
+
+	(void)state;
+	for (i = 0; i <= SPARE; i++)
+		stop_entry(i);
+	process_free(all.upstream);
+	g_free(all.schema);
+	return 0;
+}
+
+/* Fails when one seed is not enough to find all members. */
+static void members_find_each_other(void **state)
+{
+	(void)state;
+	assert_true(wait_until(all_are_live, NULL, START_MS));
+}
+
+/* Fails when a call sent to another instance is lost, changed or run twice. */
+static void forwarded_call_runs_once(void **state)
+{
+	char *id = take_request_id(caller_port(1));
+
+	(void)state;
+	assert_call(2, id, "forwarded", 200, "ran");
+	assert_call(3, id, "forwarded", 200, "ran");
+	assert_call(1, id, "forwarded", 200, "ran");
+	assert_runs("forwarded", "1");
+	g_free(id);
+}
+
+/* Fails when copies that are under way together run twice or differ. */
+static void copies_at_two_instances_run_once(void **state)
+{
+	char *id = take_request_id(caller_port(1));
+	async_request_t *copies[2];
+	reply_t reply;
+	guint i;
+
+	(void)state;
+	for (i = 0; i < 2; i++)
+		copies[i] = http_start("POST", caller_port(1 + i), BOOK,
+				       "copies", ID_HEADER, id, NULL);
+	for (i = 0; i < 2; i++) {
+		http_join(copies[i], &reply);
+		assert_int_equal(reply.status, 200);
+		assert_string_equal(reply.body, "copies");
+		reply_clear(&reply);
+	}
+	assert_runs("copies", "1");
+	g_free(id);
+}
+
+/* Fails when a forwarder's caller that leaves stays in the issuer's list. */
+static void cancelled_forward_is_dropped(void **state)
+{
+	char *id = take_request_id(caller_port(1));
+	async_request_t *request = http_start("POST", caller_port(2), BOOK,
+					      "left", ID_HEADER, id, NULL);
+	char *text;
+
+	(void)state;
+	run_loop_for(20);
+	http_abort(request);
+	run_loop_for(300);
+	text = dump_of(1);
+	assert_int_equal(json_integer_at(text, "calls_in_flight"), 0);
+	g_free(text);
+	g_free(id);
+}
+
+/*
+ * Fails when a paused instance takes others for gone, does not return, or its
+ * silent connections are kept.
+ */
+static void paused_instance_returns(void **state)
+{
+	char *text, *id;
+	guint i;
+
+	(void)state;
+	process_signal(all.entries[4], SIGSTOP);
+	run_loop_for(3000);
+	process_signal(all.entries[4], SIGCONT);
+	for (i = 0; i < 50; i++) {
+		assert_int_equal(count_seen(4, NULL, "gone"), 0);
+		run_loop_for(20);
+	}
+	assert_true(wait_until(all_are_live, NULL, DETECTION_MS));
+	text = dump_of(0);
+	assert_true(json_integer_at(
+			    text, "counters.connections_closed_as_silent") >
+		    0);
+	g_free(text);
+	id = take_request_id(caller_port(4));
+	assert_call(0, id, "after-pause", 200, "ran");
+	g_free(id);
+}
+
+/* Fails when a forwarder claims that a call did not run. */
+static void lost_issuer_means_unknown(void **state)
+{
+	char *id = take_request_id(caller_port(1));
+	char *later = take_request_id(caller_port(1));
+	async_request_t *request;
+	reply_t reply;
+
+	(void)state;
+	process_signal(all.entries[1], SIGSTOP);
+	request = http_start("POST", caller_port(2), BOOK, "lost", ID_HEADER,
+			     id, NULL);
+	run_loop_for(100);
+	stop_entry(1);
+	http_join(request, &reply);
+	assert_string_equal(reply.outcome, "unknown");
+	reply_clear(&reply);
+	assert_call(2, later, "later", 502, "unknown");
+	assert_true(wait_until(is_gone, GUINT_TO_POINTER(1), DETECTION_MS));
+	assert_call(3, later, "later", 502, "unknown");
+	start_entry(1, "config_file", all.schema);
+	assert_call(1, later, "later", 502, "unknown");
+	assert_call(2, later, "later", 502, "unknown");
+	assert_true(wait_until(all_are_live, NULL, DETECTION_MS));
+	assert_call(4, later, "later", 502, "unknown");
+	assert_runs("later", "0");
+	g_free(id);
+	g_free(later);
+}
+
+static void signal_half(guint first, guint end, int signal)
+{
+	while (first < end)
+		process_signal(all.entries[first++], signal);
+}
+
+/* Fails when a part that cannot reach the others stops serving. */
+static void parts_serve_alone(void **state)
+{
+	static const guint bounds[2][2] = { { 0, 2 }, { 2, ENTRIES } };
+	guint i;
+
+	(void)state;
+	for (i = 0; i < 2; i++) {
+		guint other = bounds[1 - i][0];
+		char *id;
+
+		signal_half(bounds[i][0], bounds[i][1], SIGSTOP);
+		run_loop_for(4000);
+		assert_int_equal(count_seen(other, NULL, "live"),
+				 bounds[1 - i][1] - other);
+		id = take_request_id(caller_port(other));
+		assert_call(other + 1, id, "alone", 200, "ran");
+		g_free(id);
+		signal_half(bounds[i][0], bounds[i][1], SIGCONT);
+		assert_true(wait_until(all_are_live, NULL, 2 * DETECTION_MS));
+	}
+}
+
+/* Fails when an instance needs the object API to get its configuration. */
+static void configuration_comes_from_peers(void **state)
+{
+	gchar *closed =
+		g_strdup_printf("127.0.0.1:%u", support_port(OBJECT_PORT));
+	char *id;
+
+	(void)state;
+	start_entry(SPARE, "object_api", closed);
+	id = take_request_id(caller_port(SPARE));
+	assert_call(0, id, "from-peers", 200, "ran");
+	g_free(id);
+	g_free(closed);
+}
+
+/* Fails when callers are sent to an instance that is leaving. */
+static void leaving_instance_is_not_handed_out(void **state)
+{
+	gchar *address =
+		g_strdup_printf("127.0.0.1:%u", caller_port(SPARE));
+	reply_t reply;
+
+	(void)state;
+	process_signal(all.entries[SPARE], SIGTERM);
+	run_loop_for(2000);
+	for (guint i = 0; i < 2 * ENTRIES; i++) {
+		http_request(&reply, "GET", caller_port(i % ENTRIES),
+			     "/v1/resolve", NULL, NULL);
+		assert_null(strstr(reply.body, address));
+		reply_clear(&reply);
+	}
+	g_free(address);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(members_find_each_other),
+		cmocka_unit_test(forwarded_call_runs_once),
+		cmocka_unit_test(copies_at_two_instances_run_once),
+		cmocka_unit_test(cancelled_forward_is_dropped),
+		cmocka_unit_test(paused_instance_returns),
+		cmocka_unit_test(lost_issuer_means_unknown),
+		cmocka_unit_test(parts_serve_alone),
+		cmocka_unit_test(configuration_comes_from_peers),
+		cmocka_unit_test(leaving_instance_is_not_handed_out),
+	};
+
+	return cmocka_run_group_tests(tests, set_up, tear_down);
+}
