Carry at most 4 member updates in a message

With 8, an instance among 100 that had just started sent 3011 bytes/s against the budget of 3 KB/s. A ping and an ack together still carry 8 in a period.

--- a/lib/membership/membership.h
+++ b/lib/membership/membership.h
@@ -25,7 +25,11 @@
 #define MEMBERSHIP_GONE_RETENTION (15 * G_TIME_SPAN_MINUTE)
 /* A longer time between two ticks is a pause of this process. */
 #define MEMBERSHIP_PAUSE (1 * G_TIME_SPAN_SECOND)
-#define MEMBERSHIP_UPDATES_MAX 8 /* in a message */
+/*
+ * In a message. A ping and an ack of about 80 bytes for the sender and each
+ * update are 2 KB/s in the worst case, under the 3 KB/s for all control work.
+ */
+#define MEMBERSHIP_UPDATES_MAX 4
 #define MEMBERSHIP_MEMBERS_MAX 1000 /* in the answer to a joining instance */
 
 #define MEMBER_NAME_MAX 64 /* bytes of an instance name */
--- a/net/peer_link.c
+++ b/net/peer_link.c
@@ -35,7 +35,7 @@
 	guint64 id;
 	char address[MEMBER_ADDRESS_MAX + 1]; /* empty when the peer opened it */
 	GSocketConnection *socket; /* NULL while connecting */
-	GCancellable *cancellable;
+	GCancellable *connecting;
 	guint operations; /* asynchronous calls that have not ended */
 	gboolean greeted; /* the peer's hello was read */
 	guint8 buffer[READ_SIZE];
@@ -68,23 +68,27 @@
 static void connection_free(connection_t *connection)
 {
 	g_clear_object(&connection->socket);
-	g_object_unref(connection->cancellable);
+	g_object_unref(connection->connecting);
 	g_byte_array_unref(connection->received);
 	g_byte_array_unref(connection->queued);
 	g_clear_pointer(&connection->writing, g_byte_array_unref);
 	g_free(connection);
 }
 
-/* Takes the connection out of use; its operations may still have to end. */
+/*
+ * Takes the connection out of use. Its operations end at the next round of the
+ * loop: a read of a socket that is shut down returns. A cancellable would cost
+ * a second file descriptor and source for each connection.
+ */
 static void detach(connection_t *connection)
 {
 	TAILQ_REMOVE(&connection->owner->connections, connection, link);
 	connection->owner = NULL;
-	g_cancellable_cancel(connection->cancellable);
+	g_cancellable_cancel(connection->connecting);
 	if (connection->socket)
-		g_socket_close(
+		g_socket_shutdown(
 			g_socket_connection_get_socket(connection->socket),
-			NULL);
+			TRUE, TRUE, NULL);
 	if (!connection->operations)
 		connection_free(connection);
 }
@@ -120,7 +124,7 @@
 	connection->owner = link;
 	connection->id = ++link->last_id;
 	g_strlcpy(connection->address, address, sizeof(connection->address));
-	connection->cancellable = g_cancellable_new();
+	connection->connecting = g_cancellable_new();
 	connection->received = g_byte_array_new();
 	connection->queued = g_byte_array_new();
 	connection->last_used = catk_clock_now(&system_clock);
@@ -157,8 +161,7 @@
 	g_output_stream_write_all_async(g_io_stream_get_output_stream(stream),
 					connection->writing->data,
 					connection->writing->len,
-					G_PRIORITY_DEFAULT,
-					connection->cancellable, on_written,
+					G_PRIORITY_DEFAULT, NULL, on_written,
 					connection);
 }
 
@@ -271,8 +274,8 @@
 	connection->operations++;
 	g_input_stream_read_async(g_io_stream_get_input_stream(stream),
 				  connection->buffer, READ_SIZE,
-				  G_PRIORITY_DEFAULT, connection->cancellable,
-				  on_read, connection);
+				  G_PRIORITY_DEFAULT, NULL, on_read,
+				  connection);
 }
 
 static void use_socket(connection_t *connection, GSocketConnection *socket)
@@ -334,7 +337,7 @@
 	connection->operations++;
 	g_socket_client_connect_async(link->client,
 				      G_SOCKET_CONNECTABLE(address),
-				      connection->cancellable, on_connected,
+				      connection->connecting, on_connected,
 				      connection);
 	g_object_unref(address);
 	queue_message(connection, &hello);
