--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -5,6 +5,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "tests/support.h"
@@ -186,6 +187,49 @@
 	assert_true(wait_until(all_are_live, NULL, START_MS));
 }
 
+/* The entry that is named at a place of a resolve at entry 0. */
+static guint resolved(guint place)
+{
+	JsonArray *addresses;
+	JsonNode *root;
+	reply_t reply;
+	guint port;
+
+	http_request(&reply, "GET", caller_port(0), "/v1/resolve", NULL, NULL);
+	root = json_from_string(reply.body, NULL);
+	addresses = json_object_get_array_member(json_node_get_object(root),
+						 "addresses");
+	assert_int_equal(json_array_get_length(addresses), ENTRIES);
+	port = (guint)atoi(
+		strchr(json_array_get_string_element(addresses, place), ':') +
+		1);
+	json_node_unref(root);
+	reply_clear(&reply);
+	return port - caller_port(0);
+}
+
+/*
+ * Fails when a resolve does not name the own instance, the own data centre
+ * (even numbers) and the others in this order, or always names the same first.
+ */
+static void resolve_prefers_near_and_rotates(void **state)
+{
+	guint seen[ENTRIES] = { 0 };
+	guint i;
+
+	(void)state;
+	for (i = 0; i < 4; i++) {
+		assert_int_equal(resolved(0), 0);
+		seen[resolved(1)]++;
+		assert_int_equal(resolved(2) % 2, 0);
+		seen[resolved(3)]++;
+		assert_int_equal(resolved(4) % 2, 1);
+	}
+	assert_int_equal(seen[2] + seen[4], 4);
+	assert_int_equal(seen[1] + seen[3], 4);
+	assert_true(seen[2] && seen[4] && seen[1] && seen[3]);
+}
+
 /* Fails when a call sent to another instance is lost, changed or run twice. */
 static void forwarded_call_runs_once(void **state)
 {
@@ -367,6 +411,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(members_find_each_other),
+		cmocka_unit_test(resolve_prefers_near_and_rotates),
 		cmocka_unit_test(forwarded_call_runs_once),
 		cmocka_unit_test(copies_at_two_instances_run_once),
 		cmocka_unit_test(cancelled_forward_is_dropped),
