Apply configuration changes so that lost answers are resolved

A change is a conditional update with a change id. The entry looks for the id in the stored object and its history before each write, so a write whose answer was lost is reported as done, and the same id applied twice is one change.

An invalid stored version is counted, logged and no longer asked for again in a tight loop. Instance lists are read at intervals that keep the fleet below instance_list_reads_per_second.

--- a/codec/settings_json.c
+++ b/codec/settings_json.c
@@ -86,7 +86,12 @@
 	  "time between fallback reads of the configuration" },
 	{ "instance_list_poll_ms", offsetof(settings_t, instance_list_poll_ms),
 	  FIELD_INT64, 100, 600000, 2000, "ms",
-	  "time between reads of the instance lists" },
+	  "shortest time between two reads of an instance list" },
+	{ "instance_list_reads_per_second",
+	  offsetof(settings_t, instance_list_reads_per_second), FIELD_INT64, 1,
+	  2000, 100, "reads/s",
+	  "reads of instance lists by all instances together; longer times "
+	  "between reads keep to it" },
 };
 
 static void set_number(settings_t *settings, const number_key_t *key,
--- a/codec/settings_json.h
+++ b/codec/settings_json.h
@@ -21,6 +21,7 @@
 	gint64 body_bytes_max; /* of a caller's request or an answer */
 	gint64 object_api_poll_ms; /* between two fallback reads */
 	gint64 instance_list_poll_ms; /* between two reads of instance lists */
+	gint64 instance_list_reads_per_second; /* of all instances together */
 	entry_limits_t entry;
 } settings_t;
 
--- a/lib/config/config.c
+++ b/lib/config/config.c
@@ -3,6 +3,7 @@
 struct config {
 	counters_t *counters;
 	guint64 version;
+	guint64 rejected; /* highest version that was not valid */
 	schema_t *schema;
 	GBytes *document;
 };
@@ -40,6 +41,19 @@
 	return CONFIG_IN_FORCE;
 }
 
+void config_reject(config_t *config, guint64 version)
+{
+	if (version <= config_seen_version(config))
+		return;
+	config->rejected = version;
+	counters_add(config->counters, COUNTER_CONFIG_REJECTED, 1);
+}
+
+guint64 config_seen_version(const config_t *config)
+{
+	return MAX(config->version, config->rejected);
+}
+
 guint64 config_version(const config_t *config)
 {
 	return config->version;
--- a/lib/config/config.h
+++ b/lib/config/config.h
@@ -29,6 +29,15 @@
 config_offer_t config_offer(config_t *config, guint64 version, schema_t *schema,
 			    GBytes *document);
 
+/*
+ * Notes that a stored version is not valid. It stays out of force and is
+ * counted once; later versions are not affected.
+ */
+void config_reject(config_t *config, guint64 version);
+
+/* Highest version offered or rejected, 0 for none. */
+guint64 config_seen_version(const config_t *config);
+
 /* Version in force, 0 for none. */
 guint64 config_version(const config_t *config);
 
--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -23,6 +23,9 @@
 
 #define ENTRY_RESOLVE_ADDRESSES_MAX 8
 
+/* Two, so that a change is seen at once while one is paused or lost. */
+#define ENTRY_CONFIG_WATCHERS 2
+
 typedef struct entry entry_t;
 
 typedef struct {
@@ -132,6 +135,19 @@
 gboolean entry_set_endpoints(entry_t *entry, const char *service,
 			     const endpoint_info_t *infos, gsize count);
 
+/* Notes that a stored version of the configuration is not valid. */
+void entry_reject_config(entry_t *entry, guint64 version);
+
+/*
+ * TRUE when this instance should hold a watch on the stored configuration: it
+ * is one of ENTRY_CONFIG_WATCHERS live instances of its data centre that rank
+ * first by rendezvous hashing of their names.
+ */
+gboolean entry_is_config_watcher(const entry_t *entry);
+
+/* Number of live members, this instance included; at least 1. */
+guint entry_live_members(const entry_t *entry);
+
 /* The configuration, for operators. */
 const config_t *entry_config(const entry_t *entry);
 
--- /dev/null
+++ b/lib/entry/entry_config.c
@@ -0,0 +1,47 @@
+/* Which instances read the stored configuration. */
+#include <string.h>
+#include <xxhash.h>
+
+#include "lib/entry/entry_internal.h"
+
+void entry_reject_config(entry_t *entry, guint64 version)
+{
+	config_reject(entry->config, version);
+}
+
+static guint64 rank_of(const member_t *member)
+{
+	return XXH3_64bits(member->name, strlen(member->name));
+}
+
+static gboolean ranks_before(const member_t *member, const member_t *self)
+{
+	return member != self && member->state == MEMBER_LIVE &&
+	       strcmp(member->data_centre, self->data_centre) == 0 &&
+	       rank_of(member) > rank_of(self);
+}
+
+gboolean entry_is_config_watcher(const entry_t *entry)
+{
+	const member_t *self = membership_self(entry->membership);
+	const member_t *member;
+	guint before = 0;
+
+	if (self->state != MEMBER_LIVE)
+		return FALSE;
+	for (member = membership_first(entry->membership); member;
+	     member = membership_next(member))
+		before += ranks_before(member, self);
+	return before < ENTRY_CONFIG_WATCHERS;
+}
+
+guint entry_live_members(const entry_t *entry)
+{
+	const member_t *member;
+	guint live = 0;
+
+	for (member = membership_first(entry->membership); member;
+	     member = membership_next(member))
+		live += member->state == MEMBER_LIVE;
+	return MAX(live, 1);
+}
--- a/net/http_reply.c
+++ b/net/http_reply.c
@@ -59,6 +59,14 @@
 }
 
 void http_reply_error(SoupServerMessage *message, const catk_error_t *error)
+{
+	http_reply_error_with(message, error, NULL, NULL);
+}
+
+void http_reply_error_with(SoupServerMessage *message,
+			   const catk_error_t *error,
+			   void (*add)(void *ctx, JsonBuilder *builder),
+			   void *ctx)
 {
 	JsonBuilder *builder = json_builder_new();
 
@@ -76,6 +84,8 @@
 	json_builder_add_int_value(builder, error->retry_after /
 						    G_TIME_SPAN_MILLISECOND);
 	json_builder_end_object(builder);
+	if (add)
+		add(ctx, builder);
 	json_builder_end_object(builder);
 
 	soup_message_headers_replace(
--- a/net/http_reply.h
+++ b/net/http_reply.h
@@ -13,6 +13,15 @@
 /* Answers with a JSON document of {"error":{...}} and the outcome header. */
 void http_reply_error(SoupServerMessage *message, const catk_error_t *error);
 
+/*
+ * Like http_reply_error(), with members that add puts beside "error" in the
+ * document. add may be NULL.
+ */
+void http_reply_error_with(SoupServerMessage *message,
+			   const catk_error_t *error,
+			   void (*add)(void *ctx, JsonBuilder *builder),
+			   void *ctx);
+
 /* Answers 200 with the builder's document. */
 void http_reply_json(SoupServerMessage *message, JsonBuilder *builder);
 
--- a/net/object_api.c
+++ b/net/object_api.c
@@ -6,15 +6,19 @@
 
 #define VERSION_HEADER "Object-Version"
 
-typedef struct request {
-	TAILQ_ENTRY(request) link;
+/* A watch holds one; the others keep a slow read from delaying the rest. */
+#define CONNECTIONS_MAX 4
+
+struct object_api_call {
+	TAILQ_ENTRY(object_api_call) link;
 	object_api_t *api;
 	SoupMessage *message;
 	GCancellable *cancellable;
 	guint timeout;
+	gboolean is_watch;
 	object_api_done_fn_t done;
 	void *ctx;
-} request_t;
+};
 
 struct object_api {
 	char *address;
@@ -22,7 +26,7 @@
 	GTimeSpan timeout;
 	counters_t *counters;
 	SoupSession *session;
-	TAILQ_HEAD(request_list, request) requests;
+	TAILQ_HEAD(call_list, object_api_call) calls;
 };
 
 object_api_t *object_api_new(const char *address, const char *client,
@@ -34,34 +38,39 @@
 	api->client = g_strdup(client);
 	api->timeout = timeout;
 	api->counters = counters;
-	api->session = soup_session_new();
-	TAILQ_INIT(&api->requests);
+	api->session = soup_session_new_with_options("max-conns-per-host",
+						     CONNECTIONS_MAX, NULL);
+	TAILQ_INIT(&api->calls);
 	return api;
 }
 
-static void request_free(request_t *request)
+static void call_free(object_api_call_t *call)
+{
+	if (call->api)
+		TAILQ_REMOVE(&call->api->calls, call, link);
+	if (call->timeout)
+		g_source_remove(call->timeout);
+	g_object_unref(call->message);
+	g_object_unref(call->cancellable);
+	g_free(call);
+}
+
+/* The library still ends the request, which then frees the call. */
+void object_api_cancel(object_api_call_t *call)
 {
-	if (request->api)
-		TAILQ_REMOVE(&request->api->requests, request, link);
-	if (request->timeout)
-		g_source_remove(request->timeout);
-	g_object_unref(request->message);
-	g_object_unref(request->cancellable);
-	g_free(request);
+	TAILQ_REMOVE(&call->api->calls, call, link);
+	call->api = NULL;
+	g_cancellable_cancel(call->cancellable);
 }
 
 void object_api_free(object_api_t *api)
 {
-	request_t *request, *next;
+	object_api_call_t *call, *next;
 
 	if (!api)
 		return;
-	/* The library still ends each request, which then frees itself. */
-	TAILQ_FOREACH_SAFE (request, &api->requests, link, next) {
-		TAILQ_REMOVE(&api->requests, request, link);
-		request->api = NULL;
-		g_cancellable_cancel(request->cancellable);
-	}
+	TAILQ_FOREACH_SAFE (call, &api->calls, link, next)
+		object_api_cancel(call);
 	soup_session_abort(api->session);
 	g_object_unref(api->session);
 	g_free(api->address);
@@ -101,98 +110,105 @@
 
 static void on_sent(GObject *source, GAsyncResult *async, gpointer data)
 {
-	request_t *request = data;
+	object_api_call_t *call = data;
 	object_api_result_t result = { .status = OBJECT_API_UNAVAILABLE };
 
 	result.body = soup_session_send_and_read_finish(SOUP_SESSION(source),
 							async, NULL);
-	if (!request->api)
+	if (!call->api)
 		goto out;
 	if (result.body) {
 		result.status =
-			status_of(soup_message_get_status(request->message));
-		result.version = read_version(request->message);
+			status_of(soup_message_get_status(call->message));
+		result.version = read_version(call->message);
 	}
 	if (result.status == OBJECT_API_UNAVAILABLE)
-		counters_add(request->api->counters,
-			     COUNTER_OBJECT_API_FAILURES, 1);
-	request->done(request->ctx, &result);
+		counters_add(call->api->counters, COUNTER_OBJECT_API_FAILURES,
+			     1);
+	call->done(call->ctx, &result);
 out:
 	g_clear_pointer(&result.body, g_bytes_unref);
-	request_free(request);
+	call_free(call);
 }
 
 static gboolean on_timeout(gpointer data)
 {
-	request_t *request = data;
+	object_api_call_t *call = data;
 
-	request->timeout = 0;
-	g_cancellable_cancel(request->cancellable);
+	call->timeout = 0;
+	if (call->is_watch && call->api)
+		counters_add(call->api->counters, COUNTER_CONNECTIONS_SILENT,
+			     1);
+	g_cancellable_cancel(call->cancellable);
 	return G_SOURCE_REMOVE;
 }
 
-static void send_request(object_api_t *api, gchar *path, GBytes *body,
-			 GTimeSpan timeout, object_api_done_fn_t done,
-			 void *ctx)
+static object_api_call_t *send_call(object_api_t *api, gchar *path,
+				    GBytes *body, GTimeSpan timeout,
+				    object_api_done_fn_t done, void *ctx)
 {
-	request_t *request = g_new0(request_t, 1);
+	object_api_call_t *call = g_new0(object_api_call_t, 1);
 	gchar *uri = g_strdup_printf("http://%s%s", api->address, path);
 
-	request->api = api;
-	request->done = done;
-	request->ctx = ctx;
-	request->cancellable = g_cancellable_new();
-	request->message = soup_message_new(SOUP_METHOD_POST, uri);
-	soup_message_add_flags(request->message, SOUP_MESSAGE_IDEMPOTENT);
+	call->api = api;
+	call->done = done;
+	call->ctx = ctx;
+	call->cancellable = g_cancellable_new();
+	call->message = soup_message_new(SOUP_METHOD_POST, uri);
+	soup_message_add_flags(call->message, SOUP_MESSAGE_IDEMPOTENT);
 	soup_message_headers_append(
-		soup_message_get_request_headers(request->message), "Client",
+		soup_message_get_request_headers(call->message), "Client",
 		api->client);
 	if (body)
 		soup_message_set_request_body_from_bytes(
-			request->message, "application/json", body);
-	request->timeout =
-		g_timeout_add((guint)(timeout / G_TIME_SPAN_MILLISECOND),
-			      on_timeout, request);
-	TAILQ_INSERT_TAIL(&api->requests, request, link);
+			call->message, "application/json", body);
+	call->timeout = g_timeout_add(
+		(guint)(timeout / G_TIME_SPAN_MILLISECOND), on_timeout, call);
+	TAILQ_INSERT_TAIL(&api->calls, call, link);
 	counters_add(api->counters, COUNTER_OBJECT_API_CALLS, 1);
-	soup_session_send_and_read_async(api->session, request->message,
-					 G_PRIORITY_DEFAULT,
-					 request->cancellable, on_sent,
-					 request);
+	soup_session_send_and_read_async(api->session, call->message,
+					 G_PRIORITY_DEFAULT, call->cancellable,
+					 on_sent, call);
 	g_free(uri);
 	g_free(path);
+	return call;
 }
 
-void object_api_get(object_api_t *api, const char *key,
-		    object_api_done_fn_t done, void *ctx)
+object_api_call_t *object_api_get(object_api_t *api, const char *key,
+				  object_api_done_fn_t done, void *ctx)
 {
-	send_request(api, g_strdup_printf("/v1/get/%s", key), NULL,
-		     api->timeout, done, ctx);
+	return send_call(api, g_strdup_printf("/v1/get/%s", key), NULL,
+			 api->timeout, done, ctx);
 }
 
-void object_api_watch(object_api_t *api, const char *key, guint64 after,
-		      GTimeSpan wait, object_api_done_fn_t done, void *ctx)
+object_api_call_t *object_api_watch(object_api_t *api, const char *key,
+				    guint64 after, GTimeSpan wait,
+				    object_api_done_fn_t done, void *ctx)
 {
 	gchar *path = g_strdup_printf("/v1/watch/%s?after=%" G_GUINT64_FORMAT
 				      "&timeout_ms=%" G_GINT64_FORMAT,
 				      key, after,
 				      wait / G_TIME_SPAN_MILLISECOND);
+	object_api_call_t *call;
 
-	send_request(api, path, NULL, wait + api->timeout, done, ctx);
+	call = send_call(api, path, NULL, wait + api->timeout, done, ctx);
+	call->is_watch = TRUE;
+	return call;
 }
 
-void object_api_put(object_api_t *api, const char *key, guint64 if_version,
-		    GBytes *value, object_api_done_fn_t done, void *ctx)
+object_api_call_t *object_api_put(object_api_t *api, const char *key,
+				  guint64 if_version, GBytes *value,
+				  object_api_done_fn_t done, void *ctx)
 {
 	gchar *path = g_strdup_printf(
 		"/v1/put/%s?if_version=%" G_GUINT64_FORMAT, key, if_version);
 
-	send_request(api, path, value, api->timeout, done, ctx);
+	return send_call(api, path, value, api->timeout, done, ctx);
 }
 
-void object_api_instances(object_api_t *api, const char *service,
-			  object_api_done_fn_t done, void *ctx)
+object_api_call_t *object_api_instances(object_api_t *api, const char *service,
+					object_api_done_fn_t done, void *ctx)
 {
-	send_request(api, g_strdup_printf("/v1/instances/%s", service), NULL,
-		     api->timeout, done, ctx);
+	return send_call(api, g_strdup_printf("/v1/instances/%s", service),
+			 NULL, api->timeout, done, ctx);
 }
--- a/net/object_api.h
+++ b/net/object_api.h
@@ -12,6 +12,9 @@
 
 typedef struct object_api object_api_t;
 
+/* A call in flight; valid until its callback is called or it is cancelled. */
+typedef struct object_api_call object_api_call_t;
+
 typedef enum {
 	OBJECT_API_OK,
 	OBJECT_API_NOT_FOUND, /* no object has this key */
@@ -41,23 +44,32 @@
 /* Drops calls in flight without a callback. NULL is allowed. */
 void object_api_free(object_api_t *api);
 
+/* Ends a call without a callback; a write may still take effect. */
+void object_api_cancel(object_api_call_t *call);
+
 /* Reads an object. */
-void object_api_get(object_api_t *api, const char *key,
-		    object_api_done_fn_t done, void *ctx);
+object_api_call_t *object_api_get(object_api_t *api, const char *key,
+				  object_api_done_fn_t done, void *ctx);
 
-/* Waits until the object's version exceeds after, at most wait long. */
-void object_api_watch(object_api_t *api, const char *key, guint64 after,
-		      GTimeSpan wait, object_api_done_fn_t done, void *ctx);
+/*
+ * Waits until the object's version exceeds after, at most wait long; 0 asks
+ * without waiting. A watch without an answer at wait plus the timeout is
+ * closed with its connection, counted as silent and ends as unavailable.
+ */
+object_api_call_t *object_api_watch(object_api_t *api, const char *key,
+				    guint64 after, GTimeSpan wait,
+				    object_api_done_fn_t done, void *ctx);
 
 /*
  * Replaces the object when its version is if_version; 0 creates it. value is
  * referenced.
  */
-void object_api_put(object_api_t *api, const char *key, guint64 if_version,
-		    GBytes *value, object_api_done_fn_t done, void *ctx);
+object_api_call_t *object_api_put(object_api_t *api, const char *key,
+				  guint64 if_version, GBytes *value,
+				  object_api_done_fn_t done, void *ctx);
 
 /* Reads the instance list of a service. The body is the JSON answer. */
-void object_api_instances(object_api_t *api, const char *service,
-			  object_api_done_fn_t done, void *ctx);
+object_api_call_t *object_api_instances(object_api_t *api, const char *service,
+					object_api_done_fn_t done, void *ctx);
 
 #endif
--- a/net/operator_api.c
+++ b/net/operator_api.c
@@ -1,18 +1,43 @@
 #include "net/operator_api.h"
 
+#include "codec/config_json.h"
 #include "codec/dump_json.h"
+#include "lib/common/intrusive.h"
+#include "net/config_source.h"
+#include "net/config_store.h"
 #include "net/http_reply.h"
 
 #define DUMP_PATH "/v1/operator/dump"
 #define CONFIG_PATH "/v1/operator/config"
+#define HISTORY_PATH "/v1/operator/config/history"
 #define DRAIN_PATH "/v1/operator/drain"
 
+/* An operator who waits for the result of a change. */
+typedef struct pending {
+	TAILQ_ENTRY(pending) link;
+	operator_api_t *operators;
+	SoupServerMessage *message;
+	gulong disconnected;
+	gboolean connected;
+} pending_t;
+
 struct operator_api {
 	SoupServer *server;
 	entry_t *entry;
-	object_api_t *api;
+	config_store_t *store; /* NULL with a local configuration */
+	TAILQ_HEAD(pending_list, pending) pending;
 };
 
+static void pending_free(pending_t *pending)
+{
+	TAILQ_REMOVE(&pending->operators->pending, pending, link);
+	g_clear_signal_handler(&pending->disconnected, pending->message);
+	if (pending->connected)
+		soup_server_message_unpause(pending->message);
+	g_object_unref(pending->message);
+	g_free(pending);
+}
+
 static void on_dump(SoupServer *server, SoupServerMessage *message,
 		    const char *path, GHashTable *query, gpointer data)
 {
@@ -28,25 +53,310 @@
 	g_object_unref(builder);
 }
 
-static void on_config(SoupServer *server, SoupServerMessage *message,
-		      const char *path, GHashTable *query, gpointer data)
+static void set_version_header(SoupServerMessage *message, guint64 version)
+{
+	gchar *text = g_strdup_printf("%" G_GUINT64_FORMAT, version);
+
+	soup_message_headers_replace(
+		soup_server_message_get_response_headers(message),
+		"Config-Version", text);
+	g_free(text);
+}
+
+/* The record in force, or NULL with an error answer. */
+static config_record_t *record_in_force(operator_api_t *operators,
+					SoupServerMessage *message)
 {
-	operator_api_t *operators = data;
 	const config_t *config = entry_config(operators->entry);
 	catk_error_t error;
 
-	(void)server;
-	(void)path;
-	(void)query;
 	if (config_version(config)) {
-		http_reply_bytes(message, SOUP_STATUS_OK, "application/json",
-				 config_document(config));
-		return;
+		set_version_header(message, config_version(config));
+		return config_record_from_json(config_document(config),
+					       config_version(config), NULL,
+					       NULL);
 	}
 	catk_error_set(&error, CATK_NOT_FOUND, OUTCOME_NOT_RUN,
 		       "no configuration is in force: apply one with "
-		       "catkinctl config apply");
+		       "catkinctl config apply FILE --base-version 0");
 	http_reply_error(message, &error);
+	return NULL;
+}
+
+static void show_config(operator_api_t *operators, SoupServerMessage *message)
+{
+	config_record_t *record = record_in_force(operators, message);
+
+	if (record)
+		http_reply_bytes(message, SOUP_STATUS_OK, "application/json",
+				 record->schema);
+	config_record_free(record);
+}
+
+static void on_history(SoupServer *server, SoupServerMessage *message,
+		       const char *path, GHashTable *query, gpointer data)
+{
+	config_record_t *record = record_in_force(data, message);
+	GBytes *body;
+	gchar *text;
+
+	(void)server;
+	(void)path;
+	(void)query;
+	if (!record)
+		return;
+	text = config_history_to_json(record);
+	body = g_bytes_new_take(text, strlen(text));
+	http_reply_bytes(message, SOUP_STATUS_OK, "application/json", body);
+	g_bytes_unref(body);
+	config_record_free(record);
+}
+
+static const char *query_text(GHashTable *query, const char *name)
+{
+	return query ? g_hash_table_lookup(query, name) : NULL;
+}
+
+static gboolean read_change_id(GHashTable *query, config_change_t *change,
+			       catk_error_t *err)
+{
+	const char *id = query_text(query, "change_id");
+
+	if (id && *id && strlen(id) <= CONFIG_CHANGE_ID_MAX &&
+	    g_utf8_validate(id, -1, NULL)) {
+		g_strlcpy(change->change_id, id, sizeof(change->change_id));
+		return TRUE;
+	}
+	catk_error_set(
+		err, CATK_INVALID_ARGUMENT, OUTCOME_NOT_RUN,
+		"change_id is missing or too long: send an id of 1 to %d "
+		"bytes that no other change has",
+		CONFIG_CHANGE_ID_MAX);
+	return FALSE;
+}
+
+static gboolean read_author(GHashTable *query, config_change_t *change,
+			    catk_error_t *err)
+{
+	const char *author = query_text(query, "author");
+
+	if (!author)
+		return TRUE;
+	if (strlen(author) <= CONFIG_AUTHOR_MAX &&
+	    g_utf8_validate(author, -1, NULL)) {
+		g_strlcpy(change->author, author, sizeof(change->author));
+		return TRUE;
+	}
+	catk_error_set(err, CATK_INVALID_ARGUMENT, OUTCOME_NOT_RUN,
+		       "author is too long: send at most %d bytes",
+		       CONFIG_AUTHOR_MAX);
+	return FALSE;
+}
+
+static gboolean read_base(GHashTable *query, guint64 *base, catk_error_t *err)
+{
+	const char *text = query_text(query, "base_version");
+
+	if (text)
+		return http_read_number("base_version", text, 0, G_MAXINT64, 0,
+					base, err);
+	catk_error_set(err, CATK_INVALID_ARGUMENT, OUTCOME_NOT_RUN,
+		       "base_version is missing: send the version that the "
+		       "change replaces, 0 when there is none");
+	return FALSE;
+}
+
+static gboolean read_change(operator_api_t *operators, GHashTable *query,
+			    config_change_t *change, guint64 *base,
+			    catk_error_t *err)
+{
+	if (!operators->store) {
+		catk_error_set(err, CATK_INVALID_ARGUMENT, OUTCOME_NOT_RUN,
+			       "this instance has a local configuration: edit "
+			       "its config_file and restart it");
+		return FALSE;
+	}
+	change->time = g_get_real_time() / G_TIME_SPAN_SECOND;
+	return read_change_id(query, change, err) &&
+	       read_author(query, change, err) && read_base(query, base, err);
+}
+
+static void collect_issue(void *ctx, const char *place, const char *message)
+{
+	JsonBuilder *issues = ctx;
+
+	json_builder_begin_object(issues);
+	json_builder_set_member_name(issues, "place");
+	json_builder_add_string_value(issues, place);
+	json_builder_set_member_name(issues, "message");
+	json_builder_add_string_value(issues, message);
+	json_builder_end_object(issues);
+}
+
+static void add_issues(void *ctx, JsonBuilder *builder)
+{
+	json_builder_set_member_name(builder, "issues");
+	json_builder_add_value(builder, json_builder_get_root(ctx));
+}
+
+/* FALSE with an answer that names every error. */
+static gboolean check_schema(SoupServerMessage *message, GBytes *document)
+{
+	JsonBuilder *issues = json_builder_new();
+	catk_error_t error;
+	schema_t *schema;
+
+	json_builder_begin_array(issues);
+	schema = schema_from_json(document, collect_issue, issues);
+	json_builder_end_array(issues);
+	if (!schema) {
+		catk_error_set(
+			&error, CATK_INVALID_ARGUMENT, OUTCOME_NOT_RUN,
+			"the schema is not valid: correct all issues and "
+			"apply it again");
+		http_reply_error_with(message, &error, add_issues, issues);
+	}
+	g_object_unref(issues);
+	if (!schema)
+		return FALSE;
+	schema_free(schema);
+	return TRUE;
+}
+
+static void add_version(void *ctx, JsonBuilder *builder)
+{
+	const config_store_result_t *result = ctx;
+
+	json_builder_set_member_name(builder, "version");
+	json_builder_add_int_value(builder, (gint64)result->version);
+}
+
+static void reply_accepted(SoupServerMessage *message,
+			   const config_store_result_t *result)
+{
+	JsonBuilder *builder = json_builder_new();
+
+	json_builder_begin_object(builder);
+	add_version((void *)result, builder);
+	json_builder_end_object(builder);
+	http_reply_json(message, builder);
+	g_object_unref(builder);
+}
+
+static void describe_failure(const config_store_result_t *result,
+			     catk_error_t *error)
+{
+	if (result->step == CONFIG_APPLY_CONFLICT)
+		catk_error_set(error, CATK_CONFLICT, OUTCOME_NOT_RUN,
+			       "the stored configuration has version "
+			       "%" G_GUINT64_FORMAT
+			       ": rebase the change on it and apply with that "
+			       "base version and a new change id",
+			       result->version);
+	else if (result->step == CONFIG_APPLY_UNKNOWN && result->version)
+		catk_error_set(error, CATK_UNAVAILABLE, OUTCOME_UNKNOWN,
+			       "the history no longer reaches the base version "
+			       "and does not tell whether the change took "
+			       "effect: compare with the schema in force, then "
+			       "apply with base version %" G_GUINT64_FORMAT
+			       " and a new change id",
+			       result->version);
+	else if (result->step == CONFIG_APPLY_UNKNOWN)
+		catk_error_set(error, CATK_UNAVAILABLE, OUTCOME_UNKNOWN,
+			       "the change may have taken effect: apply it "
+			       "again with the same change id and base version "
+			       "to find out");
+	else if (result->too_large)
+		catk_error_set(error, CATK_TOO_LARGE, OUTCOME_NOT_RUN,
+			       "the schema with its history exceeds %d bytes: "
+			       "make it smaller",
+			       CONFIG_STORE_BYTES_MAX);
+	else
+		catk_error_set(error, CATK_UNAVAILABLE, OUTCOME_NOT_RUN,
+			       "the object API does not answer and nothing was "
+			       "written: apply again later");
+}
+
+static void reply_result(SoupServerMessage *message,
+			 const config_store_result_t *result)
+{
+	catk_error_t error;
+
+	if (result->step == CONFIG_APPLY_ACCEPTED) {
+		reply_accepted(message, result);
+		return;
+	}
+	describe_failure(result, &error);
+	http_reply_error_with(
+		message, &error,
+		result->step == CONFIG_APPLY_CONFLICT ? add_version : NULL,
+		(void *)result);
+}
+
+static void on_applied(void *ctx, const config_store_result_t *result)
+{
+	pending_t *pending = ctx;
+
+	/* In force here at once; the others learn of it from here too. */
+	if (result->document)
+		config_source_offer(pending->operators->entry, result->version,
+				    result->document, NULL);
+	reply_result(pending->message, result);
+	pending_free(pending);
+}
+
+/* The change goes on: only its answer is lost. */
+static void on_disconnected(SoupServerMessage *message, gpointer data)
+{
+	pending_t *pending = data;
+
+	(void)message;
+	pending->connected = FALSE;
+}
+
+static pending_t *pending_new(operator_api_t *operators,
+			      SoupServerMessage *message)
+{
+	pending_t *pending = g_new0(pending_t, 1);
+
+	pending->operators = operators;
+	pending->message = g_object_ref(message);
+	pending->connected = TRUE;
+	pending->disconnected = g_signal_connect(
+		message, "disconnected", G_CALLBACK(on_disconnected), pending);
+	TAILQ_INSERT_TAIL(&operators->pending, pending, link);
+	soup_server_message_pause(message);
+	return pending;
+}
+
+static void apply_config(operator_api_t *operators, SoupServerMessage *message,
+			 GHashTable *query)
+{
+	GBytes *schema = soup_message_body_flatten(
+		soup_server_message_get_request_body(message));
+	config_change_t change = { 0 };
+	catk_error_t error;
+	guint64 base;
+
+	if (!read_change(operators, query, &change, &base, &error))
+		http_reply_error(message, &error);
+	else if (check_schema(message, schema))
+		config_store_apply(operators->store, &change, base, schema,
+				   on_applied, pending_new(operators, message));
+	g_bytes_unref(schema);
+}
+
+static void on_config(SoupServer *server, SoupServerMessage *message,
+		      const char *path, GHashTable *query, gpointer data)
+{
+	const char *method = soup_server_message_get_method(message);
+
+	(void)server;
+	(void)path;
+	if (g_str_equal(method, SOUP_METHOD_POST))
+		apply_config(data, message, query);
+	else
+		show_config(data, message);
 }
 
 static void on_drain(SoupServer *server, SoupServerMessage *message,
@@ -74,20 +384,32 @@
 
 	operators->server = server;
 	operators->entry = entry;
-	operators->api = api;
+	operators->store = api ? config_store_new(api) : NULL;
+	TAILQ_INIT(&operators->pending);
 	soup_server_add_handler(server, DUMP_PATH, on_dump, operators, NULL);
 	soup_server_add_handler(server, CONFIG_PATH, on_config, operators,
 				NULL);
+	soup_server_add_handler(server, HISTORY_PATH, on_history, operators,
+				NULL);
 	soup_server_add_handler(server, DRAIN_PATH, on_drain, operators, NULL);
 	return operators;
 }
 
 void operator_api_free(operator_api_t *operators)
 {
+	const config_store_result_t unknown = { .step = CONFIG_APPLY_UNKNOWN };
+
 	if (!operators)
 		return;
 	soup_server_remove_handler(operators->server, DUMP_PATH);
 	soup_server_remove_handler(operators->server, CONFIG_PATH);
+	soup_server_remove_handler(operators->server, HISTORY_PATH);
 	soup_server_remove_handler(operators->server, DRAIN_PATH);
+	config_store_free(operators->store);
+	while (!TAILQ_EMPTY(&operators->pending)) {
+		reply_result(TAILQ_FIRST(&operators->pending)->message,
+			     &unknown);
+		pending_free(TAILQ_FIRST(&operators->pending));
+	}
 	g_free(operators);
 }
--- a/programs/catkinctl.c
+++ b/programs/catkinctl.c
@@ -1,7 +1,7 @@
 /* The command line for operators. */
 #include <argp.h>
 #include <stdio.h>
-#include <stdlib.h>
+#include <sysexits.h>
 
 #include "programs/ctl.h"
 
@@ -24,6 +24,8 @@
 	{ "dump", 0, "dump", ctl_dump },
 	{ "drain", 0, "drain", ctl_drain },
 	{ "config show", 0, "config show", ctl_config_show },
+	{ "config history", 0, "config history", ctl_config_history },
+	{ "config apply", 1, "config apply FILE", ctl_config_apply },
 };
 
 enum {
@@ -34,6 +36,7 @@
 	KEY_DEADLINE = 'd',
 	KEY_CHANGE_ID = 'i',
 	KEY_BASE_VERSION = 'v',
+	KEY_AUTHOR = 'a',
 	KEY_WAIT = 'w',
 	KEY_TIMEOUT = 't'
 };
@@ -47,12 +50,18 @@
 	{ "caller", KEY_CALLER, "NAME", 0, "Name of the caller", 0 },
 	{ "deadline-ms", KEY_DEADLINE, "MS", 0,
 	  "Deadline of a call; by default the method's", 0 },
-	{ "change-id", KEY_CHANGE_ID, "ID", 0, "Id of a change", 0 },
+	{ "change-id", KEY_CHANGE_ID, "ID", 0,
+	  "Id of a change; by default a new one. The same id again is the "
+	  "same change",
+	  0 },
 	{ "base-version", KEY_BASE_VERSION, "N", 0,
 	  "Version that a change replaces; by default the one in force", 0 },
+	{ "author", KEY_AUTHOR, "NAME", 0,
+	  "Author of a change; by default the user", 0 },
 	{ "wait", KEY_WAIT, NULL, 0,
 	  "Wait until the change is in force at every live instance", 0 },
-	{ "timeout-ms", KEY_TIMEOUT, "MS", 0, "Longest time to wait", 0 },
+	{ "timeout-ms", KEY_TIMEOUT, "MS", 0,
+	  "Longest time to wait for answers and for --wait, default 10000", 0 },
 	{ 0 }
 };
 
@@ -90,6 +99,9 @@
 		input->options.base_version =
 			g_ascii_strtoll(argument, NULL, 10);
 		break;
+	case KEY_AUTHOR:
+		input->options.author = argument;
+		break;
 	case KEY_WAIT:
 		input->options.wait = TRUE;
 		break;
@@ -142,7 +154,7 @@
 	fprintf(stderr, "no such command; use one of:\n");
 	for (i = 0; i < G_N_ELEMENTS(commands); i++)
 		fprintf(stderr, "  catkinctl %s\n", commands[i].usage);
-	return EXIT_FAILURE;
+	return EX_USAGE;
 }
 
 int main(int argc, char **argv)
@@ -153,7 +165,14 @@
 		.args_doc = "COMMAND [ARGUMENT]",
 		.doc = "catkinctl -- operate and call catkinstall\v"
 		       "Commands: schema check FILE, resolve, call "
-		       "SERVICE.METHOD, dump, drain, config show",
+		       "SERVICE.METHOD, dump, drain, config show, config "
+		       "history, config apply FILE\n"
+		       "Exit status: 0 done; 1 other failure; 2 the input must "
+		       "be corrected; 3 another change came first: rebase; 4 "
+		       "the outcome is unknown: repeat with the same id; 5 "
+		       "unavailable and without effect: try later or another "
+		       "--entry; 6 accepted but not in force everywhere in "
+		       "time; 64 wrong usage",
 	};
 	input_t input = { 0 };
 
--- a/programs/ctl_commands.c
+++ b/programs/ctl_commands.c
@@ -1,7 +1,6 @@
 #include "programs/ctl.h"
 
 #include <stdio.h>
-#include <stdlib.h>
 
 #include "codec/schema_json.h"
 
@@ -10,28 +9,34 @@
 	fprintf(stderr, "%s: %s: %s\n", (const char *)ctx, place, message);
 }
 
-int ctl_schema_check(const ctl_options_t *options)
+GBytes *ctl_read_file(const char *path)
 {
-	const char *path = options->arguments[0];
 	GError *error = NULL;
-	GBytes *document;
-	schema_t *schema;
 	gchar *text;
 	gsize size;
 
-	if (!g_file_get_contents(path, &text, &size, &error)) {
-		fprintf(stderr, "%s\n", error->message);
-		g_clear_error(&error);
-		return EXIT_FAILURE;
-	}
-	document = g_bytes_new_take(text, size);
+	if (g_file_get_contents(path, &text, &size, &error))
+		return g_bytes_new_take(text, size);
+	fprintf(stderr, "%s\n", error->message);
+	g_clear_error(&error);
+	return NULL;
+}
+
+int ctl_schema_check(const ctl_options_t *options)
+{
+	const char *path = options->arguments[0];
+	GBytes *document = ctl_read_file(path);
+	schema_t *schema;
+
+	if (!document)
+		return CTL_INVALID;
 	schema = schema_from_json(document, print_issue, (void *)path);
 	g_bytes_unref(document);
 	if (!schema)
-		return EXIT_FAILURE;
+		return CTL_INVALID;
 	schema_free(schema);
 	printf("%s: valid\n", path);
-	return EXIT_SUCCESS;
+	return CTL_OK;
 }
 
 static int simple_request(const ctl_options_t *options, const char *method,
@@ -61,35 +66,30 @@
 	return simple_request(options, SOUP_METHOD_POST, "/v1/operator/drain");
 }
 
-int ctl_config_show(const ctl_options_t *options)
+int ctl_config_history(const ctl_options_t *options)
 {
-	return simple_request(options, SOUP_METHOD_GET, "/v1/operator/config");
+	return simple_request(options, SOUP_METHOD_GET,
+			      "/v1/operator/config/history");
 }
 
 /* The first id of the block in the answer of a resolve, or NULL. */
 static gchar *read_request_id(const ctl_reply_t *reply)
 {
-	JsonParser *parser = json_parser_new();
-	gsize size;
-	const char *text = g_bytes_get_data(reply->body, &size);
-	JsonObject *ids = NULL;
+	JsonNode *document = ctl_reply_json(reply);
+	JsonObject *root, *ids = NULL;
 	gchar *id = NULL;
 
-	if (json_parser_load_from_data(parser, text, (gssize)size, NULL) &&
-	    JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser))) {
-		JsonObject *root =
-			json_node_get_object(json_parser_get_root(parser));
-
-		if (json_object_has_member(root, "request_ids"))
-			ids = json_object_get_object_member(root,
-							    "request_ids");
-	}
+	if (!document)
+		return NULL;
+	root = json_node_get_object(document);
+	if (json_object_has_member(root, "request_ids"))
+		ids = json_object_get_object_member(root, "request_ids");
 	if (ids)
 		id = g_strdup_printf("%s.%" G_GINT64_FORMAT,
 				     json_object_get_string_member(ids,
 								   "prefix"),
 				     json_object_get_int_member(ids, "first"));
-	g_object_unref(parser);
+	json_node_unref(document);
 	return id;
 }
 
@@ -128,7 +128,7 @@
 	gchar *id = NULL, *path = NULL, *deadline = NULL;
 	guint n = 0;
 	ctl_reply_t reply = { 0 };
-	int status = EXIT_FAILURE;
+	int status = CTL_INVALID;
 
 	if (g_strv_length(names) != 2) {
 		fprintf(stderr, "\"%s\" is not SERVICE.METHOD\n",
--- a/tests/fakes/fake_object_api.c
+++ b/tests/fakes/fake_object_api.c
@@ -2,10 +2,14 @@
  * Stand-in for the platform's object API: versioned objects, conditional
  * updates, watches, instance lists, a call counter per client, and faults.
  *
- * POST /control?outage=0|1&slow_ms=N&lose_answers=N changes its behaviour:
- * lose_answers closes the connection of the next N writes after they took
- * effect. POST /instances/NAME with a JSON list sets an instance list. POST
- * /stats gives the calls of each client.
+ * POST /control?outage=0|1&slow_ms=N&lose_answers=N&list_lag_ms=N&
+ * reads_per_second=N&writes_per_second=N&silence_watches=1&reset_stats=1
+ * changes its behaviour: lose_answers closes the connection of the next N
+ * writes after they took effect, list_lag_ms delays new instance lists,
+ * silence_watches never answers the watches that wait now, 0 for a rate means
+ * no limit. POST /instances/NAME with a JSON list sets an instance list. POST
+ * /stats gives the calls of each client since the last reset, a watch that was
+ * waiting then included.
  */
 #include <argp.h>
 #include <json-glib/json-glib.h>
@@ -31,14 +35,26 @@
 	guint64 after;
 	guint timer;
 	gulong finished;
+	gboolean silent; /* never answered */
 } watch_t;
 
+/* Calls allowed in each second; 0 for no limit. */
+typedef struct {
+	guint per_second;
+	gint64 second;
+	guint used;
+} rate_t;
+
 static struct {
 	guint port;
 	SoupServer *server;
 	gboolean outage;
 	guint slow_ms;
 	guint lose_answers;
+	guint list_lag_ms;
+	rate_t reads;
+	rate_t writes;
+	gint64 stats_since;
 	TAILQ_HEAD(object_list, object) objects;
 	TAILQ_HEAD(watch_list, watch) watches;
 	GHashTable *instances; /* service -> GBytes */
@@ -103,7 +119,7 @@
 	watch_t *watch, *next;
 
 	TAILQ_FOREACH_SAFE (watch, &fake.watches, link, next)
-		if (g_str_equal(watch->key, object->key) &&
+		if (!watch->silent && g_str_equal(watch->key, object->key) &&
 		    object->version > watch->after)
 			end_watch(watch, SOUP_STATUS_OK, object);
 }
@@ -220,6 +236,26 @@
 			    GUINT_TO_POINTER(count + 1));
 }
 
+static void reset_stats(void)
+{
+	const watch_t *watch;
+
+	g_hash_table_remove_all(fake.calls);
+	fake.stats_since = g_get_monotonic_time();
+	TAILQ_FOREACH (watch, &fake.watches, link)
+		count_call(watch->message);
+}
+
+static gboolean within_rate(rate_t *rate)
+{
+	gint64 second = g_get_monotonic_time() / G_TIME_SPAN_SECOND;
+
+	if (second != rate->second)
+		rate->used = 0;
+	rate->second = second;
+	return !rate->per_second || rate->used++ < rate->per_second;
+}
+
 typedef struct {
 	SoupServerMessage *message;
 	char *path;
@@ -270,6 +306,11 @@
 		close_connection(message);
 		return;
 	}
+	if (!within_rate(g_str_has_prefix(path, "/v1/put/") ? &fake.writes :
+							      &fake.reads)) {
+		soup_server_message_set_status(message, 429, NULL);
+		return;
+	}
 	if (!fake.slow_ms) {
 		handle_call(&call);
 		return;
@@ -290,6 +331,21 @@
 		close_connection(watch->message);
 }
 
+static void silence_watches(void)
+{
+	watch_t *watch;
+
+	TAILQ_FOREACH (watch, &fake.watches, link) {
+		watch->silent = TRUE;
+		g_clear_handle_id(&watch->timer, g_source_remove);
+	}
+}
+
+static void set_number(GHashTable *query, const char *name, guint *value)
+{
+	*value = (guint)query_number(query, name, *value);
+}
+
 static void on_control(SoupServer *server, SoupServerMessage *message,
 		       const char *path, GHashTable *query, gpointer data)
 {
@@ -297,24 +353,49 @@
 	(void)path;
 	(void)data;
 	fake.outage = query_number(query, "outage", fake.outage) != 0;
-	fake.slow_ms = (guint)query_number(query, "slow_ms", fake.slow_ms);
-	fake.lose_answers =
-		(guint)query_number(query, "lose_answers", fake.lose_answers);
+	set_number(query, "slow_ms", &fake.slow_ms);
+	set_number(query, "lose_answers", &fake.lose_answers);
+	set_number(query, "list_lag_ms", &fake.list_lag_ms);
+	set_number(query, "reads_per_second", &fake.reads.per_second);
+	set_number(query, "writes_per_second", &fake.writes.per_second);
+	if (query_number(query, "silence_watches", 0))
+		silence_watches();
+	if (query_number(query, "reset_stats", 0))
+		reset_stats();
 	if (fake.outage)
 		drop_watches();
 	soup_server_message_set_status(message, SOUP_STATUS_OK, NULL);
 }
 
+typedef struct {
+	char *name;
+	GBytes *list;
+} new_list_t;
+
+static gboolean on_list_visible(gpointer data)
+{
+	new_list_t *new = data;
+
+	g_hash_table_insert(fake.instances, new->name, new->list);
+	g_free(new);
+	return G_SOURCE_REMOVE;
+}
+
 static void on_set_instances(SoupServer *server, SoupServerMessage *message,
 			     const char *path, GHashTable *query, gpointer data)
 {
+	new_list_t *new = g_new0(new_list_t, 1);
+
 	(void)server;
 	(void)query;
 	(void)data;
-	g_hash_table_insert(
-		fake.instances, g_strdup(path + strlen("/instances/")),
-		soup_message_body_flatten(
-			soup_server_message_get_request_body(message)));
+	new->name = g_strdup(path + strlen("/instances/"));
+	new->list = soup_message_body_flatten(
+		soup_server_message_get_request_body(message));
+	if (fake.list_lag_ms)
+		g_timeout_add(fake.list_lag_ms, on_list_visible, new);
+	else
+		on_list_visible(new);
 	soup_server_message_set_status(message, SOUP_STATUS_OK, NULL);
 }
 
@@ -331,6 +412,9 @@
 	(void)query;
 	(void)data;
 	w.begin_object(w.ctx, NULL);
+	w.integer(w.ctx, "elapsed_ms",
+		  (g_get_monotonic_time() - fake.stats_since) /
+			  G_TIME_SPAN_MILLISECOND);
 	w.begin_object(w.ctx, "calls");
 	g_hash_table_iter_init(&iter, fake.calls);
 	while (g_hash_table_iter_next(&iter, &client, &count))
@@ -367,6 +451,7 @@
 					       (GDestroyNotify)g_bytes_unref);
 	fake.calls =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	fake.stats_since = g_get_monotonic_time();
 	fake.server = soup_server_new(NULL, NULL);
 	soup_server_add_handler(fake.server, "/v1", on_call, NULL, NULL);
 	soup_server_add_handler(fake.server, "/control", on_control, NULL,
--- /dev/null
+++ b/tests/test_config_json.c
@@ -0,0 +1,170 @@
+/* Guards the stored form of the configuration and the rules of a change. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <string.h>
+
+#include "codec/config_json.h"
+#include "lib/config/config_apply.h"
+
+static void collect(void *ctx, const char *place, const char *message)
+{
+	g_string_append_printf(ctx, "%s: %s\n", place, message);
+}
+
+static config_record_t *record_of(const char *text, guint64 version,
+				  GString *issues)
+{
+	GBytes *document = g_bytes_new_static(text, strlen(text));
+	config_record_t *record = config_record_from_json(
+		document, version, issues ? collect : NULL, issues);
+
+	g_bytes_unref(document);
+	return record;
+}
+
+/* The record after count changes "c1", "c2" ... on an empty object API. */
+static config_record_t *changed(guint count)
+{
+	GBytes *schema = g_bytes_new_static("{\"a\":1}", strlen("{\"a\":1}"));
+	config_record_t *record = NULL, *next;
+	guint i;
+
+	for (i = 1; i <= count; i++) {
+		config_change_t change = { .version = i, .time = i };
+
+		g_snprintf(change.change_id, sizeof(change.change_id), "c%u",
+			   i);
+		next = config_record_next(record, i - 1, &change, schema);
+		config_record_free(record);
+		record = next;
+	}
+	g_bytes_unref(schema);
+	return record;
+}
+
+/* Fails when a member is lost between writing and reading. */
+static void record_survives_storage(void **state)
+{
+	config_record_t *written = changed(3);
+	GBytes *document = config_record_to_json(written);
+	config_record_t *read =
+		config_record_from_json(document, 3, NULL, NULL);
+	GBytes *again;
+
+	(void)state;
+	assert_non_null(read);
+	assert_string_equal(read->current.change_id, "c3");
+	assert_int_equal(config_record_find(read, "c1")->version, 1);
+	assert_int_equal(config_record_find(read, "c2")->time, 2);
+	again = config_record_to_json(read);
+	assert_true(g_bytes_equal(document, again));
+	g_bytes_unref(again);
+	g_bytes_unref(document);
+	config_record_free(read);
+	config_record_free(written);
+}
+
+/* Fails when the object grows with every change, or the newest are dropped. */
+static void history_is_bounded(void **state)
+{
+	config_record_t *record = changed(CONFIG_HISTORY_MAX + 5);
+
+	(void)state;
+	assert_int_equal(record->history_count, CONFIG_HISTORY_MAX);
+	assert_null(config_record_find(record, "c4"));
+	assert_non_null(config_record_find(record, "c5"));
+	assert_true(config_record_reaches(record, 5));
+	assert_false(config_record_reaches(record, 4));
+	config_record_free(record);
+}
+
+/* Fails when a schema stored by hand is refused, or one error hides others. */
+static void bare_schema_and_errors(void **state)
+{
+	GString *issues = g_string_new(NULL);
+	config_record_t *record = record_of("{\"services\":[]}", 7, issues);
+
+	(void)state;
+	assert_non_null(record);
+	assert_string_equal(record->current.change_id, "");
+	assert_int_equal(record->current.version, 7);
+	assert_false(config_record_reaches(record, 6));
+	config_record_free(record);
+	assert_null(record_of("{\"change_id\":1,\"author\":\"a\",\"time\":-1,"
+			      "\"x\":0,\"schema\":{},\"history\":[{\"version\":"
+			      "0,\"change_id\":\"c\",\"author\":\"\"}]}",
+			      1, issues));
+	assert_non_null(strstr(issues->str, "$: \"change_id\""));
+	assert_non_null(strstr(issues->str, "$: \"time\""));
+	assert_non_null(strstr(issues->str, "$: key \"x\""));
+	assert_non_null(strstr(issues->str, "$.history[0]: \"version\""));
+	assert_non_null(strstr(issues->str, "$.history[0]: \"time\""));
+	g_string_free(issues, TRUE);
+}
+
+static config_apply_step_t read_step(const char *id, guint64 base, guint count,
+				     guint64 *version)
+{
+	config_record_t *record = changed(count);
+	config_apply_t apply = { .change_id = id, .base = base };
+	config_apply_step_t step = config_apply_read(&apply, count, record);
+
+	*version = apply.version;
+	config_record_free(record);
+	return step;
+}
+
+/* Fails when a lost answer, or a conflict, is reported as something else. */
+static void change_is_judged_by_its_id(void **state)
+{
+	guint64 version;
+
+	(void)state;
+	assert_int_equal(read_step("c3", 2, 3, &version),
+			 CONFIG_APPLY_ACCEPTED);
+	assert_int_equal(version, 3);
+	/* Others changed it since. */
+	assert_int_equal(read_step("c3", 2, 9, &version),
+			 CONFIG_APPLY_ACCEPTED);
+	assert_int_equal(version, 3);
+	assert_int_equal(read_step("new", 3, 3, &version), CONFIG_APPLY_WRITE);
+	assert_int_equal(read_step("new", 2, 3, &version),
+			 CONFIG_APPLY_CONFLICT);
+	assert_int_equal(version, 3);
+	assert_int_equal(read_step("new", 0, 3, &version),
+			 CONFIG_APPLY_CONFLICT);
+	/* The history no longer tells. */
+	assert_int_equal(read_step("new", 1, 99, &version),
+			 CONFIG_APPLY_UNKNOWN);
+}
+
+/* Fails when a change that may be in the object API is called not written. */
+static void lost_write_stays_in_doubt(void **state)
+{
+	config_apply_t apply = { .change_id = "c" };
+
+	(void)state;
+	assert_int_equal(config_apply_time_over(&apply),
+			 CONFIG_APPLY_NOT_WRITTEN);
+	assert_int_equal(config_apply_written(&apply, CONFIG_WRITE_IN_DOUBT, 0),
+			 CONFIG_APPLY_READ);
+	assert_int_equal(config_apply_written(&apply, CONFIG_WRITE_REFUSED, 0),
+			 CONFIG_APPLY_READ);
+	assert_int_equal(config_apply_time_over(&apply), CONFIG_APPLY_UNKNOWN);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(record_survives_storage),
+		cmocka_unit_test(history_is_bounded),
+		cmocka_unit_test(bare_schema_and_errors),
+		cmocka_unit_test(change_is_judged_by_its_id),
+		cmocka_unit_test(lost_write_stays_in_doubt),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
