--- a/net/config_source.c
+++ b/net/config_source.c
@@ -91,9 +91,10 @@
 	schema_t *schema = read_schema(version, document, &error);
 
 	if (!schema) {
-		g_warning("configuration version %" G_GUINT64_FORMAT
-			  " is not valid and stays out of force: %s",
-			  version, error.message);
+		if (version > config_seen_version(entry_config(entry)))
+			g_warning("configuration version %" G_GUINT64_FORMAT
+				  " is not valid and stays out of force: %s",
+				  version, error.message);
 		entry_reject_config(entry, version);
 		if (err)
 			*err = error;
--- /dev/null
+++ b/tests/test_object_api.c
@@ -0,0 +1,208 @@
+/* Guards the client of the object API, and changes through it, under faults. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <string.h>
+
+#include "net/config_store.h"
+#include "tests/support.h"
+
+#define CALL_TIMEOUT (300 * G_TIME_SPAN_MILLISECOND)
+#define STEP_TIMEOUT_MS 8000
+
+typedef struct {
+	guint port;
+	process_t *process;
+	object_api_t *api;
+	config_store_t *store;
+	counters_t counters;
+	gboolean ended;
+	object_api_status_t status;
+	config_store_result_t applied;
+} fixture_t;
+
+static void control(fixture_t *fixture, const char *query)
+{
+	gchar *path = g_strdup_printf("/control?%s", query);
+	reply_t reply;
+
+	http_request(&reply, "POST", fixture->port, path, NULL, NULL);
+	assert_int_equal(reply.status, 200);
+	reply_clear(&reply);
+	g_free(path);
+}
+
+static gboolean answers(void *ctx)
+{
+	reply_t reply;
+	gboolean ok;
+
+	http_request(&reply, "POST", ((fixture_t *)ctx)->port, "/stats", NULL,
+		     NULL);
+	ok = reply.status == 200;
+	reply_clear(&reply);
+	return ok;
+}
+
+static int set_up(void **state)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+	gchar *port, *address;
+
+	fixture->port = support_port(30);
+	port = g_strdup_printf("%u", fixture->port);
+	address = g_strdup_printf("127.0.0.1:%u", fixture->port);
+	fixture->process =
+		process_start("fake_object_api", "--port", port, NULL);
+	assert_true(wait_until(answers, fixture, STEP_TIMEOUT_MS));
+	fixture->api =
+		object_api_new(address, "t", CALL_TIMEOUT, &fixture->counters);
+	fixture->store = config_store_new(fixture->api);
+	g_free(port);
+	g_free(address);
+	*state = fixture;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	fixture_t *fixture = *state;
+
+	config_store_free(fixture->store);
+	object_api_free(fixture->api);
+	process_free(fixture->process);
+	g_free(fixture);
+	return 0;
+}
+
+static void on_end(void *ctx, const object_api_result_t *result)
+{
+	fixture_t *fixture = ctx;
+
+	fixture->status = result->status;
+	fixture->ended = TRUE;
+}
+
+static void on_applied(void *ctx, const config_store_result_t *result)
+{
+	fixture_t *fixture = ctx;
+
+	fixture->applied = *result;
+	fixture->ended = TRUE;
+}
+
+static gboolean has_ended(void *ctx)
+{
+	return ((fixture_t *)ctx)->ended;
+}
+
+static void wait_for_end(fixture_t *fixture)
+{
+	assert_true(wait_until(has_ended, fixture, STEP_TIMEOUT_MS));
+	fixture->ended = FALSE;
+}
+
+static object_api_status_t put(fixture_t *fixture, guint64 if_version)
+{
+	GBytes *value = g_bytes_new_static("{}", 2);
+
+	object_api_put(fixture->api, CONFIG_OBJECT_KEY, if_version, value,
+		       on_end, fixture);
+	wait_for_end(fixture);
+	g_bytes_unref(value);
+	return fixture->status;
+}
+
+static config_apply_step_t apply(fixture_t *fixture, const char *change_id,
+				 guint64 base)
+{
+	GBytes *schema = g_bytes_new_static("{}", 2);
+	config_change_t change = { 0 };
+
+	g_strlcpy(change.change_id, change_id, sizeof(change.change_id));
+	config_store_apply(fixture->store, &change, base, schema, on_applied,
+			   fixture);
+	wait_for_end(fixture);
+	g_bytes_unref(schema);
+	return fixture->applied.step;
+}
+
+/*
+ * The naive rule, failure of the write is failure of the change, is wrong: the
+ * write took effect. Fails when the change is reported as anything but done.
+ */
+static void lost_answer_is_resolved(void **state)
+{
+	fixture_t *fixture = *state;
+
+	control(fixture, "lose_answers=1");
+	assert_int_equal(put(fixture, 0), OBJECT_API_UNAVAILABLE);
+	assert_int_equal(put(fixture, 0), OBJECT_API_CONFLICT);
+	control(fixture, "lose_answers=1");
+	assert_int_equal(apply(fixture, "c2", 1), CONFIG_APPLY_ACCEPTED);
+	assert_int_equal(fixture->applied.version, 2);
+	assert_int_equal(apply(fixture, "c3", 2), CONFIG_APPLY_ACCEPTED);
+	/* Repeated, also after others: still one change. */
+	assert_int_equal(apply(fixture, "c2", 1), CONFIG_APPLY_ACCEPTED);
+	assert_int_equal(fixture->applied.version, 2);
+	assert_int_equal(apply(fixture, "c4", 2), CONFIG_APPLY_CONFLICT);
+	assert_int_equal(fixture->applied.version, 3);
+}
+
+/* Fails when a refusal by rate is taken for an outage or ends a change. */
+static void rate_limit_is_waited_out(void **state)
+{
+	fixture_t *fixture = *state;
+	guint i;
+
+	control(fixture, "writes_per_second=1");
+	for (i = 0; i < 3; i++)
+		put(fixture, 0);
+	assert_int_equal(fixture->status, OBJECT_API_RATE_LIMITED);
+	assert_int_equal(apply(fixture, "r4", 3), CONFIG_APPLY_ACCEPTED);
+	control(fixture, "writes_per_second=0");
+}
+
+/* Fails when an outage without a write is called unknown, or never ends. */
+static void outage_is_not_written(void **state)
+{
+	fixture_t *fixture = *state;
+
+	control(fixture, "outage=1");
+	assert_int_equal(apply(fixture, "o5", 4), CONFIG_APPLY_NOT_WRITTEN);
+	control(fixture, "outage=0");
+}
+
+/* Fails when a watch whose connection went silent is waited for for ever. */
+static void silent_watch_is_replaced(void **state)
+{
+	fixture_t *fixture = *state;
+	guint64 *silent = &fixture->counters.value[COUNTER_CONNECTIONS_SILENT];
+
+	object_api_watch(fixture->api, CONFIG_OBJECT_KEY, 4, CALL_TIMEOUT,
+			 on_end, fixture);
+	run_loop_for(100);
+	control(fixture, "silence_watches=1");
+	wait_for_end(fixture);
+	assert_int_equal(fixture->status, OBJECT_API_UNAVAILABLE);
+	assert_int_equal(*silent, 1);
+	object_api_watch(fixture->api, CONFIG_OBJECT_KEY, 4, CALL_TIMEOUT,
+			 on_end, fixture);
+	wait_for_end(fixture);
+	assert_int_equal(fixture->status, OBJECT_API_UNCHANGED);
+	assert_int_equal(*silent, 1);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(lost_answer_is_resolved),
+		cmocka_unit_test(rate_limit_is_waited_out),
+		cmocka_unit_test(outage_is_not_written),
+		cmocka_unit_test(silent_watch_is_replaced),
+	};
+
+	return cmocka_run_group_tests(tests, set_up, tear_down);
+}
