Use new connections to the object API after a call without an answer

A middlebox that drops its state silences idle connections too: the next watch on one of them waited as long again. Without the change test_object_api/silent_watch_is_replaced fails.

--- a/net/object_api.c
+++ b/net/object_api.c
@@ -26,6 +26,7 @@
 	GTimeSpan timeout;
 	counters_t *counters;
 	SoupSession *session;
+	gboolean timed_out; /* the last call: idle connections may be dead */
 	TAILQ_HEAD(call_list, object_api_call) calls;
 };
 
@@ -118,6 +119,7 @@
 	if (!call->api)
 		goto out;
 	if (result.body) {
+		call->api->timed_out = FALSE;
 		result.status =
 			status_of(soup_message_get_status(call->message));
 		result.version = read_version(call->message);
@@ -136,6 +138,8 @@
 	object_api_call_t *call = data;
 
 	call->timeout = 0;
+	if (call->api)
+		call->api->timed_out = TRUE;
 	if (call->is_watch && call->api)
 		counters_add(call->api->counters, COUNTER_CONNECTIONS_SILENT,
 			     1);
@@ -156,6 +160,9 @@
 	call->cancellable = g_cancellable_new();
 	call->message = soup_message_new(SOUP_METHOD_POST, uri);
 	soup_message_add_flags(call->message, SOUP_MESSAGE_IDEMPOTENT);
+	if (api->timed_out)
+		soup_message_add_flags(call->message,
+				       SOUP_MESSAGE_NEW_CONNECTION);
 	soup_message_headers_append(
 		soup_message_get_request_headers(call->message), "Client",
 		api->client);
--- a/net/object_api.h
+++ b/net/object_api.h
@@ -1,7 +1,9 @@
 /*
  * Client of the platform's object API: versioned objects, conditional
  * updates, watches and instance lists. All functions return at once; the
- * result comes through a callback, exactly once unless the client is freed.
+ * result comes through a callback, exactly once unless the call is cancelled or
+ * the client is freed. After a call that timed out, calls use new connections
+ * until one is answered.
  */
 #ifndef CATK_OBJECT_API_H
 #define CATK_OBJECT_API_H
--- a/tests/fakes/fake_object_api.c
+++ b/tests/fakes/fake_object_api.c
@@ -3,11 +3,11 @@
  * updates, watches, instance lists, a call counter per client, and faults.
  *
  * POST /control?outage=0|1&slow_ms=N&lose_answers=N&list_lag_ms=N&
- * reads_per_second=N&writes_per_second=N&silence_watches=1&reset_stats=1
+ * reads_per_second=N&writes_per_second=N&silence=1&reset_stats=1
  * changes its behaviour: lose_answers closes the connection of the next N
  * writes after they took effect, list_lag_ms delays new instance lists,
- * silence_watches never answers the watches that wait now, 0 for a rate means
- * no limit. POST /instances/NAME with a JSON list sets an instance list. POST
+ * silence never answers again on the connections that are open now, 0 for a
+ * rate means no limit. POST /instances/NAME with a JSON list sets an instance list. POST
  * /stats gives the calls of each client since the last reset, a watch that was
  * waiting then included.
  */
@@ -52,6 +52,7 @@
 	guint slow_ms;
 	guint lose_answers;
 	guint list_lag_ms;
+	guint generation; /* of connections; only the last one answers */
 	rate_t reads;
 	rate_t writes;
 	gint64 stats_since;
@@ -59,7 +60,7 @@
 	TAILQ_HEAD(watch_list, watch) watches;
 	GHashTable *instances; /* service -> GBytes */
 	GHashTable *calls; /* client -> count */
-} fake = { .port = 7000 };
+} fake = { .port = 7000, .generation = 1 };
 
 static void reply_object(SoupServerMessage *message, guint status,
 			 guint64 version, GBytes *value)
@@ -294,6 +295,17 @@
 	return G_SOURCE_REMOVE;
 }
 
+static gboolean is_silent(SoupServerMessage *message)
+{
+	GObject *socket = G_OBJECT(soup_server_message_get_socket(message));
+	guint born = GPOINTER_TO_UINT(g_object_get_data(socket, "born"));
+
+	if (!born)
+		g_object_set_data(socket, "born",
+				  GUINT_TO_POINTER(fake.generation));
+	return born && born != fake.generation;
+}
+
 static void on_call(SoupServer *server, SoupServerMessage *message,
 		    const char *path, GHashTable *query, gpointer data)
 {
@@ -303,6 +315,10 @@
 	(void)server;
 	(void)data;
 	count_call(message);
+	if (is_silent(message)) {
+		soup_server_message_pause(message);
+		return;
+	}
 	if (fake.outage) {
 		close_connection(message);
 		return;
@@ -332,10 +348,12 @@
 		close_connection(watch->message);
 }
 
-static void silence_watches(void)
+/* Connections that served a call before this are silent from now on. */
+static void silence(void)
 {
 	watch_t *watch;
 
+	fake.generation++;
 	TAILQ_FOREACH (watch, &fake.watches, link) {
 		watch->silent = TRUE;
 		g_clear_handle_id(&watch->timer, g_source_remove);
@@ -359,8 +377,8 @@
 	set_number(query, "list_lag_ms", &fake.list_lag_ms);
 	set_number(query, "reads_per_second", &fake.reads.per_second);
 	set_number(query, "writes_per_second", &fake.writes.per_second);
-	if (query_number(query, "silence_watches", 0))
-		silence_watches();
+	if (query_number(query, "silence", 0))
+		silence();
 	if (query_number(query, "reset_stats", 0))
 		reset_stats();
 	if (fake.outage)
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -153,9 +153,8 @@
 				      "&base_version=%" G_GINT64_FORMAT,
 				      change_id, base);
 	char *text = schema_text(floor);
-	async_request_t *request =
-		http_start("POST", support_port(CALLER_PORT + instance), path,
-			   text, NULL);
+	async_request_t *request = http_start(
+		"POST", support_port(CALLER_PORT + instance), path, text, NULL);
 
 	g_free(text);
 	g_free(path);
@@ -181,10 +180,10 @@
 	gchar *entry =
 		g_strdup_printf("127.0.0.1:%u", support_port(CALLER_PORT));
 	char *file = write_file("config_schema.json", "%s", schema);
-	process_t *process = process_start(
-		"catkinctl", "--entry", entry, "config", "apply", file,
-		"--change-id", change_id, "--base-version", base, "--author",
-		"test", "--wait", NULL);
+	process_t *process =
+		process_start("catkinctl", "--entry", entry, "config", "apply",
+			      file, "--change-id", change_id, "--base-version",
+			      base, "--author", "test", "--wait", NULL);
 	int status = process_wait(process);
 
 	process_free(process);
@@ -312,8 +311,8 @@
 	guint i, won = 0;
 
 	for (i = 0; i < 2; i++)
-		requests[i] = start_apply(i * 3, i ? "race-b" : "race-a", 4,
-					  10 + i);
+		requests[i] =
+			start_apply(i * 3, i ? "race-b" : "race-a", 4, 10 + i);
 	for (i = 0; i < 2; i++) {
 		http_join(requests[i], &replies[i]);
 		won += replies[i].status == 200;
@@ -327,13 +326,13 @@
 	assert_in_force(fleet, 5, "a race");
 }
 
-/* Fails when watches that went silent together hide a version for over 6 s. */
+/* Fails when connections that went silent together hide a version for over 6 s. */
 static void silent_watches_hide_nothing(void **state)
 {
 	fleet_t *fleet = *state;
 	char *text = schema_text(6);
 
-	control("silence_watches=1");
+	control("silence=1");
 	store_by_hand(5, text);
 	assert_in_force(fleet, 6, "a write while all watches were silent");
 	g_free(text);
@@ -350,9 +349,8 @@
 	run_loop_for(1000);
 	for (i = 0; i < INSTANCES; i++) {
 		assert_int_equal(look_at(fleet, i), 6);
-		counted += dump_integer(i,
-					"counters.config_versions_rejected") ==
-			   1;
+		counted += dump_integer(
+				   i, "counters.config_versions_rejected") == 1;
 	}
 	assert_in_range(counted, 1, WATCHERS_MAX);
 	store_by_hand(7, text);
--- a/tests/test_object_api.c
+++ b/tests/test_object_api.c
@@ -175,21 +175,28 @@
 	control(fixture, "outage=0");
 }
 
-/* Fails when a watch whose connection went silent is waited for for ever. */
+static void watch(fixture_t *fixture)
+{
+	object_api_watch(fixture->api, CONFIG_OBJECT_KEY, 4, CALL_TIMEOUT,
+			 on_end, fixture);
+}
+
+/*
+ * Fails when a watch whose connection went silent is waited for for ever, or
+ * the next one is sent on an idle connection that went silent with it.
+ */
 static void silent_watch_is_replaced(void **state)
 {
 	fixture_t *fixture = *state;
 	guint64 *silent = &fixture->counters.value[COUNTER_CONNECTIONS_SILENT];
 
-	object_api_watch(fixture->api, CONFIG_OBJECT_KEY, 4, CALL_TIMEOUT,
-			 on_end, fixture);
-	run_loop_for(100);
-	control(fixture, "silence_watches=1");
+	watch(fixture);
+	assert_int_equal(put(fixture, 0), OBJECT_API_CONFLICT);
+	control(fixture, "silence=1");
 	wait_for_end(fixture);
 	assert_int_equal(fixture->status, OBJECT_API_UNAVAILABLE);
 	assert_int_equal(*silent, 1);
-	object_api_watch(fixture->api, CONFIG_OBJECT_KEY, 4, CALL_TIMEOUT,
-			 on_end, fixture);
+	watch(fixture);
 	wait_for_end(fixture);
 	assert_int_equal(fixture->status, OBJECT_API_UNCHANGED);
 	assert_int_equal(*silent, 1);
