--- /dev/null
+++ b/tests/test_operations.c
@@ -0,0 +1,73 @@
+/* Guards docs/operations.md: it lists what the programs have. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <string.h>
+
+#include "codec/settings_json.h"
+
+static char *page;
+
+static int read_page(void **state)
+{
+	(void)state;
+	return g_file_get_contents("docs/operations.md", &page, NULL, NULL) ?
+		       0 :
+		       -1;
+}
+
+static int free_page(void **state)
+{
+	(void)state;
+	g_free(page);
+	return 0;
+}
+
+static void assert_row(char *row)
+{
+	if (!strstr(page, row))
+		fail_msg("docs/operations.md lacks the row \"%s\"", row);
+	g_free(row);
+}
+
+static void check_setting(void *ctx, const char *key, const char *unit,
+			  gint64 min, gint64 max, gint64 initial,
+			  const char *help)
+{
+	(void)ctx;
+	assert_row(g_strdup_printf("| `%s` | %" G_GINT64_FORMAT
+				   " to %" G_GINT64_FORMAT
+				   " %s | %" G_GINT64_FORMAT " | %s |",
+				   key, min, max, unit, initial, help));
+}
+
+/* Fails when a setting, range, default or unit is not on the page. */
+static void every_setting_is_listed(void **state)
+{
+	(void)state;
+	settings_describe(check_setting, NULL);
+}
+
+/* Fails when a counter or its unit is not on the page. */
+static void every_counter_is_listed(void **state)
+{
+	int i;
+
+	(void)state;
+	for (i = 0; i < COUNTER_COUNT; i++)
+		assert_row(g_strdup_printf("| `%s` | %s | ",
+					   counter_name((counter_t)i),
+					   counter_unit((counter_t)i)));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(every_setting_is_listed),
+		cmocka_unit_test(every_counter_is_listed),
+	};
+
+	return cmocka_run_group_tests(tests, read_page, free_page);
+}
