--- a/tests/test_config_json.c
+++ b/tests/test_config_json.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "codec/config_json.h"
+#include "lib/config/config.h"
 #include "lib/config/config_apply.h"
 
 static void collect(void *ctx, const char *place, const char *message)
@@ -156,6 +157,36 @@
 	assert_int_equal(config_apply_time_over(&apply), CONFIG_APPLY_UNKNOWN);
 }
 
+static config_offer_t offer(config_t *config, guint64 version)
+{
+	GBytes *document = g_bytes_new_static("{}", 2);
+	config_offer_t result =
+		config_offer(config, version, schema_new(), document);
+
+	g_bytes_unref(document);
+	return result;
+}
+
+/* Fails when an older version, or one that was rejected, comes into force. */
+static void version_never_falls(void **state)
+{
+	counters_t counters = { 0 };
+	config_t *config = config_new(&counters);
+
+	(void)state;
+	assert_int_equal(offer(config, 5), CONFIG_IN_FORCE);
+	assert_int_equal(offer(config, 4), CONFIG_OLD);
+	assert_int_equal(offer(config, 5), CONFIG_OLD);
+	config_reject(config, 3);
+	config_reject(config, 7);
+	config_reject(config, 7);
+	assert_int_equal(counters.value[COUNTER_CONFIG_REJECTED], 1);
+	assert_int_equal(config_seen_version(config), 7);
+	assert_int_equal(config_version(config), 5);
+	assert_int_equal(offer(config, 6), CONFIG_IN_FORCE);
+	config_free(config);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -163,6 +194,7 @@
 		cmocka_unit_test(history_is_bounded),
 		cmocka_unit_test(bare_schema_and_errors),
 		cmocka_unit_test(change_is_judged_by_its_id),
+		cmocka_unit_test(version_never_falls),
 		cmocka_unit_test(lost_write_stays_in_doubt),
 	};
 
