Ask for no proxy in calls to the object API and in catkinctl

The default resolver of a session loads libproxy and dconf and calls them in threads, which a process of the product must not have: catkinstalld had 4 threads with an object API, now 2 (the other is GLib's, for signals). libproxy throws a C++ exception there, on which AddressSanitizer aborts: this is why make asan failed.

--- a/net/object_api.c
+++ b/net/object_api.c
@@ -39,7 +39,9 @@
 	api->client = g_strdup(client);
 	api->timeout = timeout;
 	api->counters = counters;
-	api->session = soup_session_new_with_options("max-conns-per-host",
+	/* The default proxy resolver asks a library in a thread of its own. */
+	api->session = soup_session_new_with_options("proxy-resolver", NULL,
+						     "max-conns-per-host",
 						     CONNECTIONS_MAX, NULL);
 	TAILQ_INIT(&api->calls);
 	return api;
--- a/programs/ctl_request.c
+++ b/programs/ctl_request.c
@@ -9,8 +9,8 @@
 		 GBytes *body, ctl_reply_t *reply)
 {
 	guint seconds = (options->timeout_ms + 999) / 1000;
-	SoupSession *session =
-		soup_session_new_with_options("timeout", seconds, NULL);
+	SoupSession *session = soup_session_new_with_options(
+		"proxy-resolver", NULL, "timeout", seconds, NULL);
 	gchar *uri = g_strdup_printf("http://%s%s", options->entry, path);
 	SoupMessage *message = soup_message_new(method, uri);
 	GError *error = NULL;
