--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -160,8 +160,12 @@
  */
 gboolean entry_is_config_watcher(const entry_t *entry);
 
-/* Number of live members, this instance included; at least 1. */
-guint entry_live_members(const entry_t *entry);
+/*
+ * Time between two reads of one instance list here, at least shortest, so that
+ * all live instances together stay below reads_per_second, which is at least 1.
+ */
+GTimeSpan entry_list_interval(const entry_t *entry, GTimeSpan shortest,
+			      guint reads_per_second);
 
 /* The configuration, for operators. */
 const config_t *entry_config(const entry_t *entry);
--- a/lib/entry/entry_config.c
+++ b/lib/entry/entry_config.c
@@ -35,7 +35,7 @@
 	return before < ENTRY_CONFIG_WATCHERS;
 }
 
-guint entry_live_members(const entry_t *entry)
+static guint count_live(const entry_t *entry)
 {
 	const member_t *member;
 	guint live = 0;
@@ -43,5 +43,26 @@
 	for (member = membership_first(entry->membership); member;
 	     member = membership_next(member))
 		live += member->state == MEMBER_LIVE;
-	return MAX(live, 1);
+	return live;
+}
+
+static guint count_lists(const entry_t *entry)
+{
+	const schema_t *schema = config_schema(entry->config);
+	const schema_service_t *service;
+	guint count = 0;
+
+	if (!schema)
+		return 0;
+	TAILQ_FOREACH (service, &schema->services, link)
+		count += service->instance_list != NULL;
+	return count;
+}
+
+GTimeSpan entry_list_interval(const entry_t *entry, GTimeSpan shortest,
+			      guint reads_per_second)
+{
+	gint64 reads = (gint64)count_lists(entry) * count_live(entry);
+
+	return MAX(shortest, reads * G_TIME_SPAN_SECOND / reads_per_second);
 }
--- a/net/config_source.c
+++ b/net/config_source.c
@@ -110,7 +110,9 @@
 
 static void back_off(config_source_t *source)
 {
-	source->failures++;
+	if (++source->failures == 1)
+		g_warning("the object API does not answer: the configuration "
+			  "in force stays; changes come from peers");
 	source->retry_at = now() + backoff_time(source->failures, FIRST_BACKOFF,
 						BACKOFF_MAX, source->random);
 }
@@ -135,6 +137,8 @@
 		back_off(source);
 		return;
 	}
+	if (source->failures)
+		g_message("the object API answers again");
 	source->failures = 0;
 	if (result->status == OBJECT_API_OK)
 		config_source_offer(source->entry, result->version,
@@ -186,29 +190,6 @@
 	g_free(list);
 }
 
-static guint count_lists(const schema_t *schema)
-{
-	const schema_service_t *service;
-	guint count = 0;
-
-	TAILQ_FOREACH (service, &schema->services, link)
-		count += service->instance_list != NULL;
-	return count;
-}
-
-/* Keeps the reads of all instances together below the set rate. */
-static GTimeSpan list_interval(const config_source_t *source)
-{
-	const settings_t *settings = source->settings;
-	guint lists = count_lists(config_schema(entry_config(source->entry)));
-	gint64 reads = (gint64)lists * entry_live_members(source->entry);
-	GTimeSpan for_rate = reads * G_TIME_SPAN_SECOND /
-			     settings->instance_list_reads_per_second;
-
-	return MAX(for_rate,
-		   settings->instance_list_poll_ms * G_TIME_SPAN_MILLISECOND);
-}
-
 static void retry_list(list_t *list)
 {
 	list->failures++;
@@ -235,13 +216,14 @@
 	g_free(infos);
 }
 
-static void read_list(config_source_t *source, const schema_service_t *service)
+static void read_list(config_source_t *source, const schema_service_t *service,
+		      GTimeSpan interval)
 {
 	list_t *list = find_list(source, service->name);
 
 	if (list->call || now() < list->next_read)
 		return;
-	list->next_read = now() + with_jitter(source, list_interval(source));
+	list->next_read = now() + with_jitter(source, interval);
 	list->call = object_api_instances(source->api, service->instance_list,
 					  on_instances, list);
 }
@@ -250,12 +232,18 @@
 {
 	const schema_t *schema = config_schema(entry_config(source->entry));
 	const schema_service_t *service;
+	GTimeSpan interval;
 
 	if (!schema)
 		return;
+	interval = entry_list_interval(
+		source->entry,
+		source->settings->instance_list_poll_ms *
+			G_TIME_SPAN_MILLISECOND,
+		(guint)source->settings->instance_list_reads_per_second);
 	TAILQ_FOREACH (service, &schema->services, link)
 		if (service->instance_list)
-			read_list(source, service);
+			read_list(source, service, interval);
 }
 
 static gboolean on_tick(gpointer data)
