--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -336,15 +336,21 @@
 static void invalid_version_blocks_nothing(void **state)
 {
 	char *text = schema_text(8);
+	gint64 calls[INSTANCES];
 	guint i, counted = 0;
 
 	(void)state;
+	for (i = 0; i < INSTANCES; i++)
+		calls[i] = dump_integer(i, "counters.object_api_calls");
 	store_by_hand(6, "{\"schema\":{}}");
 	run_loop_for(1000);
 	for (i = 0; i < INSTANCES; i++) {
 		assert_int_equal(look_at(i), 6);
 		counted += dump_integer(
 				   i, "counters.config_versions_rejected") == 1;
+		assert_true(dump_integer(i, "counters.object_api_calls") -
+				    calls[i] <=
+			    WATCHER_CALLS_MAX);
 	}
 	assert_in_range(counted, 1, WATCHERS_MAX);
 	store_by_hand(7, text);
