--- /dev/null
+++ b/lib/entry/entry_config.c
@@ -0,0 +1,68 @@
+/* Which instances read the stored configuration. */
+#include <string.h>
+#include <xxhash.h>
+
+#include "lib/entry/entry_internal.h"
+
+void entry_reject_config(entry_t *entry, guint64 version)
+{
+	config_reject(entry->config, version);
+}
+
+static guint64 rank_of(const member_t *member)
+{
+	return XXH3_64bits(member->name, strlen(member->name));
+}
+
+static gboolean ranks_before(const member_t *member, const member_t *self)
+{
+	return member != self && member->state == MEMBER_LIVE &&
+	       strcmp(member->data_centre, self->data_centre) == 0 &&
+	       rank_of(member) > rank_of(self);
+}
+
+gboolean entry_is_config_watcher(const entry_t *entry)
+{
+	const member_t *self = membership_self(entry->membership);
+	const member_t *member;
+	guint before = 0;
+
+	if (self->state != MEMBER_LIVE)
+		return FALSE;
+	for (member = membership_first(entry->membership); member;
+	     member = membership_next(member))
+		before += ranks_before(member, self);
+	return before < ENTRY_CONFIG_WATCHERS;
+}
+
+static guint count_live(const entry_t *entry)
+{
+	const member_t *member;
+	guint live = 0;
+
+	for (member = membership_first(entry->membership); member;
+	     member = membership_next(member))
+		live += member->state == MEMBER_LIVE;
+	return live;
+}
+
+static guint count_lists(const entry_t *entry)
+{
+	const schema_t *schema = config_schema(entry->config);
+	const schema_service_t *service;
+	guint count = 0;
+
+	if (!schema)
+		return 0;
+	TAILQ_FOREACH (service, &schema->services, link)
+		count += service->instance_list != NULL;
+	return count;
+}
+
+GTimeSpan entry_list_interval(const entry_t *entry, GTimeSpan shortest,
+			      guint reads_per_second)
+{
+	gint64 reads = (gint64)count_lists(entry) * count_live(entry);
+
+	return MAX(shortest, reads * G_TIME_SPAN_SECOND / reads_per_second);
+}
