Write the last answers before the end and close kept connections while leaving

The daemon ended its loop when the last call was answered, before the answer was written to the caller's socket. Adds catkinstalld_naive, a build for tests whose rule on retries is wrong on purpose.

--- a/Makefile
+++ b/Makefile
@@ -74,6 +74,13 @@
 	@echo "LD $@"
 	@$(CC) -o $@ $^ $(LIBS)
 
+# The daemon with a rule that tests must find to be wrong; never installed.
+$(BUILD)/catkinstalld_naive: programs/catkinstalld.c \
+		$(BUILD)/tests/naive/naive_rule.o $(LINK_ALL)
+	@echo "LD $@"
+	@$(CC) $(ALL_CFLAGS) $(ALL_FLAGS) -DCATK_CALL_RULE=call_rule_naive \
+	-o $@ $^ $(LIBS)
+
 $(BUILD)/catkinctl: $(BUILD)/programs/catkinctl.o $(CTL_OBJECTS) $(LINK_ALL)
 	@echo "LD $@"
 	@$(CC) -o $@ $^ $(LIBS)
@@ -101,7 +108,8 @@
 	protoc-c --c_out=. proto/peer.proto
 
 build-all: deps
-	$(MAKE) all $(FAKES) $(TESTS) $(BUILD)/lib_links_alone
+	$(MAKE) all $(FAKES) $(TESTS) $(BUILD)/catkinstalld_naive \
+	$(BUILD)/lib_links_alone
 
 check: build-all
 	tests/run $(BUILD)
--- a/net/caller_api.c
+++ b/net/caller_api.c
@@ -11,44 +11,62 @@
 #define REMAINING_MAX_MS 600000
 #define ATTEMPT_MAX 1000
 
-/* A call that waits for its answer; its address is the caller_ref. */
+/*
+ * A call, from its arrival until its answer is written; its address is the
+ * caller_ref.
+ */
 typedef struct pending {
 	TAILQ_ENTRY(pending) link;
 	caller_api_t *api;
 	SoupServerMessage *message;
 	gulong disconnected;
+	gulong finished;
 	GSource *hangup; /* watches the caller's socket */
 	gboolean paused;
+	gboolean answered;
 } pending_t;
 
 struct caller_api {
 	SoupServer *server;
 	entry_t *entry;
 	gsize body_bytes_max;
-	TAILQ_HEAD(pending_list, pending) pending;
+	TAILQ_HEAD(pending_list, pending) pending; /* not answered yet */
+	TAILQ_HEAD(writing_list, pending) writing; /* answered */
 };
 
-static void pending_free(pending_t *pending)
+static void stop_waiting(pending_t *pending)
 {
-	TAILQ_REMOVE(&pending->api->pending, pending, link);
-	g_clear_signal_handler(&pending->disconnected, pending->message);
 	if (pending->hangup) {
 		g_source_destroy(pending->hangup);
-		g_source_unref(pending->hangup);
+		g_clear_pointer(&pending->hangup, g_source_unref);
 	}
 	if (pending->paused)
 		soup_server_message_unpause(pending->message);
+	pending->paused = FALSE;
+}
+
+static void pending_free(pending_t *pending)
+{
+	if (pending->answered)
+		TAILQ_REMOVE(&pending->api->writing, pending, link);
+	else
+		TAILQ_REMOVE(&pending->api->pending, pending, link);
+	g_clear_signal_handler(&pending->disconnected, pending->message);
+	g_clear_signal_handler(&pending->finished, pending->message);
+	stop_waiting(pending);
 	g_object_unref(pending->message);
 	g_free(pending);
 }
 
 static void cancel_pending(pending_t *pending)
 {
-	entry_cancel(pending->api->entry, pending);
+	if (!pending->answered)
+		entry_cancel(pending->api->entry, pending);
 	pending_free(pending);
 }
 
-static void on_disconnected(SoupServerMessage *message, gpointer data)
+/* The answer is written, or the caller left. */
+static void on_finished(SoupServerMessage *message, gpointer data)
 {
 	(void)message;
 	cancel_pending(data);
@@ -90,11 +108,25 @@
 	pending->api = api;
 	pending->message = g_object_ref(message);
 	pending->disconnected = g_signal_connect(
-		message, "disconnected", G_CALLBACK(on_disconnected), pending);
+		message, "disconnected", G_CALLBACK(on_finished), pending);
+	pending->finished = g_signal_connect(
+		message, "finished", G_CALLBACK(on_finished), pending);
 	TAILQ_INSERT_TAIL(&api->pending, pending, link);
 	return pending;
 }
 
+/* A kept connection would be cut by the end of the process. */
+static void close_when_leaving(const caller_api_t *api,
+			       SoupServerMessage *message)
+{
+	const member_t *self = membership_self(entry_membership(api->entry));
+
+	if (self->state == MEMBER_LEAVING)
+		soup_message_headers_replace(
+			soup_server_message_get_response_headers(message),
+			"Connection", "close");
+}
+
 static void write_answer(SoupServerMessage *message,
 			 const call_answer_t *answer)
 {
@@ -114,9 +146,17 @@
 {
 	pending_t *pending = caller_ref;
 
-	(void)api;
+	close_when_leaving(api, pending->message);
 	write_answer(pending->message, answer);
-	pending_free(pending);
+	TAILQ_REMOVE(&api->pending, pending, link);
+	TAILQ_INSERT_TAIL(&api->writing, pending, link);
+	pending->answered = TRUE;
+	stop_waiting(pending);
+}
+
+gboolean caller_api_is_written(const caller_api_t *api)
+{
+	return TAILQ_EMPTY(&api->writing);
 }
 
 /* Splits "/v1/call/SERVICE/METHOD". Free names with g_strfreev(). */
@@ -231,6 +271,7 @@
 	g_bytes_unref(request.body);
 	goto out;
 refuse:
+	close_when_leaving(api, message);
 	http_reply_error(message, &error);
 out:
 	g_strfreev(names);
@@ -290,6 +331,7 @@
 	(void)server;
 	(void)path;
 	(void)query;
+	close_when_leaving(api, message);
 	if (entry_resolve(api->entry, &result, &error))
 		reply_resolve(message, &result);
 	else
@@ -305,6 +347,7 @@
 	api->entry = entry;
 	api->body_bytes_max = body_bytes_max;
 	TAILQ_INIT(&api->pending);
+	TAILQ_INIT(&api->writing);
 	soup_server_add_handler(server, CALL_PATH, on_call, api, NULL);
 	soup_server_add_handler(server, RESOLVE_PATH, on_resolve, api, NULL);
 	return api;
@@ -318,5 +361,7 @@
 	soup_server_remove_handler(api->server, RESOLVE_PATH);
 	while (!TAILQ_EMPTY(&api->pending))
 		pending_free(TAILQ_FIRST(&api->pending));
+	while (!TAILQ_EMPTY(&api->writing))
+		pending_free(TAILQ_FIRST(&api->writing));
 	g_free(api);
 }
--- a/net/caller_api.h
+++ b/net/caller_api.h
@@ -19,6 +19,9 @@
 /* Drops the calls that are not answered yet. NULL is allowed. */
 void caller_api_free(caller_api_t *api);
 
+/* TRUE when every answer is written to its connection. */
+gboolean caller_api_is_written(const caller_api_t *api);
+
 /* The action entry_actions_t.answer. */
 void caller_api_answer(caller_api_t *api, void *caller_ref,
 		       const call_answer_t *answer);
--- a/net/daemon.c
+++ b/net/daemon.c
@@ -14,6 +14,9 @@
 #define OBJECT_API_TIMEOUT (2 * G_TIME_SPAN_SECOND)
 #define INCARNATION_RANDOM_BITS 10
 
+/* Bound of writing the last answers to callers that read slowly. */
+#define LAST_WRITES_MAX (2 * G_TIME_SPAN_SECOND)
+
 typedef struct {
 	const settings_t *settings;
 	GMainLoop *loop;
@@ -28,6 +31,7 @@
 	object_api_t *object_api;
 	config_source_t *config_source;
 	GSource *timer;
+	GTimeSpan stopped; /* instant of entry_is_stopped(), 0 before */
 	guint sigterm;
 	guint sigint;
 } daemon_t;
@@ -59,6 +63,20 @@
 	       entry_next_wakeup(daemon->entry);
 }
 
+/* The last answers leave the process before it ends. */
+static void quit_when_stopped(daemon_t *daemon)
+{
+	GTimeSpan now = catk_clock_now(&system_clock);
+
+	if (!daemon->stopped && entry_is_stopped(daemon->entry))
+		daemon->stopped = now;
+	if (!daemon->stopped)
+		return;
+	if (caller_api_is_written(daemon->callers) ||
+	    now - daemon->stopped >= LAST_WRITES_MAX)
+		g_main_loop_quit(daemon->loop);
+}
+
 static gboolean entry_source_dispatch(GSource *source, GSourceFunc callback,
 				      gpointer data)
 {
@@ -67,8 +85,7 @@
 	(void)callback;
 	(void)data;
 	entry_tick(daemon->entry);
-	if (entry_is_stopped(daemon->entry))
-		g_main_loop_quit(daemon->loop);
+	quit_when_stopped(daemon);
 	return G_SOURCE_CONTINUE;
 }
 
--- a/programs/catkinstalld.c
+++ b/programs/catkinstalld.c
@@ -6,6 +6,12 @@
 #include "net/daemon.h"
 #include "net/log.h"
 
+/* A build for tests that shows the faults of another rule; see Makefile. */
+#ifdef CATK_CALL_RULE
+#include "lib/call/call.h"
+extern const call_rule_t CATK_CALL_RULE;
+#endif
+
 const char *argp_program_version = "catkinstalld 0.1.0";
 
 typedef struct {
@@ -99,6 +105,9 @@
 	settings = read_settings(options.settings_path);
 	if (!settings)
 		return EXIT_FAILURE;
+#ifdef CATK_CALL_RULE
+	settings->entry.call_rule = &CATK_CALL_RULE;
+#endif
 	if (options.check_only || daemon_run(settings, &error))
 		status = EXIT_SUCCESS;
 	else
