Do not retry a call when it is too late to cancel the attempt

A cancelled attempt was repeated with the few milliseconds that were left, and the repeat could not be cancelled in time: the outcome was unknown where not_run was proved.

--- a/lib/call/call.c
+++ b/lib/call/call.c
@@ -8,6 +8,7 @@
 	call->method = g_strdup(attributes->method->name);
 	call->caller = g_strdup(attributes->caller);
 	call->body = g_bytes_ref(attributes->body);
+	call->admitted = attributes->admitted;
 	call->deadline = attributes->deadline;
 	call->idempotent = attributes->method->idempotent;
 	call->caller_attempt = attributes->caller_attempt;
--- a/lib/call/call.h
+++ b/lib/call/call.h
@@ -30,6 +30,7 @@
 	char *method;
 	char *caller;
 	GBytes *body;
+	GTimeSpan admitted; /* instant */
 	GTimeSpan deadline;
 	gboolean idempotent;
 	gboolean has_id;
@@ -47,6 +48,7 @@
 	const schema_method_t *method;
 	const char *caller;
 	GBytes *body; /* referenced */
+	GTimeSpan admitted; /* instant */
 	GTimeSpan deadline; /* instant */
 	guint caller_attempt; /* at least 1 */
 } call_attributes_t;
--- a/lib/entry/entry_calls.c
+++ b/lib/entry/entry_calls.c
@@ -181,6 +181,11 @@
 	return schema->priorities[priority].name;
 }
 
+static GTimeSpan cancel_margin(const call_t *call)
+{
+	return MIN(CANCEL_MARGIN, (call->deadline - call->admitted) / 4);
+}
+
 /*
  * Only an idempotent call gains from an early look at a silent connection: it
  * can be sent again in the time that is left.
@@ -189,7 +194,8 @@
 {
 	GTimeSpan remaining = request->remaining;
 
-	request->cancel_after = remaining - MIN(CANCEL_MARGIN, remaining / 4);
+	request->cancel_after =
+		MAX(remaining - cancel_margin(call), remaining / 2);
 	request->inquire_after = request->cancel_after;
 	if (call->idempotent)
 		request->inquire_after = MIN(MAX(SILENCE_MIN, remaining / 2),
@@ -323,7 +329,8 @@
 
 	if (request->remaining > 0)
 		remaining = MIN(remaining, request->remaining);
-	attributes.deadline = entry_now(entry) + remaining;
+	attributes.admitted = entry_now(entry);
+	attributes.deadline = attributes.admitted + remaining;
 	return call_new(&attributes);
 }
 
@@ -498,11 +505,14 @@
 	finish_with_error(entry, call, &error);
 }
 
-static gboolean may_retry(entry_t *entry, const call_t *call)
+static gboolean may_retry(entry_t *entry, const call_t *call, GTimeSpan now)
 {
 	/* Calls are up to 7 levels deep: only one level retries. */
 	if (call->caller_attempt > 1)
 		return FALSE;
+	/* Too late to cancel: the outcome would most likely be unknown. */
+	if (call->deadline - now <= cancel_margin(call))
+		return FALSE;
 	return call->attempts_made < entry->limits.attempts_max &&
 	       entry->retry_credit >= 1;
 }
@@ -595,7 +605,7 @@
 			       now);
 	g_hash_table_remove(entry->calls_by_attempt, &attempt->id);
 	step = call_end_attempt(call, rule_of(entry), attempt, result->end,
-				may_retry(entry, call), now);
+				may_retry(entry, call, now), now);
 	take_step(entry, service, call, step, result);
 	entry_dispatch(entry, service);
 }
