--- a/net/caller_api.c
+++ b/net/caller_api.c
@@ -109,8 +109,8 @@
 	pending->message = g_object_ref(message);
 	pending->disconnected = g_signal_connect(
 		message, "disconnected", G_CALLBACK(on_finished), pending);
-	pending->finished = g_signal_connect(
-		message, "finished", G_CALLBACK(on_finished), pending);
+	pending->finished = g_signal_connect(message, "finished",
+					     G_CALLBACK(on_finished), pending);
 	TAILQ_INSERT_TAIL(&api->pending, pending, link);
 	return pending;
 }
--- a/net/daemon.c
+++ b/net/daemon.c
@@ -14,6 +14,12 @@
 #define OBJECT_API_TIMEOUT (2 * G_TIME_SPAN_SECOND)
 #define INCARNATION_RANDOM_BITS 10
 
+/*
+ * Connections that wait to be accepted. The library's default of 10 lets the
+ * kernel reset connections of callers that arrive in a burst.
+ */
+#define LISTEN_BACKLOG 1024
+
 /* Bound of writing the last answers to callers that read slowly. */
 #define LAST_WRITES_MAX (2 * G_TIME_SPAN_SECOND)
 
@@ -200,6 +206,24 @@
 	g_free(name);
 }
 
+static gboolean listen_on(SoupServer *server, GSocketAddress *address,
+			  GError **error)
+{
+	GSocket *socket = g_socket_new(g_socket_address_get_family(address),
+				       G_SOCKET_TYPE_STREAM,
+				       G_SOCKET_PROTOCOL_TCP, error);
+	gboolean ok;
+
+	if (!socket)
+		return FALSE;
+	g_socket_set_listen_backlog(socket, LISTEN_BACKLOG);
+	ok = g_socket_bind(socket, address, TRUE, error) &&
+	     g_socket_listen(socket, error) &&
+	     soup_server_listen_socket(server, socket, 0, error);
+	g_object_unref(socket);
+	return ok;
+}
+
 static gboolean listen_for_callers(daemon_t *daemon, catk_error_t *err)
 {
 	const char *text = daemon->settings->caller_address;
@@ -216,7 +240,7 @@
 			       "caller_address is \"%s\": write ip:port", text);
 		goto out;
 	}
-	ok = soup_server_listen(daemon->server, address, 0, &error);
+	ok = listen_on(daemon->server, address, &error);
 	if (!ok)
 		catk_error_set(err, CATK_UNAVAILABLE, OUTCOME_NOT_RUN,
 			       "cannot listen on caller_address %s: %s; free "
--- a/net/upstream_client.c
+++ b/net/upstream_client.c
@@ -345,8 +345,8 @@
 static void on_chunk(GObject *source, GAsyncResult *async, gpointer data)
 {
 	exchange_t *exchange = data;
-	gssize size = g_input_stream_read_finish(G_INPUT_STREAM(source), async,
-						 NULL);
+	gssize size =
+		g_input_stream_read_finish(G_INPUT_STREAM(source), async, NULL);
 
 	if (size > 0 && exchange->client &&
 	    exchange->body->len + (gsize)size >
@@ -463,9 +463,8 @@
 
 static void send_on_pool(exchange_t *exchange)
 {
-	send_exchange(exchange,
-		      upstream_pools_session(exchange->client->pools,
-					     exchange->address));
+	send_exchange(exchange, upstream_pools_session(exchange->client->pools,
+						       exchange->address));
 }
 
 static void append_number(exchange_t *exchange, const char *name, gint64 value)
@@ -492,8 +491,8 @@
 	GTimeSpan now = catk_clock_now(&system_clock);
 	gchar *path =
 		g_strdup_printf("/%s/%s", request->service, request->method);
-	exchange_t *exchange = exchange_new(client, EXCHANGE_ATTEMPT,
-					    request->address, path);
+	exchange_t *exchange =
+		exchange_new(client, EXCHANGE_ATTEMPT, request->address, path);
 
 	exchange->attempt_id = request->attempt_id;
 	exchange->due = now + request->inquire_after;
