--- /dev/null
+++ b/tests/test_upstream_client.c
@@ -0,0 +1,427 @@
+/* Guards that the HTTP client writes an attempt once and judges its end. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <gio/gio.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "lib/common/intrusive.h"
+#include "net/upstream_client.h"
+#include "tests/support.h"
+
+#define ANSWER_BYTES_MAX 1000
+#define LARGE_BODY_BYTES (8 << 20)
+#define WAIT_MS 5000
+
+typedef enum {
+	SERVER_ANSWERS,
+	SERVER_CLOSES_UNREAD, /* when bytes of the request have come */
+	SERVER_CLOSES_HALFWAY, /* after the first bytes of the request */
+	SERVER_CLOSES_AFTER_READ, /* with FIN */
+	SERVER_RESETS_AFTER_READ,
+	SERVER_IS_SILENT
+} behaviour_t;
+
+typedef struct connection {
+	TAILQ_ENTRY(connection) link;
+	struct fixture *fixture;
+	GSocket *socket;
+	GSource *source;
+	GString *request;
+} connection_t;
+
+typedef struct fixture {
+	GSocket *listener;
+	GSource *accept;
+	char address[32];
+	behaviour_t behaviour;
+	const char *answer; /* raw, with %s for the attempt id */
+	const char *cancel_state;
+	guint accepted; /* connections */
+	guint written; /* requests whose first byte came, no cancellations */
+	TAILQ_HEAD(connection_list, connection) connections;
+	upstream_client_t *client;
+	gboolean ended;
+	attempt_end_t end;
+} fixture_t;
+
+static const char good_answer[] = "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n"
+				  "Content-Length: 4\r\n\r\ngood";
+
+static void connection_free(connection_t *connection, gboolean reset)
+{
+	const struct linger linger = { .l_onoff = 1 };
+
+	if (reset)
+		setsockopt(g_socket_get_fd(connection->socket), SOL_SOCKET,
+			   SO_LINGER, &linger, sizeof(linger));
+	TAILQ_REMOVE(&connection->fixture->connections, connection, link);
+	g_source_destroy(connection->source);
+	g_source_unref(connection->source);
+	g_object_unref(connection->socket);
+	g_string_free(connection->request, TRUE);
+	g_free(connection);
+}
+
+static gboolean is_complete(const GString *request)
+{
+	const char *body = strstr(request->str, "\r\n\r\n");
+	const char *length = strstr(request->str, "Content-Length: ");
+	gsize size = length ? strtoul(length + strlen("Content-Length: "), NULL,
+				      10) :
+			      0;
+
+	return body && request->len >= (gsize)(body - request->str) + 4 + size;
+}
+
+static void send_answer(connection_t *connection, const char *format)
+{
+	const char *id = strstr(connection->request->str, "Attempt-Id: ");
+	gchar **words = g_strsplit_set(id + strlen("Attempt-Id: "), "\r", 2);
+	GString *text = g_string_new(format);
+
+	g_string_replace(text, "%s", words[0], 0);
+	g_socket_send(connection->socket, text->str, text->len, NULL, NULL);
+	g_string_free(text, TRUE);
+	g_strfreev(words);
+}
+
+static void answer_cancellation(connection_t *connection)
+{
+	gchar *body = g_strdup_printf("{\"state\":\"%s\"}",
+				      connection->fixture->cancel_state);
+	gchar *text = g_strdup_printf("HTTP/1.1 200 OK\r\nAttempt-Id: %%s\r\n"
+				      "Content-Length: %zu\r\n\r\n%s",
+				      strlen(body), body);
+
+	connection->fixture->written--;
+	send_answer(connection, text);
+	g_free(text);
+	g_free(body);
+}
+
+/* FALSE when the connection is freed. */
+static gboolean take_request(connection_t *connection)
+{
+	fixture_t *fixture = connection->fixture;
+
+	if (g_str_has_prefix(connection->request->str, "POST /cancel")) {
+		answer_cancellation(connection);
+	} else if (fixture->behaviour == SERVER_CLOSES_AFTER_READ ||
+		   fixture->behaviour == SERVER_RESETS_AFTER_READ) {
+		connection_free(connection,
+				fixture->behaviour == SERVER_RESETS_AFTER_READ);
+		return FALSE;
+	} else if (fixture->behaviour == SERVER_ANSWERS) {
+		send_answer(connection, fixture->answer);
+	}
+	g_string_truncate(connection->request, 0);
+	return TRUE;
+}
+
+static gboolean on_readable(GSocket *socket, GIOCondition condition,
+			    gpointer data)
+{
+	connection_t *connection = data;
+	fixture_t *fixture = connection->fixture;
+	gchar buffer[65536];
+	gssize size;
+
+	(void)condition;
+	if (connection->request->len == 0 &&
+	    g_socket_get_available_bytes(socket) > 0)
+		fixture->written++;
+	if (fixture->behaviour == SERVER_CLOSES_UNREAD) {
+		connection_free(connection, FALSE);
+		return G_SOURCE_REMOVE;
+	}
+	size = g_socket_receive(socket, buffer, sizeof(buffer), NULL, NULL);
+	if (size <= 0 || fixture->behaviour == SERVER_CLOSES_HALFWAY) {
+		connection_free(connection, FALSE);
+		return G_SOURCE_REMOVE;
+	}
+	g_string_append_len(connection->request, buffer, size);
+	return !is_complete(connection->request) || take_request(connection);
+}
+
+static GSource *watch(GSocket *socket, GSocketSourceFunc callback, void *ctx)
+{
+	GSource *source = g_socket_create_source(socket, G_IO_IN, NULL);
+
+	g_source_set_callback(source, G_SOURCE_FUNC(callback), ctx, NULL);
+	g_source_attach(source, NULL);
+	return source;
+}
+
+static gboolean on_accept(GSocket *listener, GIOCondition condition,
+			  gpointer data)
+{
+	connection_t *connection = g_new0(connection_t, 1);
+	fixture_t *fixture = data;
+
+	(void)condition;
+	fixture->accepted++;
+	connection->fixture = fixture;
+	connection->request = g_string_new(NULL);
+	connection->socket = g_socket_accept(listener, NULL, NULL);
+	connection->source = watch(connection->socket, on_readable, connection);
+	TAILQ_INSERT_TAIL(&fixture->connections, connection, link);
+	return G_SOURCE_CONTINUE;
+}
+
+static void on_attempt_ended(void *ctx, const attempt_result_t *result)
+{
+	fixture_t *fixture = ctx;
+
+	assert_false(fixture->ended);
+	fixture->ended = TRUE;
+	fixture->end = result->end;
+}
+
+static int set_up(void **state)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+	upstream_client_events_t events = { .attempt_ended = on_attempt_ended,
+					    .ctx = fixture };
+	GSocketAddress *address = g_inet_socket_address_new_from_string(
+		"127.0.0.1", support_port(120));
+
+	TAILQ_INIT(&fixture->connections);
+	fixture->listener = g_socket_new(G_SOCKET_FAMILY_IPV4,
+					 G_SOCKET_TYPE_STREAM,
+					 G_SOCKET_PROTOCOL_TCP, NULL);
+	assert_true(g_socket_bind(fixture->listener, address, TRUE, NULL));
+	assert_true(g_socket_listen(fixture->listener, NULL));
+	fixture->accept = watch(fixture->listener, on_accept, fixture);
+	g_snprintf(fixture->address, sizeof(fixture->address), "127.0.0.1:%u",
+		   support_port(120));
+	fixture->answer = good_answer;
+	fixture->cancel_state = "started";
+	fixture->client = upstream_client_new(&events, "e1", ANSWER_BYTES_MAX);
+	g_object_unref(address);
+	*state = fixture;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	fixture_t *fixture = *state;
+
+	upstream_client_free(fixture->client);
+	while (!TAILQ_EMPTY(&fixture->connections))
+		connection_free(TAILQ_FIRST(&fixture->connections), FALSE);
+	g_source_destroy(fixture->accept);
+	g_source_unref(fixture->accept);
+	g_object_unref(fixture->listener);
+	run_loop_for(20);
+	g_free(fixture);
+	return 0;
+}
+
+static void start_attempt(fixture_t *fixture, gsize body_bytes,
+			  GTimeSpan inquire_after)
+{
+	static guint64 next_attempt = 1;
+	gchar *text = g_strnfill(body_bytes, 'x');
+	GBytes *body = g_bytes_new_take(text, body_bytes);
+	attempt_request_t request = {
+		.attempt_id = next_attempt++,
+		.address = fixture->address,
+		.service = "s",
+		.method = "m",
+		.priority = "urgent",
+		.remaining = 10 * G_TIME_SPAN_SECOND,
+		.inquire_after = inquire_after,
+		.cancel_after = 9 * G_TIME_SPAN_SECOND,
+		.attempt = 1,
+		.body = body,
+	};
+
+	fixture->ended = FALSE;
+	fixture->written = 0;
+	upstream_client_start(fixture->client, &request);
+	g_bytes_unref(body);
+}
+
+static gboolean has_ended(void *ctx)
+{
+	return ((fixture_t *)ctx)->ended;
+}
+
+static attempt_end_t run_attempt(fixture_t *fixture, behaviour_t behaviour,
+				 gsize body_bytes)
+{
+	fixture->behaviour = behaviour;
+	start_attempt(fixture, body_bytes, 9 * G_TIME_SPAN_SECOND);
+	assert_true(wait_until(has_ended, fixture, WAIT_MS));
+	/* A second writing would come after the end. */
+	run_loop_for(50);
+	return fixture->end;
+}
+
+static void assert_written_once(behaviour_t behaviour, gsize body_bytes,
+				gboolean reused)
+{
+	fixture_t *fixture;
+	void *state;
+
+	set_up(&state);
+	fixture = state;
+	if (reused)
+		assert_int_equal(run_attempt(fixture, SERVER_ANSWERS, 1),
+				 ATTEMPT_ANSWERED);
+	assert_false(attempt_end_is_not_run(
+		run_attempt(fixture, behaviour, body_bytes)));
+	assert_int_equal(fixture->written, 1);
+	assert_int_equal(fixture->accepted, 1);
+	tear_down(&state);
+}
+
+/* Fails when the library silently sends a request a second time. */
+static void request_is_written_once(void **state)
+{
+	static const behaviour_t behaviours[] = { SERVER_CLOSES_UNREAD,
+						  SERVER_CLOSES_AFTER_READ,
+						  SERVER_RESETS_AFTER_READ };
+	gsize i;
+
+	(void)state;
+	for (i = 0; i < 2 * G_N_ELEMENTS(behaviours); i++)
+		assert_written_once(behaviours[i / 2], 10, i % 2);
+	for (i = 0; i < 2; i++)
+		assert_written_once(SERVER_CLOSES_HALFWAY, LARGE_BODY_BYTES,
+				    i % 2);
+}
+
+/* Fails when a refused connection is not taken as proof, or is retried. */
+static void refused_connection_is_not_sent(void **state)
+{
+	fixture_t *fixture = *state;
+
+	g_strlcpy(fixture->address, "127.0.0.1:1", sizeof(fixture->address));
+	assert_int_equal(run_attempt(fixture, SERVER_ANSWERS, 1),
+			 ATTEMPT_NOT_SENT);
+}
+
+/* Fails when requests in sequence open a connection each. */
+static void connection_is_reused(void **state)
+{
+	fixture_t *fixture = *state;
+	int i;
+
+	for (i = 0; i < 3; i++)
+		assert_int_equal(run_attempt(fixture, SERVER_ANSWERS, 1),
+				 ATTEMPT_ANSWERED);
+	assert_int_equal(fixture->accepted, 1);
+}
+
+/* Fails when a wrong answer is passed on, or its connection is used again. */
+static void wrong_answers_are_dropped(void **state)
+{
+#define HEAD "HTTP/1.1 200 OK\r\n"
+#define CHUNK "100\r\n" /* followed by 256 bytes */
+	static const char *const answers[] = {
+		HEAD "Attempt-Id: other\r\nContent-Length: 1\r\n\r\nx",
+		HEAD "Content-Length: 1\r\n\r\nx",
+		HEAD "Attempt-Id: %s\r\nContent-Length: 1001\r\n\r\nx",
+		HEAD "Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n",
+	};
+	fixture_t *fixture = *state;
+	gsize i;
+
+	for (i = 0; i < G_N_ELEMENTS(answers); i++) {
+		fixture->answer = answers[i];
+		assert_int_equal(run_attempt(fixture, SERVER_ANSWERS, 1),
+				 ATTEMPT_BAD_ANSWER);
+	}
+	/* The empty answer is whole: its connection may be used again. */
+	assert_int_equal(fixture->accepted, G_N_ELEMENTS(answers));
+}
+
+/* Fails when an answer of unknown length is read without bound. */
+static void chunked_answer_is_bounded(void **state)
+{
+	GString *answer = g_string_new(
+		HEAD "Attempt-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n");
+	gchar *data = g_strnfill(256, 'x');
+	fixture_t *fixture = *state;
+	int i;
+
+	for (i = 0; i < 4; i++)
+		g_string_append_printf(answer, CHUNK "%s\r\n", data);
+	fixture->answer = answer->str;
+	assert_int_equal(run_attempt(fixture, SERVER_ANSWERS, 1),
+			 ATTEMPT_BAD_ANSWER);
+	fixture->answer = good_answer;
+	assert_int_equal(run_attempt(fixture, SERVER_ANSWERS, 1),
+			 ATTEMPT_ANSWERED);
+	assert_int_equal(fixture->accepted, 2);
+	g_free(data);
+	g_string_free(answer, TRUE);
+}
+
+static attempt_end_t run_inquiry(fixture_t *fixture, const char *state)
+{
+	fixture->behaviour = SERVER_IS_SILENT;
+	fixture->cancel_state = state;
+	start_attempt(fixture, 1, 50 * G_TIME_SPAN_MILLISECOND);
+	assert_true(wait_until(has_ended, fixture, WAIT_MS));
+	return fixture->end;
+}
+
+/* Fails when anything but an explicit not_started proves that it did not run. */
+static void inquiry_decides_on_a_silent_attempt(void **state)
+{
+	fixture_t *fixture = *state;
+
+	assert_int_equal(run_inquiry(fixture, "not_started"),
+			 ATTEMPT_CANCELLED);
+	assert_int_equal(run_inquiry(fixture, "unknown"), ATTEMPT_SILENT);
+	fixture->behaviour = SERVER_IS_SILENT;
+	fixture->cancel_state = "started";
+	start_attempt(fixture, 1, 50 * G_TIME_SPAN_MILLISECOND);
+	run_loop_for(300);
+	assert_false(fixture->ended);
+}
+
+/* Fails when calls go on to idle connections of an endpoint that went silent. */
+static void silence_gives_up_idle_connections(void **state)
+{
+	fixture_t *fixture = *state;
+	guint before;
+
+	fixture->behaviour = SERVER_IS_SILENT;
+	fixture->cancel_state = "unknown";
+	start_attempt(fixture, 1, 300 * G_TIME_SPAN_MILLISECOND);
+	run_loop_for(20);
+	/* The second attempt leaves an idle connection. */
+	assert_int_equal(run_attempt(fixture, SERVER_ANSWERS, 1),
+			 ATTEMPT_ANSWERED);
+	fixture->ended = FALSE;
+	assert_true(wait_until(has_ended, fixture, WAIT_MS));
+	assert_int_equal(fixture->end, ATTEMPT_SILENT);
+	before = fixture->accepted;
+	assert_int_equal(run_attempt(fixture, SERVER_ANSWERS, 1),
+			 ATTEMPT_ANSWERED);
+	assert_int_equal(fixture->accepted, before + 1);
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(request_is_written_once),
+		TEST(refused_connection_is_not_sent),
+		TEST(connection_is_reused),
+		TEST(wrong_answers_are_dropped),
+		TEST(chunked_answer_is_bounded),
+		TEST(inquiry_decides_on_a_silent_attempt),
+		TEST(silence_gives_up_idle_connections),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
