--- /dev/null
+++ b/tests/test_call.c
@@ -0,0 +1,116 @@
+/* Guards what the end of an attempt means for its call. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "lib/call/call.h"
+
+#define DEADLINE 1000
+#define NOW 10
+
+static call_t *new_call(gboolean idempotent)
+{
+	schema_method_t method = { .name = "m", .idempotent = idempotent };
+	GBytes *body = g_bytes_new_static("b", 1);
+	call_attributes_t attributes = { .service = "s",
+					 .method = &method,
+					 .caller = "c",
+					 .body = body,
+					 .deadline = DEADLINE,
+					 .caller_attempt = 1 };
+	call_t *call = call_new(&attributes);
+
+	g_bytes_unref(body);
+	return call;
+}
+
+static call_step_t end_attempt(call_t *call, guint64 id, attempt_end_t end,
+			       gboolean retry_allowed, GTimeSpan now)
+{
+	return call_end_attempt(call, &call_rule_by_proof,
+				call_find_attempt(call, id), end, retry_allowed,
+				now);
+}
+
+static call_step_t step_after(attempt_end_t end, gboolean idempotent,
+			      gboolean retry_allowed, GTimeSpan now)
+{
+	call_t *call = new_call(idempotent);
+	call_step_t step;
+
+	call_start_attempt(call, 1, "a", 0);
+	step = end_attempt(call, 1, end, retry_allowed, now);
+	call_free(call);
+	return step;
+}
+
+/* Fails when a non-idempotent call is repeated or refused without proof. */
+static void only_proof_allows_a_retry(void **state)
+{
+	static const attempt_end_t unproved[] = { ATTEMPT_BAD_ANSWER,
+						  ATTEMPT_SILENT,
+						  ATTEMPT_FAILED,
+						  ATTEMPT_ABANDONED };
+	static const attempt_end_t proved[] = { ATTEMPT_SHED, ATTEMPT_NOT_SENT,
+						ATTEMPT_CANCELLED };
+	gsize i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(unproved); i++) {
+		assert_int_equal(step_after(unproved[i], FALSE, TRUE, NOW),
+				 CALL_UNKNOWN);
+		assert_int_equal(step_after(unproved[i], TRUE, TRUE, NOW),
+				 CALL_RETRY);
+		assert_int_equal(step_after(unproved[i], TRUE, FALSE, NOW),
+				 CALL_UNKNOWN);
+	}
+	for (i = 0; i < G_N_ELEMENTS(proved); i++) {
+		assert_int_equal(step_after(proved[i], FALSE, TRUE, NOW),
+				 CALL_RETRY);
+		assert_int_equal(step_after(proved[i], FALSE, FALSE, NOW),
+				 CALL_NOT_RUN);
+		assert_int_equal(step_after(proved[i], FALSE, TRUE, DEADLINE),
+				 CALL_NOT_RUN);
+	}
+}
+
+/* Fails when one proved attempt hides another one that may have run. */
+static void every_attempt_needs_proof(void **state)
+{
+	call_t *call = new_call(FALSE);
+
+	(void)state;
+	call_start_attempt(call, 1, "a", 0);
+	call_start_attempt(call, 2, "b", 0);
+	assert_int_equal(end_attempt(call, 1, ATTEMPT_FAILED, TRUE, NOW),
+			 CALL_WAIT);
+	assert_int_equal(end_attempt(call, 2, ATTEMPT_SHED, TRUE, NOW),
+			 CALL_UNKNOWN);
+	call_free(call);
+}
+
+/* Fails when the answer of one attempt waits for the end of another. */
+static void first_answer_ends_the_call(void **state)
+{
+	call_t *call = new_call(TRUE);
+
+	(void)state;
+	call_start_attempt(call, 1, "a", 0);
+	call_start_attempt(call, 2, "b", 0);
+	assert_int_equal(end_attempt(call, 2, ATTEMPT_ANSWERED, FALSE, NOW),
+			 CALL_RAN);
+	call_free(call);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(only_proof_allows_a_retry),
+		cmocka_unit_test(every_attempt_needs_proof),
+		cmocka_unit_test(first_answer_ends_the_call),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_entry.c
@@ -0,0 +1,400 @@
+/* Guards the path of a call through an entry, with a manual clock alone. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "lib/entry/entry.h"
+
+#define MS G_TIME_SPAN_MILLISECOND
+#define BOOK_DEADLINE (1000 * MS)
+#define ID_LIFETIME (2000 * MS)
+#define RESOLVE_TTL (500 * MS)
+#define SHUTDOWN_MAX (60000 * MS)
+#define REFS_MAX 16
+
+typedef struct {
+	guint answers;
+	catk_error_t error;
+} told_t;
+
+typedef struct {
+	GTimeSpan now;
+	catk_clock_t clock;
+	GRand *random;
+	counters_t counters;
+	entry_t *entry;
+	resolve_result_t resolved;
+	told_t told[REFS_MAX]; /* by caller_ref */
+	guint started; /* attempts */
+	guint cancelled; /* attempts */
+	attempt_request_t last; /* only its numbers */
+} fixture_t;
+
+static GTimeSpan read_clock(void *ctx)
+{
+	return *(GTimeSpan *)ctx;
+}
+
+static void on_answer(void *ctx, void *caller_ref, const call_answer_t *answer)
+{
+	fixture_t *f = ctx;
+	told_t *told = &f->told[GPOINTER_TO_UINT(caller_ref)];
+
+	told->answers++;
+	told->error = answer->error;
+}
+
+static void on_start(void *ctx, const attempt_request_t *request)
+{
+	fixture_t *f = ctx;
+
+	f->started++;
+	f->last = *request;
+}
+
+static void on_cancel(void *ctx, guint64 attempt_id)
+{
+	fixture_t *f = ctx;
+
+	(void)attempt_id;
+	f->cancelled++;
+}
+
+static void on_probe(void *ctx, const char *service, const char *address)
+{
+	(void)ctx;
+	(void)service;
+	(void)address;
+}
+
+static schema_t *new_schema(void)
+{
+	schema_t *schema = schema_new();
+	schema_service_t *service;
+
+	assert_true(schema_add_priority(schema, "urgent", 10, NULL));
+	service = schema_add_service(schema, "s", 1, 10, 0, NULL);
+	assert_true(schema_add_endpoint(service, "127.0.0.1:1", NULL));
+	assert_non_null(schema_add_method(schema, service, "book", "urgent",
+					  FALSE, BOOK_DEADLINE, NULL));
+	assert_non_null(schema_add_method(schema, service, "status", "urgent",
+					  TRUE, 2 * BOOK_DEADLINE, NULL));
+	return schema;
+}
+
+static int set_up(void **state)
+{
+	static const member_t self = { .name = "e1",
+				       .caller_address = "127.0.0.1:2",
+				       .incarnation = 7 };
+	const entry_limits_t limits = {
+		.request_ids = { .block_size = 16,
+				 .lifetime = ID_LIFETIME,
+				 .retention = ID_LIFETIME,
+				 .answer_bytes_max = 1000 },
+		.admission = { .queue_max = 3, .caller_share_percent = 100 },
+		.entries_max = 1,
+		.attempts_max = 2,
+		.retry_percent = 100,
+		.resolve_ttl = RESOLVE_TTL,
+		.resolve_addresses = 1,
+		.shutdown_max = SHUTDOWN_MAX,
+	};
+	fixture_t *f = g_new0(fixture_t, 1);
+	entry_actions_t actions = { .answer = on_answer,
+				    .start_attempt = on_start,
+				    .cancel_attempt = on_cancel,
+				    .send_probe = on_probe,
+				    .ctx = f };
+	GBytes *document = g_bytes_new_static("{}", 2);
+
+	f->now = BOOK_DEADLINE;
+	f->clock = (catk_clock_t){ .now = read_clock, .ctx = &f->now };
+	f->random = g_rand_new_with_seed(1);
+	f->entry = entry_new(&self, &limits, &actions, &f->clock, f->random,
+			     &f->counters);
+	assert_int_equal(entry_offer_config(f->entry, 1, new_schema(),
+					    document),
+			 CONFIG_IN_FORCE);
+	assert_true(entry_resolve(f->entry, &f->resolved, NULL));
+	g_bytes_unref(document);
+	*state = f;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	fixture_t *f = *state;
+
+	entry_free(f->entry);
+	g_rand_free(f->random);
+	g_free(f);
+	return 0;
+}
+
+static void call_attempt(fixture_t *f, guint ref, const char *method,
+			 guint sequence, guint attempt)
+{
+	gchar *id = g_strdup_printf("e1.7.%u", sequence);
+	GBytes *body = g_bytes_new_static("b", 1);
+	call_request_t request = { .service = "s",
+				   .method = method,
+				   .request_id = id,
+				   .caller = "c",
+				   .attempt = attempt,
+				   .body = body,
+				   .caller_ref = GUINT_TO_POINTER(ref) };
+
+	entry_call(f->entry, &request);
+	g_bytes_unref(body);
+	g_free(id);
+}
+
+static void book(fixture_t *f, guint ref, guint sequence)
+{
+	call_attempt(f, ref, "book", sequence, 1);
+}
+
+static void end_last(fixture_t *f, attempt_end_t end)
+{
+	GBytes *body = g_bytes_new_static("a", 1);
+	attempt_result_t result = { .attempt_id = f->last.attempt_id,
+				    .end = end,
+				    .status = 200,
+				    .body = body };
+
+	entry_attempt_ended(f->entry, &result);
+	g_bytes_unref(body);
+}
+
+static void advance(fixture_t *f, GTimeSpan time)
+{
+	f->now += time;
+	entry_tick(f->entry);
+}
+
+static void assert_told(const fixture_t *f, guint ref, catk_error_kind_t kind,
+			outcome_t outcome)
+{
+	assert_int_equal(f->told[ref].answers, 1);
+	assert_int_equal(f->told[ref].error.kind, kind);
+	assert_int_equal(f->told[ref].error.outcome, outcome);
+}
+
+/* Fails when more calls wait than the queue holds, or a refusal is not final. */
+static void admission_refuses_beyond_the_queue(void **state)
+{
+	fixture_t *f = *state;
+	guint i;
+
+	for (i = 1; i <= 5; i++)
+		book(f, i, i);
+	assert_int_equal(f->started, 1);
+	assert_told(f, 5, CATK_OVERLOADED, OUTCOME_NOT_RUN);
+	book(f, 6, 5);
+	assert_told(f, 6, CATK_CONFLICT, OUTCOME_NOT_RUN);
+}
+
+/* Fails when a call is sent again after an end that proves nothing. */
+static void retry_only_on_proof(void **state)
+{
+	fixture_t *f = *state;
+	guint ref = 1;
+	int end;
+
+	for (end = ATTEMPT_SHED; end <= ATTEMPT_FAILED; end++, ref++) {
+		f->started = 0;
+		book(f, ref, ref);
+		end_last(f, (attempt_end_t)end);
+		if (attempt_end_is_not_run((attempt_end_t)end)) {
+			assert_int_equal(f->started, 2);
+			assert_int_equal(f->last.attempt, 2);
+			end_last(f, ATTEMPT_ANSWERED);
+			assert_told(f, ref, CATK_OK, OUTCOME_RAN);
+		} else {
+			assert_int_equal(f->started, 1);
+			assert_told(f, ref, CATK_OUTCOME_UNKNOWN,
+				    OUTCOME_UNKNOWN);
+		}
+	}
+}
+
+/* Fails when each level of a call through many levels repeats it. */
+static void repeated_call_is_not_retried_again(void **state)
+{
+	fixture_t *f = *state;
+
+	call_attempt(f, 1, "book", 1, 2);
+	assert_int_equal(f->last.attempt, 2);
+	end_last(f, ATTEMPT_SHED);
+	assert_int_equal(f->started, 1);
+	assert_told(f, 1, CATK_UNAVAILABLE, OUTCOME_NOT_RUN);
+}
+
+/* Fails when an answer after the deadline is passed on, or runs a copy. */
+static void late_result_is_dropped(void **state)
+{
+	fixture_t *f = *state;
+
+	book(f, 1, 1);
+	assert_int_equal(f->last.remaining, BOOK_DEADLINE);
+	assert_true(f->last.cancel_after < BOOK_DEADLINE);
+	advance(f, BOOK_DEADLINE);
+	assert_told(f, 1, CATK_DEADLINE_EXCEEDED, OUTCOME_UNKNOWN);
+	assert_int_equal(f->cancelled, 1);
+	end_last(f, ATTEMPT_ANSWERED);
+	assert_int_equal(f->told[1].answers, 1);
+	assert_int_equal(f->counters.value[COUNTER_ANSWERS_DROPPED], 1);
+	book(f, 2, 1);
+	assert_told(f, 2, CATK_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN);
+	assert_int_equal(f->started, 1);
+}
+
+/* Fails when a call that never started is not refused for good. */
+static void deadline_while_queued_seals(void **state)
+{
+	fixture_t *f = *state;
+
+	book(f, 1, 1);
+	book(f, 2, 2);
+	advance(f, BOOK_DEADLINE);
+	assert_told(f, 2, CATK_DEADLINE_EXCEEDED, OUTCOME_NOT_RUN);
+	book(f, 3, 2);
+	assert_told(f, 3, CATK_CONFLICT, OUTCOME_NOT_RUN);
+	assert_int_equal(f->started, 1);
+}
+
+/* Fails when room that comes after a pause starts a call past its deadline. */
+static void pause_before_dispatch(void **state)
+{
+	fixture_t *f = *state;
+
+	call_attempt(f, 1, "status", 1, 1);
+	book(f, 2, 2);
+	f->now += BOOK_DEADLINE;
+	end_last(f, ATTEMPT_ANSWERED);
+	assert_int_equal(f->started, 1);
+	assert_told(f, 2, CATK_DEADLINE_EXCEEDED, OUTCOME_NOT_RUN);
+}
+
+/* Fails when an id that expired in the queue is dispatched. */
+static void id_expires_while_queued(void **state)
+{
+	fixture_t *f = *state;
+
+	advance(f, ID_LIFETIME - 10 * MS);
+	call_attempt(f, 1, "status", 1, 1);
+	book(f, 2, 2);
+	f->now += 10 * MS;
+	end_last(f, ATTEMPT_ANSWERED);
+	assert_int_equal(f->started, 1);
+	assert_told(f, 2, CATK_DEADLINE_EXCEEDED, OUTCOME_NOT_RUN);
+}
+
+/* Fails when a copy runs again, or gets another answer than the first. */
+static void duplicate_shares_the_answer(void **state)
+{
+	fixture_t *f = *state;
+	guint ref;
+
+	book(f, 1, 1);
+	book(f, 2, 1);
+	end_last(f, ATTEMPT_ANSWERED);
+	book(f, 3, 1);
+	for (ref = 1; ref <= 3; ref++)
+		assert_told(f, ref, CATK_OK, OUTCOME_RAN);
+	assert_int_equal(f->started, 1);
+}
+
+/* Fails when a caller's leaving loses a result, or runs a queued call. */
+static void cancel_keeps_what_may_run(void **state)
+{
+	fixture_t *f = *state;
+
+	book(f, 1, 1);
+	book(f, 2, 2);
+	entry_cancel(f->entry, GUINT_TO_POINTER(1));
+	entry_cancel(f->entry, GUINT_TO_POINTER(2));
+	assert_int_equal(f->cancelled, 0);
+	end_last(f, ATTEMPT_ANSWERED);
+	book(f, 3, 1);
+	book(f, 4, 2);
+	assert_told(f, 3, CATK_OK, OUTCOME_RAN);
+	assert_told(f, 4, CATK_CONFLICT, OUTCOME_NOT_RUN);
+	assert_int_equal(f->started, 1);
+	assert_int_equal(f->told[1].answers + f->told[2].answers, 0);
+}
+
+/* Fails when not_run is promised for an id that can still be issued and run. */
+static void promise_only_for_own_ids(void **state)
+{
+	fixture_t *f = *state;
+
+	book(f, 1, 16);
+	assert_told(f, 1, CATK_INVALID_ARGUMENT, OUTCOME_UNKNOWN);
+	advance(f, 2 * ID_LIFETIME);
+	book(f, 2, 1);
+	assert_told(f, 2, CATK_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN);
+}
+
+/* Fails when a shutdown ends before the calls and what was handed out. */
+static void shutdown_waits_for_calls(void **state)
+{
+	fixture_t *f = *state;
+	resolve_result_t after;
+
+	book(f, 1, 1);
+	entry_shutdown(f->entry);
+	assert_false(entry_resolve(f->entry, &after, NULL));
+	advance(f, RESOLVE_TTL);
+	book(f, 2, 2);
+	end_last(f, ATTEMPT_ANSWERED);
+	end_last(f, ATTEMPT_ANSWERED);
+	assert_told(f, 1, CATK_OK, OUTCOME_RAN);
+	assert_told(f, 2, CATK_OK, OUTCOME_RAN);
+	assert_false(entry_is_stopped(f->entry));
+	advance(f, ID_LIFETIME - 10 * MS);
+	call_attempt(f, 3, "status", 3, 1);
+	advance(f, ID_LIFETIME / 2);
+	assert_false(entry_is_stopped(f->entry));
+	end_last(f, ATTEMPT_ANSWERED);
+	assert_told(f, 3, CATK_OK, OUTCOME_RAN);
+	assert_true(entry_is_stopped(f->entry));
+	assert_int_equal(f->counters.value[COUNTER_CALLS_CUT_AT_SHUTDOWN], 0);
+}
+
+/* Fails when a call without end holds the process beyond the bound, uncounted. */
+static void shutdown_is_bounded(void **state)
+{
+	fixture_t *f = *state;
+
+	entry_shutdown(f->entry);
+	f->now += SHUTDOWN_MAX;
+	call_attempt(f, 1, "status", 1, 1);
+	assert_true(entry_is_stopped(f->entry));
+	assert_int_equal(f->counters.value[COUNTER_CALLS_CUT_AT_SHUTDOWN], 1);
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		TEST(admission_refuses_beyond_the_queue),
+		TEST(retry_only_on_proof),
+		TEST(repeated_call_is_not_retried_again),
+		TEST(late_result_is_dropped),
+		TEST(deadline_while_queued_seals),
+		TEST(pause_before_dispatch),
+		TEST(id_expires_while_queued),
+		TEST(duplicate_shares_the_answer),
+		TEST(cancel_keeps_what_may_run),
+		TEST(promise_only_for_own_ids),
+		TEST(shutdown_waits_for_calls),
+		TEST(shutdown_is_bounded),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
