--- a/net/upstream_client.c
+++ b/net/upstream_client.c
@@ -138,20 +138,19 @@
 	SoupMessageHeaders *headers =
 		soup_message_get_response_headers(message);
 	exchange_t *exchange = data;
-	const char *echo;
-	goffset size;
+	const char *echo = soup_message_headers_get_one(headers, "Attempt-Id");
+	gboolean is_other, is_too_large;
 
 	if (!exchange->client)
 		return;
 	exchange->answering = TRUE;
 	if (exchange->kind == EXCHANGE_ATTEMPT)
 		exchange->due = CATK_NEVER;
-	echo = soup_message_headers_get_one(headers, "Attempt-Id");
-	size = soup_message_headers_get_content_length(headers);
-	if (exchange->kind != EXCHANGE_PROBE &&
-	    g_strcmp0(echo, exchange->attempt_text) != 0)
-		reject_answer(exchange);
-	else if (size > (goffset)exchange->client->answer_bytes_max)
+	is_other = exchange->kind != EXCHANGE_PROBE &&
+		   g_strcmp0(echo, exchange->attempt_text) != 0;
+	is_too_large = soup_message_headers_get_content_length(headers) >
+		       (goffset)exchange->client->answer_bytes_max;
+	if (is_other || is_too_large)
 		reject_answer(exchange);
 }
 
--- a/tests/test_at_most_once.c
+++ b/tests/test_at_most_once.c
@@ -9,6 +9,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <cmocka.h>
+#include <libsoup/soup.h>
 #include <signal.h>
 
 #include "tests/support.h"
@@ -538,6 +539,23 @@
 	assert_int_equal(count_violations(system, RULE_PROOF, requests, 4), 0);
 }
 
+/* TRUE when the answer to a request on a connection asks to close it. */
+static gboolean closes_connection(guint port)
+{
+	SoupSession *session = soup_session_new();
+	gchar *uri = g_strdup_printf(
+		"http://127.0.0.1:%u/v1/call/booking/status", port);
+	SoupMessage *message = soup_message_new("POST", uri);
+	GBytes *body = soup_session_send_and_read(session, message, NULL, NULL);
+	gboolean closes = !soup_message_is_keepalive(message);
+
+	g_bytes_unref(body);
+	g_object_unref(message);
+	g_object_unref(session);
+	g_free(uri);
+	return closes;
+}
+
 static void start_load(const system_t *system, async_request_t **sent)
 {
 	guint i;
@@ -585,11 +603,13 @@
 
 	settle(system, RULE_PROOF);
 	set_slow(system, 2);
+	assert_false(closes_connection(system->entry_port[RULE_PROOF]));
 	id = take_request_id(system->entry_port[RULE_PROOF]);
 	end = g_get_monotonic_time() + 450 * G_TIME_SPAN_MILLISECOND;
 	start_load(system, sent);
 	process_signal(system->entry[RULE_PROOF], SIGTERM);
 	assert_true(call_until_ttl(system, id, end) > 0);
+	assert_true(closes_connection(system->entry_port[RULE_PROOF]));
 	for (i = 0; i < LOAD_CALLS; i++) {
 		http_join(sent[i], &reply);
 		assert_int_equal(reply.status, 200);
--- a/tests/test_upstream_client.c
+++ b/tests/test_upstream_client.c
@@ -41,6 +41,7 @@
 	const char *answer; /* raw, with %s for the attempt id */
 	const char *cancel_state;
 	guint accepted; /* connections */
+	char *head; /* of the last request that was answered */
 	guint written; /* requests whose first byte came, no cancellations */
 	TAILQ_HEAD(connection_list, connection) connections;
 	upstream_client_t *client;
@@ -116,6 +117,8 @@
 				fixture->behaviour == SERVER_RESETS_AFTER_READ);
 		return FALSE;
 	} else if (fixture->behaviour == SERVER_ANSWERS) {
+		g_free(fixture->head);
+		fixture->head = g_strdup(connection->request->str);
 		send_answer(connection, fixture->answer);
 	}
 	g_string_truncate(connection->request, 0);
@@ -217,6 +220,7 @@
 	g_source_unref(fixture->accept);
 	g_object_unref(fixture->listener);
 	run_loop_for(20);
+	g_free(fixture->head);
 	g_free(fixture);
 	return 0;
 }
@@ -306,6 +310,17 @@
 			 ATTEMPT_NOT_SENT);
 }
 
+/* Fails when an upstream can't tell deadline, priority or repetition. */
+static void limits_are_passed_on(void **state)
+{
+	fixture_t *fixture = *state;
+
+	run_attempt(fixture, SERVER_ANSWERS, 1);
+	assert_non_null(strstr(fixture->head, "\r\nDeadline-Ms: 10000\r\n"));
+	assert_non_null(strstr(fixture->head, "\r\nPriority: urgent\r\n"));
+	assert_non_null(strstr(fixture->head, "\r\nAttempt: 1\r\n"));
+}
+
 /* Fails when requests in sequence open a connection each. */
 static void connection_is_reused(void **state)
 {
@@ -416,6 +431,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(request_is_written_once),
 		TEST(refused_connection_is_not_sent),
+		TEST(limits_are_passed_on),
 		TEST(connection_is_reused),
 		TEST(wrong_answers_are_dropped),
 		TEST(chunked_answer_is_bounded),
