Look up no proxies for upstreams

The library's default proxy resolver ran in a thread for each new connection. Threads of the daemon after 5 calls: before catkinstalld, gmain, dconf worker, pool; after catkinstalld, gmain.

--- a/net/upstream_client.c
+++ b/net/upstream_client.c
@@ -71,7 +71,8 @@
 	client->instance = g_strdup(instance);
 	client->answer_bytes_max = answer_bytes_max;
 	client->pools = upstream_pools_new();
-	client->inquiries = soup_session_new();
+	client->inquiries =
+		soup_session_new_with_options("proxy-resolver", NULL, NULL);
 	TAILQ_INIT(&client->exchanges);
 	return client;
 }
--- a/net/upstream_pools.c
+++ b/net/upstream_pools.c
@@ -61,6 +61,7 @@
 			pool_free(pools, pool);
 }
 
+/* Without a proxy resolver: the default one looks up proxies in a thread. */
 static pool_t *add_pool(upstream_pools_t *pools, const char *address)
 {
 	pool_t *pool = g_new0(pool_t, 1);
@@ -68,7 +69,8 @@
 	pool->address = g_strdup(address);
 	pool->session = soup_session_new_with_options(
 		"max-conns", CONNECTIONS_MAX, "max-conns-per-host",
-		CONNECTIONS_MAX, "idle-timeout", IDLE_TIMEOUT_S, NULL);
+		CONNECTIONS_MAX, "idle-timeout", IDLE_TIMEOUT_S,
+		"proxy-resolver", NULL, NULL);
 	TAILQ_INSERT_TAIL(&pools->pools, pool, link);
 	g_hash_table_insert(pools->by_address, pool->address, pool);
 	return pool;
