--- a/tests/test_at_most_once.c
+++ b/tests/test_at_most_once.c
@@ -516,7 +516,7 @@
 	assert_int_equal(silent_connections(system), before + 1);
 }
 
-/* Fails when the upstream goes on with a queued call whose caller left. */
+/* Fails when a queued call runs although its caller left. */
 static void caller_that_leaves_cancels(void **state)
 {
 	system_t *system = *state;
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -325,6 +325,9 @@
 	assert_told(f, 4, CATK_CONFLICT, OUTCOME_NOT_RUN);
 	assert_int_equal(f->started, 1);
 	assert_int_equal(f->told[1].answers + f->told[2].answers, 0);
+	call_attempt(f, 5, "status", 5, 1);
+	entry_cancel(f->entry, GUINT_TO_POINTER(5));
+	assert_int_equal(f->cancelled, 1);
 }
 
 /* Fails when not_run is promised for an id that can still be issued and run. */
