Inquire early only about calls that may be retried

An inquiry cancels an attempt that waits in the endpoint's queue. Without a retry left the call would be refused at half of its deadline. Also tests answers without a length and answers shorter than theirs.

--- a/lib/entry/entry_calls.c
+++ b/lib/entry/entry_calls.c
@@ -186,18 +186,33 @@
 	return MIN(CANCEL_MARGIN, (call->deadline - call->admitted) / 4);
 }
 
+static gboolean may_retry(const entry_t *entry, const call_t *call,
+			  GTimeSpan now)
+{
+	/* Calls are up to 7 levels deep: only one level retries. */
+	if (call->caller_attempt > 1)
+		return FALSE;
+	/* Too late to cancel: the outcome would most likely be unknown. */
+	if (call->deadline - now <= cancel_margin(call))
+		return FALSE;
+	return call->attempts_made < entry->limits.attempts_max &&
+	       entry->retry_credit >= 1;
+}
+
 /*
- * Only an idempotent call gains from an early look at a silent connection: it
- * can be sent again in the time that is left.
+ * Only an idempotent call that may be retried gains from an early look at a
+ * silent connection: it can be sent again in the time that is left. Any other
+ * call would lose its place at a busy endpoint.
  */
-static void set_inquiry_times(const call_t *call, attempt_request_t *request)
+static void set_inquiry_times(const entry_t *entry, const call_t *call,
+			      attempt_request_t *request, GTimeSpan now)
 {
 	GTimeSpan remaining = request->remaining;
 
 	request->cancel_after =
 		MAX(remaining - cancel_margin(call), remaining / 2);
 	request->inquire_after = request->cancel_after;
-	if (call->idempotent)
+	if (call->idempotent && may_retry(entry, call, now))
 		request->inquire_after = MIN(MAX(SILENCE_MIN, remaining / 2),
 					     request->cancel_after);
 }
@@ -220,7 +235,6 @@
 		.body = call->body,
 	};
 
-	set_inquiry_times(call, &request);
 	g_hash_table_insert(entry->calls_by_attempt, &attempt->id, call);
 	upstream_attempt_started(service->upstream, attempt->address, now);
 	counters_add(entry->counters, COUNTER_ATTEMPTS_STARTED, 1);
@@ -231,6 +245,7 @@
 			MIN(RETRY_CREDIT_MAX,
 			    entry->retry_credit +
 				    entry->limits.retry_percent / 100.0);
+	set_inquiry_times(entry, call, &request, now);
 	entry->actions.start_attempt(entry->actions.ctx, &request);
 }
 
@@ -505,18 +520,6 @@
 	finish_with_error(entry, call, &error);
 }
 
-static gboolean may_retry(entry_t *entry, const call_t *call, GTimeSpan now)
-{
-	/* Calls are up to 7 levels deep: only one level retries. */
-	if (call->caller_attempt > 1)
-		return FALSE;
-	/* Too late to cancel: the outcome would most likely be unknown. */
-	if (call->deadline - now <= cancel_margin(call))
-		return FALSE;
-	return call->attempts_made < entry->limits.attempts_max &&
-	       entry->retry_credit >= 1;
-}
-
 static void retry_call(entry_t *entry, entry_service_t *service, call_t *call)
 {
 	entry->retry_credit -= 1;
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -221,6 +221,21 @@
 	}
 }
 
+/* Fails when a call that can't be retried is cancelled before its deadline. */
+static void early_inquiry_needs_a_retry(void **state)
+{
+	fixture_t *f = *state;
+
+	call_attempt(f, 1, "status", 1, 1);
+	assert_true(f->last.inquire_after < f->last.cancel_after);
+	end_last(f, ATTEMPT_ANSWERED);
+	call_attempt(f, 2, "status", 1, 2);
+	assert_int_equal(f->last.inquire_after, f->last.cancel_after);
+	end_last(f, ATTEMPT_ANSWERED);
+	book(f, 3, 3);
+	assert_int_equal(f->last.inquire_after, f->last.cancel_after);
+}
+
 /* Fails when each level of a call through many levels repeats it. */
 static void repeated_call_is_not_retried_again(void **state)
 {
@@ -387,6 +402,7 @@
 	const struct CMUnitTest tests[] = {
 		TEST(admission_refuses_beyond_the_queue),
 		TEST(retry_only_on_proof),
+		TEST(early_inquiry_needs_a_retry),
 		TEST(repeated_call_is_not_retried_again),
 		TEST(late_result_is_dropped),
 		TEST(deadline_while_queued_seals),
--- a/tests/test_upstream_client.c
+++ b/tests/test_upstream_client.c
@@ -18,6 +18,7 @@
 
 typedef enum {
 	SERVER_ANSWERS,
+	SERVER_ANSWERS_AND_CLOSES,
 	SERVER_CLOSES_UNREAD, /* when bytes of the request have come */
 	SERVER_CLOSES_HALFWAY, /* after the first bytes of the request */
 	SERVER_CLOSES_AFTER_READ, /* with FIN */
@@ -116,11 +117,15 @@
 		connection_free(connection,
 				fixture->behaviour == SERVER_RESETS_AFTER_READ);
 		return FALSE;
-	} else if (fixture->behaviour == SERVER_ANSWERS) {
+	} else if (fixture->behaviour != SERVER_IS_SILENT) {
 		g_free(fixture->head);
 		fixture->head = g_strdup(connection->request->str);
 		send_answer(connection, fixture->answer);
 	}
+	if (fixture->behaviour == SERVER_ANSWERS_AND_CLOSES) {
+		connection_free(connection, FALSE);
+		return FALSE;
+	}
 	g_string_truncate(connection->request, 0);
 	return TRUE;
 }
@@ -356,6 +361,19 @@
 	assert_int_equal(fixture->accepted, G_N_ELEMENTS(answers));
 }
 
+/* Fails when an answer that the end of a connection may have cut is taken. */
+static void answer_needs_a_length(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fixture->answer = HEAD "Attempt-Id: %s\r\n\r\nx";
+	assert_int_equal(run_attempt(fixture, SERVER_ANSWERS_AND_CLOSES, 1),
+			 ATTEMPT_BAD_ANSWER);
+	fixture->answer = HEAD "Attempt-Id: %s\r\nContent-Length: 2\r\n\r\nx";
+	assert_int_equal(run_attempt(fixture, SERVER_ANSWERS_AND_CLOSES, 1),
+			 ATTEMPT_BAD_ANSWER);
+}
+
 /* Fails when an answer of unknown length is read without bound. */
 static void chunked_answer_is_bounded(void **state)
 {
@@ -434,6 +452,7 @@
 		TEST(limits_are_passed_on),
 		TEST(connection_is_reused),
 		TEST(wrong_answers_are_dropped),
+		TEST(answer_needs_a_length),
 		TEST(chunked_answer_is_bounded),
 		TEST(inquiry_decides_on_a_silent_attempt),
 		TEST(silence_gives_up_idle_connections),
