--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -58,23 +58,30 @@
 	g_clear_pointer(&all.entries[entry], process_free);
 }
 
-static char *dump_of(guint entry)
+/* The answer to a GET; free with g_free(). */
+static char *get_from(guint entry, const char *path)
 {
 	reply_t reply;
-	char *text;
 
-	http_request(&reply, "GET", caller_port(entry), "/v1/operator/dump",
-		     NULL, NULL);
+	http_request(&reply, "GET", caller_port(entry), path, NULL, NULL);
 	assert_int_equal(reply.status, 200);
-	text = g_steal_pointer(&reply.body);
-	reply_clear(&reply);
-	return text;
+	g_free(reply.outcome);
+	return reply.body;
+}
+
+static gint64 dumped(guint entry, const char *path)
+{
+	char *text = get_from(entry, "/v1/operator/dump");
+	gint64 value = json_integer_at(text, path);
+
+	g_free(text);
+	return value;
 }
 
 /* Members that an instance sees in a state; about limits them, or is NULL. */
 static guint count_seen(guint entry, const char *about, const char *state)
 {
-	char *text = dump_of(entry);
+	char *text = get_from(entry, "/v1/operator/dump");
 	JsonNode *root = json_from_string(text, NULL);
 	JsonArray *members = json_object_get_array_member(
 		json_node_get_object(root), "members");
@@ -191,12 +198,10 @@
 static guint resolved(guint place)
 {
 	JsonArray *addresses;
-	JsonNode *root;
-	reply_t reply;
+	char *text = get_from(0, "/v1/resolve");
+	JsonNode *root = json_from_string(text, NULL);
 	guint port;
 
-	http_request(&reply, "GET", caller_port(0), "/v1/resolve", NULL, NULL);
-	root = json_from_string(reply.body, NULL);
 	addresses = json_object_get_array_member(json_node_get_object(root),
 						 "addresses");
 	assert_int_equal(json_array_get_length(addresses), ENTRIES);
@@ -204,7 +209,7 @@
 		strchr(json_array_get_string_element(addresses, place), ':') +
 		1);
 	json_node_unref(root);
-	reply_clear(&reply);
+	g_free(text);
 	return port - caller_port(0);
 }
 
@@ -270,7 +275,6 @@
 {
 	char *id = take_request_id(caller_port(1));
 	async_request_t *request;
-	char *text;
 
 	(void)state;
 	process_signal(all.upstream, SIGSTOP);
@@ -280,11 +284,8 @@
 	http_abort(request);
 	run_loop_for(200);
 	process_signal(all.upstream, SIGCONT);
-	text = dump_of(1);
-	assert_int_equal(
-		json_integer_at(text, "counters.calls_cancelled_by_caller"), 1);
-	assert_int_equal(json_integer_at(text, "calls_in_flight"), 0);
-	g_free(text);
+	assert_int_equal(dumped(1, "counters.calls_cancelled_by_caller"), 1);
+	assert_int_equal(dumped(1, "calls_in_flight"), 0);
 	g_free(id);
 }
 
@@ -294,7 +295,7 @@
  */
 static void paused_instance_returns(void **state)
 {
-	char *text, *id;
+	char *id;
 	guint i;
 
 	(void)state;
@@ -306,10 +307,7 @@
 		run_loop_for(20);
 	}
 	assert_true(wait_until(all_are_live, NULL, DETECTION_MS));
-	text = dump_of(0);
-	assert_true(json_integer_at(
-			    text, "counters.connections_closed_as_silent") > 0);
-	g_free(text);
+	assert_true(dumped(0, "counters.connections_closed_as_silent") > 0);
 	id = take_request_id(caller_port(4));
 	assert_call(0, id, "after-pause", 200, "ran");
 	g_free(id);
@@ -393,16 +391,15 @@
 static void leaving_instance_is_not_handed_out(void **state)
 {
 	gchar *address = g_strdup_printf("127.0.0.1:%u", caller_port(SPARE));
-	reply_t reply;
 
 	(void)state;
 	process_signal(all.entries[SPARE], SIGTERM);
 	run_loop_for(2000);
 	for (guint i = 0; i < 2 * ENTRIES; i++) {
-		http_request(&reply, "GET", caller_port(i % ENTRIES),
-			     "/v1/resolve", NULL, NULL);
-		assert_null(strstr(reply.body, address));
-		reply_clear(&reply);
+		char *text = get_from(i % ENTRIES, "/v1/resolve");
+
+		assert_null(strstr(text, address));
+		g_free(text);
 	}
 	g_free(address);
 }
