--- a/lib/entry/entry_peers.c
+++ b/lib/entry/entry_peers.c
@@ -8,6 +8,8 @@
 
 /* A pull that brought nothing is repeated after this time. */
 #define PULL_TIMEOUT (1 * G_TIME_SPAN_SECOND)
+/* A document that this instance refused is asked for again after this time. */
+#define REFUSED_CONFIG_WAIT (1 * G_TIME_SPAN_MINUTE)
 /* Time beyond the deadline for the issuer's answer to travel back. */
 #define FORWARD_GRACE (100 * G_TIME_SPAN_MILLISECOND)
 /* Bound of a forwarded call whose method is not in the schema in force. */
@@ -332,6 +334,18 @@
 	reply_to_peer(entry, connection, &message);
 }
 
+static void take_config(entry_t *entry, guint64 version, GBytes *document)
+{
+	if (version <= config_version(entry->config))
+		return;
+	entry->actions.config_received(entry->actions.ctx, version, document);
+	if (version <= config_version(entry->config))
+		return;
+	counters_add(entry->counters, COUNTER_CONFIG_REJECTED, 1);
+	entry->peers->pulled_version = version;
+	entry->peers->pull_again_at = entry_now(entry) + REFUSED_CONFIG_WAIT;
+}
+
 void entry_peer_message(entry_t *entry, guint64 connection,
 			const peer_message_t *message)
 {
@@ -346,10 +360,8 @@
 		send_config(entry, connection);
 		break;
 	case PEER_CONFIG_DOCUMENT:
-		if (message->u.config.version > config_version(entry->config))
-			entry->actions.config_received(
-				entry->actions.ctx, message->u.config.version,
-				message->u.config.document);
+		take_config(entry, message->u.config.version,
+			    message->u.config.document);
 		break;
 	case PEER_FORWARD_CALL:
 		take_forwarded_call(entry, connection, &message->u.call);
