Split the upstream into endpoint state, health and routing policies

Each policy is a callback structure in a file of its own: random, two_choices, subset and learnt_limit. Health decides which endpoints a policy chooses among: draining, ejection after failures, stragglers, pause after a refusal, ramp of a cold start.

--- a/lib/common/counters.h
+++ b/lib/common/counters.h
@@ -23,6 +23,8 @@
 	X(ATTEMPTS_SHED, "attempts_shed_by_upstream", "attempts")       \
 	X(ATTEMPTS_FAILED, "attempts_failed", "attempts")               \
 	X(ANSWERS_DROPPED, "answers_dropped", "answers")                \
+	X(ENDPOINTS_EJECTED, "endpoint_ejections", "ejections")         \
+	X(ENDPOINTS_SLOW, "endpoints_found_slow", "endpoints")          \
 	X(PROBES_SENT, "probes_sent", "probes")                         \
 	X(PROBES_SUPPRESSED, "probes_suppressed_by_budget", "probes")   \
 	X(IDS_MINTED, "request_ids_minted", "ids")                      \
--- a/lib/entry/entry_calls.c
+++ b/lib/entry/entry_calls.c
@@ -533,6 +533,16 @@
 	}
 }
 
+/* A 5xx or an empty success is passed on, but counts against the endpoint. */
+static attempt_end_t judged_end(const attempt_result_t *result)
+{
+	if (result->end != ATTEMPT_ANSWERED)
+		return result->end;
+	if (result->status >= 500 || g_bytes_get_size(result->body) == 0)
+		return ATTEMPT_ERROR_ANSWER;
+	return ATTEMPT_ANSWERED;
+}
+
 void entry_attempt_ended(entry_t *entry, const attempt_result_t *result)
 {
 	GTimeSpan now = entry_now(entry);
@@ -550,8 +560,8 @@
 	service = entry_find_service(entry, call->service);
 	attempt = call_find_attempt(call, result->attempt_id);
 	count_end(entry, result->end);
-	upstream_attempt_ended(service->upstream, attempt->address, result->end,
-			       now - attempt->started,
+	upstream_attempt_ended(service->upstream, attempt->address,
+			       judged_end(result), now - attempt->started,
 			       result->has_report ? &result->report : NULL,
 			       now);
 	g_hash_table_remove(entry->calls_by_attempt, &attempt->id);
--- /dev/null
+++ b/lib/upstream/routing_random.c
@@ -0,0 +1,22 @@
+/* Baseline: a random endpoint with room. */
+#include "lib/upstream/upstream_internal.h"
+
+endpoint_t *candidates_pick(const candidates_t *candidates, GRand *random)
+{
+	return candidates->items[g_rand_int_range(random, 0,
+						  (gint32)candidates->count)];
+}
+
+static endpoint_t *choose(void *ctx, const candidates_t *candidates,
+			  GTimeSpan now)
+{
+	upstream_t *upstream = ctx;
+
+	(void)now;
+	return candidates_pick(candidates, upstream->random);
+}
+
+routing_t routing_random(upstream_t *upstream)
+{
+	return (routing_t){ .choose = choose, .ctx = upstream };
+}
--- /dev/null
+++ b/lib/upstream/routing_subset.c
@@ -0,0 +1,102 @@
+/*
+ * A preferred subset per entry. Entries collide less at an endpoint, and each
+ * entry's calls go to few endpoints, so that their reports are recent. Calls
+ * spill to the rest when the subset is full or refuses.
+ */
+#include "lib/upstream/upstream_internal.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Slots of the subset as a multiple of the entry's fair share. */
+#define SUBSET_SHARE 2
+#define SUBSET_MIN 2
+
+static guint64 weigh(const upstream_t *upstream, const endpoint_t *endpoint)
+{
+	const char *instance = upstream->limits.instance;
+	guint64 seed = XXH3_64bits(instance, strlen(instance));
+
+	return XXH3_64bits_withSeed(endpoint->info.address,
+				    strlen(endpoint->info.address), seed);
+}
+
+static guint subset_size(const upstream_t *upstream)
+{
+	guint entries = upstream->limits.entries_max;
+	guint size = (SUBSET_SHARE * upstream->endpoint_count + entries - 1) /
+		     entries;
+
+	return MAX(size, SUBSET_MIN);
+}
+
+static guint rank_of(const upstream_t *upstream, const endpoint_t *endpoint)
+{
+	const endpoint_t *other;
+	guint rank = 0;
+
+	TAILQ_FOREACH (other, &upstream->endpoints, link)
+		if (health_takes_work(other) &&
+		    other->weight > endpoint->weight)
+			rank++;
+	return rank;
+}
+
+static void list_changed(void *ctx)
+{
+	upstream_t *upstream = ctx;
+	endpoint_t *endpoint;
+
+	TAILQ_FOREACH (endpoint, &upstream->endpoints, link)
+		endpoint->weight = weigh(upstream, endpoint);
+	TAILQ_FOREACH (endpoint, &upstream->endpoints, link)
+		endpoint->preferred =
+			rank_of(upstream, endpoint) < subset_size(upstream);
+}
+
+static endpoint_t *choose_preferred(const upstream_t *upstream,
+				    const candidates_t *candidates,
+				    GTimeSpan now)
+{
+	endpoint_t *chosen = NULL;
+	double lowest = 0;
+	double load;
+	guint i;
+
+	for (i = 0; i < candidates->count; i++) {
+		endpoint_t *endpoint = candidates->items[i];
+
+		if (!endpoint->preferred)
+			continue;
+		load = endpoint_load(upstream, endpoint, now);
+		if (load >= endpoint_slots(upstream, endpoint))
+			continue;
+		if (chosen && load >= lowest)
+			continue;
+		chosen = endpoint;
+		lowest = load;
+	}
+	return chosen;
+}
+
+static endpoint_t *choose(void *ctx, const candidates_t *candidates,
+			  GTimeSpan now)
+{
+	endpoint_t *chosen = choose_preferred(ctx, candidates, now);
+
+	return chosen ? chosen : candidates_pick_of_two(ctx, candidates, now);
+}
+
+static gboolean needs_report(void *ctx, const endpoint_t *endpoint)
+{
+	(void)ctx;
+	return endpoint->preferred;
+}
+
+routing_t routing_subset(upstream_t *upstream)
+{
+	return (routing_t){ .choose = choose,
+			    .list_changed = list_changed,
+			    .needs_report = needs_report,
+			    .ctx = upstream };
+}
--- a/lib/upstream/upstream.c
+++ b/lib/upstream/upstream.c
@@ -1,36 +1,12 @@
-#include "lib/upstream/upstream.h"
+#include "lib/upstream/upstream_internal.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 /* Weight of a new latency in the moving average. */
 #define LATENCY_WEIGHT 0.2
-
-struct endpoint {
-	TAILQ_ENTRY(endpoint) link;
-	endpoint_info_t info;
-	gboolean listed;
-	gboolean draining;
-	guint in_flight; /* attempts from this entry */
-	load_report_t report;
-	GTimeSpan reported; /* instant of the report, 0 for none */
-	guint since_report; /* attempts started since the report */
-	double latency; /* moving average in microseconds, 0 for none */
-	probe_budget_t probes;
-};
-
-struct upstream {
-	char *service;
-	upstream_limits_t limits;
-	GRand *random;
-	counters_t *counters;
-	guint slots;
-	guint connections;
-	double probes_per_second;
-	guint endpoint_count;
-	guint in_flight;
-	double latency;
-	TAILQ_HEAD(endpoint_list, endpoint) endpoints;
-};
+/* Time after which the median of the endpoints' latencies is taken again. */
+#define MEDIAN_AGE_MAX (20 * G_TIME_SPAN_MILLISECOND)
 
 static const char *const policy_names[ROUTING_POLICY_COUNT] = {
 	[ROUTING_RANDOM] = "random",
@@ -51,6 +27,22 @@
 	       end == ATTEMPT_CANCELLED;
 }
 
+static routing_t new_routing(upstream_t *upstream)
+{
+	switch (upstream->limits.policy) {
+	case ROUTING_RANDOM:
+		return routing_random(upstream);
+	case ROUTING_SUBSET:
+		return routing_subset(upstream);
+	case ROUTING_LEARNT_LIMIT:
+		return routing_learnt_limit(upstream);
+	case ROUTING_TWO_CHOICES:
+	case ROUTING_POLICY_COUNT:
+		break;
+	}
+	return routing_two_choices(upstream);
+}
+
 upstream_t *upstream_new(const char *service, const upstream_limits_t *limits,
 			 GRand *random, counters_t *counters)
 {
@@ -63,6 +55,9 @@
 	upstream->counters = counters;
 	upstream->slots = 1;
 	upstream->connections = 1;
+	upstream->routing = new_routing(upstream);
+	upstream->open = g_ptr_array_new();
+	upstream->reserve = g_ptr_array_new();
 	TAILQ_INIT(&upstream->endpoints);
 	return upstream;
 }
@@ -71,6 +66,8 @@
 {
 	TAILQ_REMOVE(&upstream->endpoints, endpoint, link);
 	upstream->endpoint_count--;
+	while (!TAILQ_EMPTY(&endpoint->flights))
+		endpoint_remove_flight(endpoint, G_MAXINT64);
 	g_free(endpoint);
 }
 
@@ -80,6 +77,8 @@
 		return;
 	while (!TAILQ_EMPTY(&upstream->endpoints))
 		endpoint_free(upstream, TAILQ_FIRST(&upstream->endpoints));
+	g_ptr_array_free(upstream->open, TRUE);
+	g_ptr_array_free(upstream->reserve, TRUE);
 	g_free(upstream->service);
 	g_free(upstream);
 }
@@ -122,7 +121,7 @@
 	endpoint_t *endpoint = g_new0(endpoint_t, 1);
 
 	endpoint->info = *info;
-	endpoint->report.slots = upstream->slots;
+	TAILQ_INIT(&endpoint->flights);
 	probe_budget_init(&endpoint->probes, upstream->probes_per_second,
 			  upstream->limits.entries_max, now);
 	TAILQ_INSERT_TAIL(&upstream->endpoints, endpoint, link);
@@ -139,80 +138,125 @@
 			endpoint_free(upstream, endpoint);
 }
 
+/* An endpoint that was away may have been replaced: nothing of it holds. */
+static void welcome_back(endpoint_t *endpoint, GTimeSpan now)
+{
+	endpoint->draining = FALSE;
+	endpoint->failures = 0;
+	health_start_ramp(endpoint, now);
+}
+
+static void take_info(upstream_t *upstream, const endpoint_info_t *info,
+		      gboolean first_list, GTimeSpan now)
+{
+	endpoint_t *endpoint = find_endpoint(upstream, info->address);
+
+	if (!endpoint) {
+		endpoint = add_endpoint(upstream, info, now);
+		if (!first_list)
+			health_start_ramp(endpoint, now);
+	} else if (!info->leaving &&
+		   (endpoint->info.leaving || endpoint->unlisted)) {
+		welcome_back(endpoint, now);
+	}
+	endpoint->info = *info;
+	endpoint->listed = TRUE;
+	endpoint->unlisted = FALSE;
+}
+
 void upstream_set_endpoints(upstream_t *upstream, const endpoint_info_t *infos,
 			    gsize count, GTimeSpan now)
 {
+	gboolean first_list = TAILQ_EMPTY(&upstream->endpoints);
 	endpoint_t *endpoint;
 	gsize i;
 
-	TAILQ_FOREACH (endpoint, &upstream->endpoints, link)
+	TAILQ_FOREACH (endpoint, &upstream->endpoints, link) {
+		endpoint->unlisted = !endpoint->listed;
 		endpoint->listed = FALSE;
-	for (i = 0; i < count; i++) {
-		endpoint = find_endpoint(upstream, infos[i].address);
-		if (!endpoint)
-			endpoint = add_endpoint(upstream, &infos[i], now);
-		endpoint->info = infos[i];
-		endpoint->listed = TRUE;
 	}
+	for (i = 0; i < count; i++)
+		take_info(upstream, &infos[i], first_list, now);
 	free_unlisted(upstream);
+	if (upstream->routing.list_changed)
+		upstream->routing.list_changed(upstream->routing.ctx);
 }
 
-static gboolean takes_work(const endpoint_t *endpoint)
+static gint compare_latency(gconstpointer a, gconstpointer b)
 {
-	return endpoint->listed && !endpoint->info.leaving &&
-	       !endpoint->draining;
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return (x > y) - (x < y);
 }
 
-static guint estimated_load(const endpoint_t *endpoint)
+static void refresh_median(upstream_t *upstream, GTimeSpan now)
 {
-	return MAX(endpoint->in_flight,
-		   endpoint->report.in_flight + endpoint->since_report);
+	const endpoint_t *endpoint;
+	double *latencies;
+	guint count = 0;
+
+	if (upstream->median > 0 && now < upstream->median_at + MEDIAN_AGE_MAX)
+		return;
+	latencies = g_new(double, upstream->endpoint_count);
+	TAILQ_FOREACH (endpoint, &upstream->endpoints, link)
+		if (endpoint->latency > 0)
+			latencies[count++] = endpoint->latency;
+	if (count > 0) {
+		qsort(latencies, count, sizeof(*latencies), compare_latency);
+		upstream->median = latencies[(count - 1) / 2];
+		upstream->median_at = now;
+	}
+	g_free(latencies);
 }
 
-static const endpoint_t *pick_random(upstream_t *upstream, const char *avoid)
+static void collect(upstream_t *upstream, const char *avoid, GTimeSpan now)
 {
-	const endpoint_t *endpoint, *chosen = NULL;
-	gint32 seen = 0;
+	gboolean keep_blocked = health_keeps_half(upstream, now);
+	availability_t availability;
+	endpoint_t *endpoint;
 
+	g_ptr_array_set_size(upstream->open, 0);
+	g_ptr_array_set_size(upstream->reserve, 0);
 	TAILQ_FOREACH (endpoint, &upstream->endpoints, link) {
-		if (!takes_work(endpoint) ||
-		    endpoint->in_flight >= upstream->slots)
-			continue;
-		if (avoid && strcmp(endpoint->info.address, avoid) == 0)
+		availability = health_availability(upstream, endpoint,
+						   keep_blocked, now);
+		if (availability == AVAILABLE_NO)
 			continue;
-		if (g_rand_int_range(upstream->random, 0, ++seen) == 0)
-			chosen = endpoint;
+		if (availability == AVAILABLE_RESERVE ||
+		    g_strcmp0(endpoint->info.address, avoid) == 0)
+			g_ptr_array_add(upstream->reserve, endpoint);
+		else
+			g_ptr_array_add(upstream->open, endpoint);
 	}
-	return chosen;
 }
 
 const endpoint_t *upstream_choose(upstream_t *upstream, const char *avoid,
 				  GTimeSpan now)
 {
-	const endpoint_t *first = pick_random(upstream, avoid);
-	const endpoint_t *second;
-
-	(void)now;
-	if (!first && avoid)
-		first = pick_random(upstream, NULL);
-	if (!first || upstream->limits.policy == ROUTING_RANDOM)
-		return first;
-	second = pick_random(upstream, avoid);
-	if (second && estimated_load(second) < estimated_load(first))
-		return second;
-	return first;
+	candidates_t candidates;
+	GPtrArray *source;
+
+	refresh_median(upstream, now);
+	collect(upstream, avoid, now);
+	source = upstream->open->len ? upstream->open : upstream->reserve;
+	if (source->len == 0)
+		return NULL;
+	candidates.items = (endpoint_t **)source->pdata;
+	candidates.count = source->len;
+	return upstream->routing.choose(upstream->routing.ctx, &candidates,
+					now);
 }
 
 GTimeSpan upstream_next_room(const upstream_t *upstream, GTimeSpan now)
 {
-	(void)upstream;
-	(void)now;
-	return CATK_NEVER;
-}
+	GTimeSpan earliest = CATK_NEVER;
+	const endpoint_t *endpoint;
 
-const char *endpoint_address(const endpoint_t *endpoint)
-{
-	return endpoint->info.address;
+	TAILQ_FOREACH (endpoint, &upstream->endpoints, link)
+		earliest = MIN(earliest,
+			       health_next_change(upstream, endpoint, now));
+	return earliest;
 }
 
 guint upstream_connection_share(const upstream_t *upstream)
@@ -225,21 +269,11 @@
 {
 	endpoint_t *endpoint = find_endpoint(upstream, address);
 
-	(void)now;
 	if (!endpoint)
 		return;
-	endpoint->in_flight++;
-	endpoint->since_report++;
+	endpoint_add_flight(endpoint, now);
 	upstream->in_flight++;
-}
-
-static void take_report(endpoint_t *endpoint, const load_report_t *report,
-			GTimeSpan now)
-{
-	endpoint->report = *report;
-	endpoint->reported = now;
-	endpoint->since_report = 0;
-	endpoint->draining = report->draining;
+	health_attempt_started(upstream, endpoint, now);
 }
 
 static void average(double *mean, GTimeSpan sample)
@@ -250,23 +284,37 @@
 		*mean += LATENCY_WEIGHT * ((double)sample - *mean);
 }
 
+/* A failure's latency says nothing of the work: it must not attract load. */
+static void take_latency(upstream_t *upstream, endpoint_t *endpoint,
+			 GTimeSpan latency)
+{
+	if (endpoint->failures > 0)
+		return;
+	average(&endpoint->latency, latency);
+	if (!endpoint->slow)
+		average(&upstream->latency, latency);
+}
+
 void upstream_attempt_ended(upstream_t *upstream, const char *address,
 			    attempt_end_t end, GTimeSpan latency,
 			    const load_report_t *report, GTimeSpan now)
 {
 	endpoint_t *endpoint = find_endpoint(upstream, address);
+	const routing_t *routing = &upstream->routing;
 
-	if (!endpoint)
+	if (!endpoint || endpoint->in_flight == 0)
 		return;
-	g_assert(endpoint->in_flight > 0);
-	endpoint->in_flight--;
+	endpoint_remove_flight(endpoint, now - latency);
 	upstream->in_flight--;
+	refresh_median(upstream, now);
+	health_attempt_ended(upstream, endpoint, end, latency, now);
 	if (report)
-		take_report(endpoint, report, now);
-	if (end == ATTEMPT_ANSWERED) {
-		average(&endpoint->latency, latency);
-		average(&upstream->latency, latency);
-	}
+		endpoint_take_report(endpoint, report, now - latency, now);
+	if (routing->attempt_ended)
+		routing->attempt_ended(routing->ctx, endpoint, end, latency,
+				       now);
+	if (end == ATTEMPT_ANSWERED)
+		take_latency(upstream, endpoint, latency);
 	free_unlisted(upstream);
 }
 
@@ -276,7 +324,23 @@
 	endpoint_t *endpoint = find_endpoint(upstream, address);
 
 	if (endpoint && report)
-		take_report(endpoint, report, now);
+		endpoint_take_report(endpoint, report, endpoint->probed, now);
+}
+
+/* A draining endpoint is probed as well, to learn that it takes work again. */
+static gboolean needs_probe(const upstream_t *upstream,
+			    const endpoint_t *endpoint, GTimeSpan now)
+{
+	const routing_t *routing = &upstream->routing;
+
+	if (!endpoint->listed || endpoint->info.leaving ||
+	    now < endpoint->ejected_until)
+		return FALSE;
+	if (endpoint->reported &&
+	    now - endpoint->reported < upstream->limits.report_stale_after)
+		return FALSE;
+	return endpoint->draining || !routing->needs_report ||
+	       routing->needs_report(routing->ctx, endpoint);
 }
 
 const char *upstream_next_probe(upstream_t *upstream, GTimeSpan now)
@@ -284,11 +348,13 @@
 	endpoint_t *endpoint;
 
 	TAILQ_FOREACH (endpoint, &upstream->endpoints, link) {
-		if (now - endpoint->reported <
-		    upstream->limits.report_stale_after)
+		if (!needs_probe(upstream, endpoint, now))
 			continue;
-		if (probe_budget_take(&endpoint->probes, now))
+		if (probe_budget_take(&endpoint->probes, now)) {
+			endpoint->probed = now;
 			return endpoint->info.address;
+		}
+		counters_add(upstream->counters, COUNTER_PROBES_SUPPRESSED, 1);
 	}
 	return NULL;
 }
@@ -302,34 +368,3 @@
 {
 	return upstream->in_flight;
 }
-
-static void dump_endpoint(const endpoint_t *endpoint, const dump_writer_t *w,
-			  GTimeSpan now)
-{
-	w->begin_object(w->ctx, NULL);
-	w->string(w->ctx, "address", endpoint->info.address);
-	w->string(w->ctx, "data_centre", endpoint->info.data_centre);
-	w->boolean(w->ctx, "leaving", endpoint->info.leaving);
-	w->boolean(w->ctx, "draining", endpoint->draining);
-	w->integer(w->ctx, "in_flight", endpoint->in_flight);
-	w->integer(w->ctx, "reported_in_flight", endpoint->report.in_flight);
-	w->integer(w->ctx, "report_age_us",
-		   endpoint->reported ? now - endpoint->reported : -1);
-	w->integer(w->ctx, "mean_latency_us", (gint64)endpoint->latency);
-	w->end_object(w->ctx);
-}
-
-void upstream_dump(const upstream_t *upstream, const dump_writer_t *w,
-		   GTimeSpan now)
-{
-	const endpoint_t *endpoint;
-
-	w->begin_object(w->ctx, NULL);
-	w->string(w->ctx, "service", upstream->service);
-	w->integer(w->ctx, "in_flight", upstream->in_flight);
-	w->begin_array(w->ctx, "endpoints");
-	TAILQ_FOREACH (endpoint, &upstream->endpoints, link)
-		dump_endpoint(endpoint, w, now);
-	w->end_array(w->ctx);
-	w->end_object(w->ctx);
-}
--- a/lib/upstream/upstream.h
+++ b/lib/upstream/upstream.h
@@ -41,7 +41,8 @@
 	ATTEMPT_BAD_ANSWER, /* malformed, short or somebody else's answer */
 	ATTEMPT_SILENT, /* no byte came while other connections work */
 	ATTEMPT_FAILED, /* timeout, reset or close: it may have run */
-	ATTEMPT_ABANDONED /* the deadline passed or the caller left */
+	ATTEMPT_ABANDONED, /* the deadline passed or the caller left */
+	ATTEMPT_ERROR_ANSWER /* a whole answer that is empty or a 5xx */
 } attempt_end_t;
 
 /* TRUE for the ends that prove that the attempt did not run. */
--- /dev/null
+++ b/lib/upstream/upstream_dump.c
@@ -0,0 +1,42 @@
+/* The state of an upstream for operators. */
+#include "lib/upstream/upstream_internal.h"
+
+static void dump_health(const endpoint_t *endpoint, const dump_writer_t *w,
+			GTimeSpan now)
+{
+	w->boolean(w->ctx, "draining", endpoint->draining);
+	w->boolean(w->ctx, "ejected", now < endpoint->ejected_until);
+	w->boolean(w->ctx, "slow", endpoint->slow);
+	w->boolean(w->ctx, "preferred", endpoint->preferred);
+}
+
+static void dump_endpoint(const endpoint_t *endpoint, const dump_writer_t *w,
+			  GTimeSpan now)
+{
+	w->begin_object(w->ctx, NULL);
+	w->string(w->ctx, "address", endpoint->info.address);
+	w->string(w->ctx, "data_centre", endpoint->info.data_centre);
+	w->boolean(w->ctx, "leaving", endpoint->info.leaving);
+	dump_health(endpoint, w, now);
+	w->integer(w->ctx, "in_flight", endpoint->in_flight);
+	w->integer(w->ctx, "reported_in_flight", endpoint->report.in_flight);
+	w->integer(w->ctx, "report_age_us",
+		   endpoint->reported ? now - endpoint->reported : -1);
+	w->integer(w->ctx, "mean_latency_us", (gint64)endpoint->latency);
+	w->end_object(w->ctx);
+}
+
+void upstream_dump(const upstream_t *upstream, const dump_writer_t *w,
+		   GTimeSpan now)
+{
+	const endpoint_t *endpoint;
+
+	w->begin_object(w->ctx, NULL);
+	w->string(w->ctx, "service", upstream->service);
+	w->integer(w->ctx, "in_flight", upstream->in_flight);
+	w->begin_array(w->ctx, "endpoints");
+	TAILQ_FOREACH (endpoint, &upstream->endpoints, link)
+		dump_endpoint(endpoint, w, now);
+	w->end_array(w->ctx);
+	w->end_object(w->ctx);
+}
