--- a/lib/upstream/routing_subset.c
+++ b/lib/upstream/routing_subset.c
@@ -60,6 +60,7 @@
 {
 	endpoint_t *chosen = NULL;
 	double lowest = 0;
+	gint32 equal = 0;
 	double load;
 	guint i;
 
@@ -71,10 +72,12 @@
 		load = endpoint_load(upstream, endpoint, now);
 		if (load >= endpoint_slots(upstream, endpoint))
 			continue;
-		if (chosen && load >= lowest)
+		if (chosen && load > lowest)
 			continue;
-		chosen = endpoint;
+		equal = chosen && load == lowest ? equal + 1 : 1;
 		lowest = load;
+		if (g_rand_int_range(upstream->random, 0, equal) == 0)
+			chosen = endpoint;
 	}
 	return chosen;
 }
--- /dev/null
+++ b/tests/test_upstream.c
@@ -0,0 +1,354 @@
+/* Guards the choice of endpoints: stale reports, faults of endpoints, drain. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <string.h>
+
+#include "lib/upstream/upstream.h"
+
+#define MS G_TIME_SPAN_MILLISECOND
+#define ENDPOINTS 10
+#define SERVICE_TIME (10 * MS)
+
+typedef struct {
+	counters_t counters;
+	GRand *random;
+	upstream_t *upstream;
+	endpoint_info_t infos[ENDPOINTS];
+	GTimeSpan now;
+	guint chosen[ENDPOINTS];
+} fixture_t;
+
+static const load_report_t idle = { .in_flight = 0, .slots = 2 };
+
+static void use_policy(fixture_t *f, routing_policy_t policy, guint entries)
+{
+	upstream_limits_t limits = { .policy = policy,
+				     .entries_max = entries,
+				     .report_stale_after = 100 * MS,
+				     .instance = "entry-1" };
+	schema_service_t service = { .slots = 2,
+				     .connections = 200,
+				     .probes_per_second = 10 };
+
+	upstream_free(f->upstream);
+	f->upstream =
+		upstream_new("s", &limits, f->random, &f->counters);
+	upstream_configure(f->upstream, &service, f->now);
+	upstream_set_endpoints(f->upstream, f->infos, ENDPOINTS, f->now);
+}
+
+static int set_up(void **state)
+{
+	fixture_t *f = g_new0(fixture_t, 1);
+	guint i;
+
+	f->random = g_rand_new_with_seed(1);
+	f->now = G_TIME_SPAN_HOUR;
+	for (i = 0; i < ENDPOINTS; i++)
+		g_snprintf(f->infos[i].address, sizeof(f->infos[i].address),
+			   "10.0.0.%u:1", i);
+	use_policy(f, ROUTING_TWO_CHOICES, 1);
+	*state = f;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	fixture_t *f = *state;
+
+	upstream_free(f->upstream);
+	g_rand_free(f->random);
+	g_free(f);
+	return 0;
+}
+
+static void end_attempt(fixture_t *f, guint index, attempt_end_t end,
+			GTimeSpan latency, const load_report_t *report)
+{
+	const char *address = f->infos[index].address;
+
+	upstream_attempt_started(f->upstream, address, f->now - latency);
+	upstream_attempt_ended(f->upstream, address, end, latency, report,
+			       f->now);
+}
+
+/* Each endpoint has a history of answers of the service time. */
+static void warm_up(fixture_t *f)
+{
+	guint i;
+
+	for (i = 0; i < ENDPOINTS * 3; i++) {
+		f->now += 30 * MS;
+		end_attempt(f, i % ENDPOINTS, ATTEMPT_ANSWERED, SERVICE_TIME,
+			    &idle);
+	}
+}
+
+static guint choose(fixture_t *f, const char *avoid)
+{
+	const endpoint_t *endpoint =
+		upstream_choose(f->upstream, avoid, f->now);
+	guint i;
+
+	for (i = 0; endpoint && i < ENDPOINTS; i++)
+		if (strcmp(f->infos[i].address, endpoint_address(endpoint)) ==
+		    0)
+			return i;
+	return ENDPOINTS;
+}
+
+/* Chooses many times without attempts; the part that one endpoint got. */
+static double share(fixture_t *f, guint index)
+{
+	guint i, hits = 0;
+
+	for (i = 0; i < 1000; i++)
+		hits += choose(f, NULL) == index;
+	return hits / 1000.0;
+}
+
+/* Fails when a report older than the load it describes still decides. */
+static void old_report_counts_little(void **state)
+{
+	const load_report_t busy = { .in_flight = 4, .slots = 2 };
+	fixture_t *f = *state;
+
+	warm_up(f);
+	end_attempt(f, 0, ATTEMPT_ANSWERED, SERVICE_TIME, &busy);
+	assert_true(share(f, 0) < 0.03);
+	f->now += 10 * G_TIME_SPAN_SECOND;
+	upstream_attempt_started(f->upstream, f->infos[1].address, f->now);
+	assert_true(share(f, 0) > share(f, 1));
+}
+
+/* Fails when an endpoint is given more than its slots by one entry. */
+static void slots_bound_attempts(void **state)
+{
+	fixture_t *f = *state;
+	guint i, index;
+
+	for (i = 0; i < 2 * ENDPOINTS; i++) {
+		index = choose(f, NULL);
+		assert_true(index < ENDPOINTS && f->chosen[index]++ < 2);
+		upstream_attempt_started(f->upstream, f->infos[index].address,
+					 f->now);
+	}
+	assert_int_equal(choose(f, NULL), ENDPOINTS);
+}
+
+/* Fails when a straggler is noticed only once its first attempt has ended. */
+static void late_attempt_turns_calls_away(void **state)
+{
+	fixture_t *f = *state;
+
+	warm_up(f);
+	upstream_attempt_started(f->upstream, f->infos[0].address, f->now);
+	f->now += 4 * SERVICE_TIME;
+	assert_true(share(f, 0) == 0);
+}
+
+/* Fails when a straggler keeps its share, or never gets another trial. */
+static void straggler_is_tried_slowly(void **state)
+{
+	fixture_t *f = *state;
+
+	warm_up(f);
+	end_attempt(f, 0, ATTEMPT_ANSWERED, 10 * SERVICE_TIME, &idle);
+	end_attempt(f, 0, ATTEMPT_ANSWERED, 10 * SERVICE_TIME, &idle);
+	assert_true(share(f, 0) == 0);
+	f->now += G_TIME_SPAN_SECOND;
+	assert_true(share(f, 0) > 0);
+	end_attempt(f, 0, ATTEMPT_ANSWERED, 10 * SERVICE_TIME, &idle);
+	assert_true(share(f, 0) == 0);
+	f->now += G_TIME_SPAN_SECOND;
+	end_attempt(f, 0, ATTEMPT_ANSWERED, SERVICE_TIME, &idle);
+	assert_true(share(f, 0) > 0 && share(f, 0) < 0.05);
+	f->now += 6 * G_TIME_SPAN_SECOND;
+	assert_true(share(f, 0) > 0.05);
+}
+
+/* Fails when quick failures attract calls; each kind must eject for longer. */
+static void fast_failure_is_ejected(void **state)
+{
+	static const attempt_end_t ends[] = { ATTEMPT_ERROR_ANSWER,
+					      ATTEMPT_BAD_ANSWER,
+					      ATTEMPT_ANSWERED };
+	fixture_t *f = *state;
+	gsize kind;
+	guint i;
+
+	for (kind = 0; kind < G_N_ELEMENTS(ends); kind++) {
+		use_policy(f, ROUTING_TWO_CHOICES, 1);
+		warm_up(f);
+		for (i = 0; i < 3; i++)
+			end_attempt(f, 0, ends[kind], SERVICE_TIME / 50, &idle);
+		assert_true(share(f, 0) == 0);
+		f->now += 1100 * MS;
+		assert_true(share(f, 0) > 0);
+		end_attempt(f, 0, ends[kind], SERVICE_TIME / 50, &idle);
+		f->now += 1100 * MS;
+		assert_true(share(f, 0) == 0);
+	}
+}
+
+/* Fails when a refused connection is tried again, or silence is blamed. */
+static void refused_connection_ejects_and_silence_does_not(void **state)
+{
+	fixture_t *f = *state;
+	guint i;
+
+	warm_up(f);
+	end_attempt(f, 0, ATTEMPT_NOT_SENT, 0, NULL);
+	assert_true(share(f, 0) == 0);
+	for (i = 0; i < 5; i++)
+		end_attempt(f, 1, ATTEMPT_SILENT, 100 * MS, NULL);
+	assert_true(share(f, 1) > 0);
+}
+
+/* Fails when a fault of the whole service leaves too few endpoints. */
+static void half_of_the_endpoints_stays(void **state)
+{
+	fixture_t *f = *state;
+	guint i, open = 0;
+
+	warm_up(f);
+	for (i = 0; i < ENDPOINTS; i++)
+		end_attempt(f, i, ATTEMPT_NOT_SENT, 0, NULL);
+	for (i = 0; i < ENDPOINTS; i++)
+		open += share(f, i) > 0;
+	assert_true(open >= ENDPOINTS / 2);
+}
+
+/* Fails when a sign of draining from any source is missed, or never ends. */
+static void drain_is_learnt_and_revoked(void **state)
+{
+	const load_report_t draining = { .slots = 2, .draining = TRUE };
+	fixture_t *f = *state;
+
+	warm_up(f);
+	end_attempt(f, 0, ATTEMPT_SHED, MS, &draining);
+	end_attempt(f, 1, ATTEMPT_ANSWERED, SERVICE_TIME, &draining);
+	upstream_probe_ended(f->upstream, f->infos[2].address, &draining,
+			     f->now);
+	f->infos[3].leaving = TRUE;
+	upstream_set_endpoints(f->upstream, f->infos, ENDPOINTS, f->now);
+	/* An answer that was on its way does not revoke the drain. */
+	end_attempt(f, 1, ATTEMPT_ANSWERED, SERVICE_TIME, &idle);
+	assert_true(share(f, 0) + share(f, 1) + share(f, 2) + share(f, 3) == 0);
+	f->now += G_TIME_SPAN_SECOND;
+	while (upstream_next_probe(f->upstream, f->now))
+		;
+	upstream_probe_ended(f->upstream, f->infos[0].address, &idle, f->now);
+	f->infos[3].leaving = FALSE;
+	upstream_set_endpoints(f->upstream, f->infos, ENDPOINTS, f->now);
+	f->now += 5 * G_TIME_SPAN_SECOND;
+	assert_true(share(f, 0) > 0 && share(f, 1) == 0 && share(f, 3) > 0);
+}
+
+/* Fails when a new endpoint gets a full share at once, or stays below it. */
+static void cold_start_ramps_up(void **state)
+{
+	fixture_t *f = *state;
+
+	upstream_set_endpoints(f->upstream, f->infos, ENDPOINTS - 1, f->now);
+	upstream_set_endpoints(f->upstream, f->infos, ENDPOINTS, f->now);
+	assert_true(share(f, ENDPOINTS - 1) < 0.03);
+	f->now += 6 * G_TIME_SPAN_SECOND;
+	assert_true(share(f, ENDPOINTS - 1) > 0.05);
+}
+
+/* Fails when a refusing endpoint is asked again at once, or calls get stuck. */
+static void refusal_pauses(void **state)
+{
+	fixture_t *f = *state;
+	guint i;
+
+	warm_up(f);
+	for (i = 0; i < ENDPOINTS; i++)
+		end_attempt(f, i, ATTEMPT_SHED, MS, NULL);
+	assert_int_equal(choose(f, NULL), ENDPOINTS);
+	f->now = upstream_next_room(f->upstream, f->now);
+	assert_true(choose(f, NULL) < ENDPOINTS);
+	assert_true(upstream_next_room(f->upstream, f->now) > f->now);
+}
+
+/* Fails when the subset is not kept to, or its refusal does not spill. */
+static void subset_is_preferred_and_spills(void **state)
+{
+	guint preferred = 0, i;
+	fixture_t *f = *state;
+
+	use_policy(f, ROUTING_SUBSET, 10);
+	warm_up(f);
+	for (i = 0; i < ENDPOINTS; i++) {
+		f->chosen[i] = share(f, i) > 0;
+		preferred += f->chosen[i];
+	}
+	assert_int_equal(preferred, 2);
+	for (i = 0; i < ENDPOINTS; i++)
+		if (f->chosen[i])
+			end_attempt(f, i, ATTEMPT_SHED, MS, NULL);
+	i = choose(f, NULL);
+	assert_true(i < ENDPOINTS && !f->chosen[i]);
+}
+
+/* Fails when refusals do not lower the limit, or answers do not restore it. */
+static void limit_is_learnt(void **state)
+{
+	fixture_t *f = *state;
+	guint i;
+
+	use_policy(f, ROUTING_LEARNT_LIMIT, 10);
+	warm_up(f);
+	for (i = 0; i < 6; i++)
+		end_attempt(f, 0, ATTEMPT_SHED, MS, NULL);
+	f->now += 15 * MS;
+	assert_true(share(f, 0) == 0);
+	for (i = 0; i < 60; i++) {
+		f->now += 100 * MS;
+		end_attempt(f, 0, ATTEMPT_ANSWERED, SERVICE_TIME, &idle);
+	}
+	assert_true(share(f, 0) > 0.05);
+}
+
+/* Fails when a probe goes to an endpoint whose report is fresh or of no use. */
+static void probe_goes_only_where_it_is_of_use(void **state)
+{
+	fixture_t *f = *state;
+	const char *address;
+	guint count = 0;
+
+	use_policy(f, ROUTING_SUBSET, 10);
+	f->now += 2 * G_TIME_SPAN_SECOND;
+	upstream_probe_ended(f->upstream, f->infos[choose(f, NULL)].address,
+			     &idle, f->now);
+	while ((address = upstream_next_probe(f->upstream, f->now)))
+		count++;
+	assert_int_equal(count, 1);
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		TEST(old_report_counts_little),
+		TEST(slots_bound_attempts),
+		TEST(late_attempt_turns_calls_away),
+		TEST(straggler_is_tried_slowly),
+		TEST(fast_failure_is_ejected),
+		TEST(refused_connection_ejects_and_silence_does_not),
+		TEST(half_of_the_endpoints_stays),
+		TEST(drain_is_learnt_and_revoked),
+		TEST(cold_start_ramps_up),
+		TEST(refusal_pauses),
+		TEST(subset_is_preferred_and_spills),
+		TEST(limit_is_learnt),
+		TEST(probe_goes_only_where_it_is_of_use),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
