--- a/lib/upstream/endpoint.c
+++ b/lib/upstream/endpoint.c
@@ -1,6 +1,9 @@
 /* Load reports and attempts in flight of one endpoint. */
 #include "lib/upstream/upstream_internal.h"
 
+/* Weight of a new report in the usual load from other entries. */
+#define OTHERS_WEIGHT 0.1
+
 const char *endpoint_address(const endpoint_t *endpoint)
 {
 	return endpoint->info.address;
@@ -20,24 +23,16 @@
 	return endpoint->report.in_flight - endpoint->own_at_report;
 }
 
-static double mean_of_others(const upstream_t *upstream)
+/* The usual load from others; the mean of all until the endpoint reports. */
+static double usual_of_others(const upstream_t *upstream,
+			      const endpoint_t *endpoint)
 {
-	const endpoint_t *endpoint;
-	double sum = 0;
-	guint count = 0;
-
-	TAILQ_FOREACH (endpoint, &upstream->endpoints, link) {
-		if (!endpoint->reported)
-			continue;
-		sum += reported_by_others(endpoint);
-		count++;
-	}
-	return count ? sum / count : 0;
+	return endpoint->reported ? endpoint->others : upstream->others;
 }
 
 /*
  * The load of an endpoint changes completely within about one service time,
- * so a report that is older than that says little more than the mean.
+ * so a report that is older than that says little more than the usual load.
  */
 double endpoint_load(const upstream_t *upstream, const endpoint_t *endpoint,
 		     GTimeSpan now)
@@ -48,7 +43,7 @@
 	if (endpoint->reported && upstream->latency > 0)
 		weight = upstream->latency / (upstream->latency + age);
 	return endpoint->in_flight + weight * reported_by_others(endpoint) +
-	       (1 - weight) * mean_of_others(upstream);
+	       (1 - weight) * usual_of_others(upstream, endpoint);
 }
 
 static void take_draining(endpoint_t *endpoint, gboolean draining,
@@ -66,12 +61,24 @@
 	health_start_ramp(endpoint, now);
 }
 
-void endpoint_take_report(endpoint_t *endpoint, const load_report_t *report,
-			  GTimeSpan asked, GTimeSpan now)
+static void learn_usual_load(upstream_t *upstream, endpoint_t *endpoint)
+{
+	double others = reported_by_others(endpoint);
+
+	endpoint->others += OTHERS_WEIGHT * (others - endpoint->others);
+	upstream->others += OTHERS_WEIGHT * (others - upstream->others);
+}
+
+void endpoint_take_report(upstream_t *upstream, endpoint_t *endpoint,
+			  const load_report_t *report, GTimeSpan asked,
+			  GTimeSpan now)
 {
+	if (!endpoint->reported)
+		endpoint->others = upstream->others;
 	endpoint->report = *report;
 	endpoint->reported = now;
 	endpoint->own_at_report = endpoint->in_flight;
+	learn_usual_load(upstream, endpoint);
 	if (report->in_flight < report->slots)
 		endpoint->full_until = 0;
 	take_draining(endpoint, report->draining, asked, now);
--- a/lib/upstream/health.c
+++ b/lib/upstream/health.c
@@ -18,8 +18,14 @@
 #define SLOW_MARGIN (2 * G_TIME_SPAN_MILLISECOND)
 /* In a row; a service whose times vary widely has single slow attempts. */
 #define SLOW_ATTEMPTS 2
-/* The whole fleet tries a straggler about twice a second. */
-#define TRIAL_INTERVAL_PER_ENTRY (G_TIME_SPAN_SECOND / 2)
+/* One attempt this many times beyond the bound is enough. */
+#define VERY_SLOW_FACTOR 2
+/*
+ * The whole fleet tries a straggler about once a second at first: more trials
+ * would be one in a hundred calls and show in the 99th percentile.
+ */
+#define TRIAL_INTERVAL_PER_ENTRY G_TIME_SPAN_SECOND
+#define TRIAL_DOUBLINGS_MAX 3
 
 /* An answer below this part of the usual latency cannot be the work's result. */
 #define QUICK_FACTOR 0.1
@@ -67,8 +73,7 @@
 static gboolean is_slow(const upstream_t *upstream, GTimeSpan latency)
 {
 	return upstream->median > 0 &&
-	       (double)latency >
-		       SLOW_FACTOR * upstream->median + SLOW_MARGIN;
+	       (double)latency > SLOW_FACTOR * upstream->median + SLOW_MARGIN;
 }
 
 /* The age of an attempt in flight is the earliest sign of a straggler. */
@@ -132,32 +137,48 @@
 	return AVAILABLE_YES;
 }
 
-static GTimeSpan trial_interval(const upstream_t *upstream)
+/* Random, so that the entries' trials do not coincide. */
+static void plan_trial(const upstream_t *upstream, endpoint_t *endpoint,
+		       GTimeSpan now)
 {
-	return (GTimeSpan)(g_rand_double_range(upstream->random, 0.5, 1.5) *
-			   upstream->limits.entries_max *
-			   TRIAL_INTERVAL_PER_ENTRY);
+	guint doublings = MIN(endpoint->trials, TRIAL_DOUBLINGS_MAX);
+	GTimeSpan mean = (TRIAL_INTERVAL_PER_ENTRY << doublings) *
+			 upstream->limits.entries_max;
+
+	endpoint->trials++;
+	endpoint->next_trial =
+		now +
+		(GTimeSpan)(g_rand_double_range(upstream->random, 0.5, 1.5) *
+			    (double)mean);
 }
 
 void health_attempt_started(const upstream_t *upstream, endpoint_t *endpoint,
 			    GTimeSpan now)
 {
 	if (endpoint->slow)
-		endpoint->next_trial = now + trial_interval(upstream);
+		plan_trial(upstream, endpoint, now);
+}
+
+static void count_slow(upstream_t *upstream, endpoint_t *endpoint,
+		       GTimeSpan latency, GTimeSpan now)
+{
+	endpoint->slow_attempts++;
+	if (is_slow(upstream, latency / VERY_SLOW_FACTOR))
+		endpoint->slow_attempts = SLOW_ATTEMPTS;
+	if (endpoint->slow || endpoint->slow_attempts < SLOW_ATTEMPTS ||
+	    !half_stays(upstream, 1, now))
+		return;
+	endpoint->slow = TRUE;
+	endpoint->trials = 0;
+	plan_trial(upstream, endpoint, now);
+	counters_add(upstream->counters, COUNTER_ENDPOINTS_SLOW, 1);
 }
 
 static void judge_latency(upstream_t *upstream, endpoint_t *endpoint,
 			  GTimeSpan latency, GTimeSpan now)
 {
 	if (is_slow(upstream, latency)) {
-		endpoint->slow_attempts++;
-		if (endpoint->slow ||
-		    endpoint->slow_attempts < SLOW_ATTEMPTS ||
-		    !half_stays(upstream, 1, now))
-			return;
-		endpoint->slow = TRUE;
-		endpoint->next_trial = now + trial_interval(upstream);
-		counters_add(upstream->counters, COUNTER_ENDPOINTS_SLOW, 1);
+		count_slow(upstream, endpoint, latency, now);
 		return;
 	}
 	endpoint->slow_attempts = 0;
--- a/lib/upstream/routing_learnt_limit.c
+++ b/lib/upstream/routing_learnt_limit.c
@@ -39,8 +39,7 @@
 
 static void decrease(endpoint_t *endpoint)
 {
-	endpoint->limit =
-		MAX(limit_of(endpoint) * LIMIT_DECREASE, LIMIT_MIN);
+	endpoint->limit = MAX(limit_of(endpoint) * LIMIT_DECREASE, LIMIT_MIN);
 }
 
 static void attempt_ended(void *ctx, endpoint_t *endpoint, attempt_end_t end,
--- a/lib/upstream/routing_random.c
+++ b/lib/upstream/routing_random.c
@@ -3,8 +3,8 @@
 
 endpoint_t *candidates_pick(const candidates_t *candidates, GRand *random)
 {
-	return candidates->items[g_rand_int_range(random, 0,
-						  (gint32)candidates->count)];
+	return candidates
+		->items[g_rand_int_range(random, 0, (gint32)candidates->count)];
 }
 
 static endpoint_t *choose(void *ctx, const candidates_t *candidates,
--- a/lib/upstream/routing_subset.c
+++ b/lib/upstream/routing_subset.c
@@ -50,8 +50,8 @@
 	TAILQ_FOREACH (endpoint, &upstream->endpoints, link)
 		endpoint->weight = weigh(upstream, endpoint);
 	TAILQ_FOREACH (endpoint, &upstream->endpoints, link)
-		endpoint->preferred =
-			rank_of(upstream, endpoint) < subset_size(upstream);
+		endpoint->preferred = rank_of(upstream, endpoint) <
+				      subset_size(upstream);
 }
 
 static endpoint_t *choose_preferred(const upstream_t *upstream,
--- a/lib/upstream/upstream.c
+++ b/lib/upstream/upstream.c
@@ -88,6 +88,35 @@
 	return upstream->service;
 }
 
+static endpoint_t *find_endpoint(const upstream_t *upstream,
+				 const char *address)
+{
+	endpoint_t *endpoint;
+
+	TAILQ_FOREACH (endpoint, &upstream->endpoints, link)
+		if (strcmp(endpoint->info.address, address) == 0)
+			return endpoint;
+	return NULL;
+}
+
+/*
+ * The first probe is due after one to two intervals: entries that start at the
+ * same time must not probe at the same time.
+ */
+static void start_probe_budget(const upstream_t *upstream, endpoint_t *endpoint,
+			       GTimeSpan now)
+{
+	GTimeSpan delay = 0;
+
+	if (upstream->probes_per_second > 0)
+		delay = (GTimeSpan)(g_rand_double(upstream->random) *
+				    upstream->limits.entries_max *
+				    G_TIME_SPAN_SECOND /
+				    upstream->probes_per_second);
+	probe_budget_init(&endpoint->probes, upstream->probes_per_second,
+			  upstream->limits.entries_max, now + delay);
+}
+
 void upstream_configure(upstream_t *upstream, const schema_service_t *service,
 			GTimeSpan now)
 {
@@ -99,20 +128,7 @@
 		return;
 	upstream->probes_per_second = service->probes_per_second;
 	TAILQ_FOREACH (endpoint, &upstream->endpoints, link)
-		probe_budget_init(&endpoint->probes,
-				  upstream->probes_per_second,
-				  upstream->limits.entries_max, now);
-}
-
-static endpoint_t *find_endpoint(const upstream_t *upstream,
-				 const char *address)
-{
-	endpoint_t *endpoint;
-
-	TAILQ_FOREACH (endpoint, &upstream->endpoints, link)
-		if (strcmp(endpoint->info.address, address) == 0)
-			return endpoint;
-	return NULL;
+		start_probe_budget(upstream, endpoint, now);
 }
 
 static endpoint_t *add_endpoint(upstream_t *upstream,
@@ -122,8 +138,7 @@
 
 	endpoint->info = *info;
 	TAILQ_INIT(&endpoint->flights);
-	probe_budget_init(&endpoint->probes, upstream->probes_per_second,
-			  upstream->limits.entries_max, now);
+	start_probe_budget(upstream, endpoint, now);
 	TAILQ_INSERT_TAIL(&upstream->endpoints, endpoint, link);
 	upstream->endpoint_count++;
 	return endpoint;
@@ -309,7 +324,8 @@
 	refresh_median(upstream, now);
 	health_attempt_ended(upstream, endpoint, end, latency, now);
 	if (report)
-		endpoint_take_report(endpoint, report, now - latency, now);
+		endpoint_take_report(upstream, endpoint, report, now - latency,
+				     now);
 	if (routing->attempt_ended)
 		routing->attempt_ended(routing->ctx, endpoint, end, latency,
 				       now);
@@ -324,7 +340,8 @@
 	endpoint_t *endpoint = find_endpoint(upstream, address);
 
 	if (endpoint && report)
-		endpoint_take_report(endpoint, report, endpoint->probed, now);
+		endpoint_take_report(upstream, endpoint, report,
+				     endpoint->probed, now);
 }
 
 /* A draining endpoint is probed as well, to learn that it takes work again. */
--- a/lib/upstream/upstream_internal.h
+++ b/lib/upstream/upstream_internal.h
@@ -23,6 +23,7 @@
 	load_report_t report;
 	GTimeSpan reported; /* instant of the report, 0 for none */
 	guint own_at_report; /* attempts from this entry at that instant */
+	double others; /* moving average of the other entries' load */
 	probe_budget_t probes;
 	GTimeSpan probed; /* instant of the last probe */
 
@@ -33,7 +34,8 @@
 	GTimeSpan ejected_until; /* 0 when not ejected */
 	guint slow_attempts; /* in a row */
 	gboolean slow; /* a straggler */
-	GTimeSpan next_trial; /* of a straggler */
+	guint trials; /* of a straggler so far */
+	GTimeSpan next_trial;
 	GTimeSpan full_until; /* pause after a refusal */
 	GTimeSpan warm_from; /* start of a ramp, 0 for none */
 
@@ -79,6 +81,7 @@
 	double latency; /* moving average in microseconds, 0 for none */
 	double median; /* of the endpoints' latencies, 0 for none */
 	GTimeSpan median_at;
+	double others; /* moving average of the other entries' load */
 	double failure_ratio; /* moving average over all endpoints */
 	GPtrArray *open; /* scratch of upstream_choose() */
 	GPtrArray *reserve;
@@ -104,13 +107,16 @@
 
 /*
  * Estimated requests at the endpoint: this entry's own, which are exact, plus
- * the others' from the last report, corrected towards the mean by its age.
+ * the others' from the last report, corrected towards their usual load by its
+ * age.
  */
 double endpoint_load(const upstream_t *upstream, const endpoint_t *endpoint,
 		     GTimeSpan now);
 
-void endpoint_take_report(endpoint_t *endpoint, const load_report_t *report,
-			  GTimeSpan asked, GTimeSpan now);
+/* Takes a report to a question that was sent at the instant asked. */
+void endpoint_take_report(upstream_t *upstream, endpoint_t *endpoint,
+			  const load_report_t *report, GTimeSpan asked,
+			  GTimeSpan now);
 
 /* Records an attempt in flight, and its end. */
 void endpoint_add_flight(endpoint_t *endpoint, GTimeSpan now);
