--- a/lib/upstream/health.c
+++ b/lib/upstream/health.c
@@ -70,10 +70,16 @@
 	return half_stays(upstream, 0, now);
 }
 
-static gboolean is_slow(const upstream_t *upstream, GTimeSpan latency)
+/* Waiting behind the requests that an endpoint reports is not slowness. */
+static gboolean is_slow(const upstream_t *upstream, const endpoint_t *endpoint,
+			GTimeSpan latency)
 {
+	double slots = endpoint_slots(upstream, endpoint);
+	double queueing = MAX((endpoint->report.in_flight + 1) / slots, 1);
+
 	return upstream->median > 0 &&
-	       (double)latency > SLOW_FACTOR * upstream->median + SLOW_MARGIN;
+	       (double)latency >
+		       SLOW_FACTOR * queueing * upstream->median + SLOW_MARGIN;
 }
 
 /* The age of an attempt in flight is the earliest sign of a straggler. */
@@ -82,7 +88,7 @@
 {
 	const flight_t *oldest = TAILQ_FIRST(&endpoint->flights);
 
-	return oldest && is_slow(upstream, now - oldest->started);
+	return oldest && is_slow(upstream, endpoint, now - oldest->started);
 }
 
 void health_start_ramp(endpoint_t *endpoint, GTimeSpan now)
@@ -163,7 +169,7 @@
 		       GTimeSpan latency, GTimeSpan now)
 {
 	endpoint->slow_attempts++;
-	if (is_slow(upstream, latency / VERY_SLOW_FACTOR))
+	if (is_slow(upstream, endpoint, latency / VERY_SLOW_FACTOR))
 		endpoint->slow_attempts = SLOW_ATTEMPTS;
 	if (endpoint->slow || endpoint->slow_attempts < SLOW_ATTEMPTS ||
 	    !half_stays(upstream, 1, now))
@@ -177,7 +183,7 @@
 static void judge_latency(upstream_t *upstream, endpoint_t *endpoint,
 			  GTimeSpan latency, GTimeSpan now)
 {
-	if (is_slow(upstream, latency)) {
+	if (is_slow(upstream, endpoint, latency)) {
 		count_slow(upstream, endpoint, latency, now);
 		return;
 	}
@@ -271,7 +277,7 @@
 		pause_after_refusal(upstream, endpoint, now);
 		break;
 	case ATTEMPT_ABANDONED:
-		if (is_slow(upstream, latency))
+		if (is_slow(upstream, endpoint, latency))
 			judge_latency(upstream, endpoint, latency, now);
 		break;
 	case ATTEMPT_CANCELLED:
--- a/lib/upstream/routing_subset.c
+++ b/lib/upstream/routing_subset.c
@@ -54,9 +54,10 @@
 				      subset_size(upstream);
 }
 
-static endpoint_t *choose_preferred(const upstream_t *upstream,
-				    const candidates_t *candidates,
-				    GTimeSpan now)
+/* The least loaded candidate of the subset, or of the rest. */
+static endpoint_t *least_loaded(const upstream_t *upstream,
+				const candidates_t *candidates,
+				gboolean preferred, GTimeSpan now)
 {
 	endpoint_t *chosen = NULL;
 	double lowest = 0;
@@ -67,11 +68,9 @@
 	for (i = 0; i < candidates->count; i++) {
 		endpoint_t *endpoint = candidates->items[i];
 
-		if (!endpoint->preferred)
+		if (endpoint->preferred != preferred)
 			continue;
 		load = endpoint_load(upstream, endpoint, now);
-		if (load >= endpoint_slots(upstream, endpoint))
-			continue;
 		if (chosen && load > lowest)
 			continue;
 		equal = chosen && load == lowest ? equal + 1 : 1;
@@ -82,12 +81,28 @@
 	return chosen;
 }
 
+static gboolean is_full(const upstream_t *upstream, const endpoint_t *endpoint,
+			GTimeSpan now)
+{
+	return endpoint_load(upstream, endpoint, now) >=
+	       endpoint_slots(upstream, endpoint);
+}
+
 static endpoint_t *choose(void *ctx, const candidates_t *candidates,
 			  GTimeSpan now)
 {
-	endpoint_t *chosen = choose_preferred(ctx, candidates, now);
-
-	return chosen ? chosen : candidates_pick_of_two(ctx, candidates, now);
+	endpoint_t *near = least_loaded(ctx, candidates, TRUE, now);
+	endpoint_t *rest;
+
+	if (near && !is_full(ctx, near, now))
+		return near;
+	rest = least_loaded(ctx, candidates, FALSE, now);
+	if (!near)
+		return rest;
+	return rest && endpoint_load(ctx, rest, now) <
+				       endpoint_load(ctx, near, now) ?
+		       rest :
+		       near;
 }
 
 static gboolean needs_report(void *ctx, const endpoint_t *endpoint)
--- a/tests/test_probe_budget.c
+++ b/tests/test_probe_budget.c
@@ -48,10 +48,10 @@
 		probe_budget_init(&budget, BUDGET, ENTRIES, START);
 		assert_false(probe_budget_take(&budget, START));
 	}
-	assert_int_equal(take_all(&budget, START + G_TIME_SPAN_HOUR,
-				  START + G_TIME_SPAN_HOUR +
-					  8 * G_TIME_SPAN_SECOND),
-			 1);
+	assert_int_equal(
+		take_all(&budget, START + G_TIME_SPAN_HOUR,
+			 START + G_TIME_SPAN_HOUR + 8 * G_TIME_SPAN_SECOND),
+		1);
 }
 
 /* Fails when a budget of zero still lets probes through. */
