--- a/codec/settings_json.c
+++ b/codec/settings_json.c
@@ -66,8 +66,6 @@
 	  "attempts", "attempts of one call, the first included" },
 	{ "retry_percent", ENTRY_FIELD(retry_percent), FIELD_UINT, 0, 100, 10,
 	  "percent", "retries allowed per hundred first attempts" },
-	{ "hedge_percent", ENTRY_FIELD(hedge_percent), FIELD_UINT, 0, 100, 0,
-	  "percent", "second attempts allowed per hundred idempotent calls" },
 	{ "report_stale_after_ms", ENTRY_FIELD(report_stale_after),
 	  FIELD_MILLISECONDS, 10, 60000, 1000, "ms",
 	  "age from which a load report is refreshed by a probe" },
--- a/lib/call/call.h
+++ b/lib/call/call.h
@@ -25,8 +25,6 @@
 /* Attributes are copied at admission; a new configuration leaves them. */
 typedef struct call {
 	TAILQ_ENTRY(call) by_deadline;
-	TAILQ_ENTRY(call) by_hedge;
-	gboolean hedge_planned; /* in the list of planned hedges */
 	admission_item_t queue;
 	char *service;
 	char *method;
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -81,7 +81,6 @@
 		upstream_new(name, &limits, entry->random, entry->counters);
 	service->admission =
 		admission_new(&entry->limits.admission, entry->counters);
-	TAILQ_INIT(&service->hedges);
 	TAILQ_INSERT_TAIL(&entry->services, service, link);
 	return service;
 }
@@ -239,10 +238,8 @@
 	entry_expire_calls(entry);
 	if (entry_now(entry) >= entry->next_housekeeping)
 		housekeeping(entry);
-	TAILQ_FOREACH (service, &entry->services, link) {
+	TAILQ_FOREACH (service, &entry->services, link)
 		entry_dispatch(entry, service);
-		entry_hedge_calls(entry, service);
-	}
 }
 
 GTimeSpan entry_next_wakeup(const entry_t *entry)
@@ -252,11 +249,9 @@
 
 	if (!TAILQ_EMPTY(&entry->calls))
 		wakeup = MIN(wakeup, TAILQ_FIRST(&entry->calls)->deadline);
-	TAILQ_FOREACH (service, &entry->services, link) {
+	TAILQ_FOREACH (service, &entry->services, link)
 		wakeup = MIN(wakeup, upstream_next_room(service->upstream,
 							entry_now(entry)));
-		wakeup = MIN(wakeup, entry_hedge_due(service));
-	}
 	return wakeup;
 }
 
--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -33,7 +33,6 @@
 	GTimeSpan report_stale_after;
 	guint attempts_max; /* attempts of one call, at least 1 */
 	guint retry_percent; /* retries per hundred first attempts */
-	guint hedge_percent; /* hedges per hundred idempotent calls, 0: off */
 	GTimeSpan resolve_ttl; /* how long a caller keeps addresses */
 	guint resolve_addresses; /* 1 to ENTRY_RESOLVE_ADDRESSES_MAX */
 	GTimeSpan shutdown_max; /* bound of a graceful shutdown */
--- a/lib/entry/entry_calls.c
+++ b/lib/entry/entry_calls.c
@@ -77,7 +77,6 @@
 	call_waiter_t *waiter;
 
 	admission_remove(service->admission, &call->queue);
-	entry_hedge_forget(service, call);
 	abandon_attempts(entry, call);
 	TAILQ_FOREACH (waiter, &call->waiters, link)
 		g_hash_table_remove(entry->calls_by_ref, waiter->caller_ref);
@@ -162,8 +161,9 @@
 	return schema->priorities[priority].name;
 }
 
-void entry_start_attempt(entry_t *entry, entry_service_t *service, call_t *call,
-			 const endpoint_t *endpoint, GTimeSpan now)
+static void start_attempt(entry_t *entry, entry_service_t *service,
+			  call_t *call, const endpoint_t *endpoint,
+			  GTimeSpan now)
 {
 	attempt_t *attempt = call_start_attempt(
 		call, entry->next_attempt++, endpoint_address(endpoint), now);
@@ -181,15 +181,13 @@
 	g_hash_table_insert(entry->calls_by_attempt, &attempt->id, call);
 	upstream_attempt_started(service->upstream, attempt->address, now);
 	counters_add(entry->counters, COUNTER_ATTEMPTS_STARTED, 1);
-	if (call->attempts_made == 1) {
-		entry_hedge_plan(entry, service, call);
+	if (call->attempts_made > 1)
+		counters_add(entry->counters, COUNTER_ATTEMPTS_RETRIED, 1);
+	else
 		entry->retry_credit =
 			MIN(RETRY_CREDIT_MAX,
 			    entry->retry_credit +
 				    entry->limits.retry_percent / 100.0);
-	} else if (attempt == TAILQ_FIRST(&call->attempts)) {
-		counters_add(entry->counters, COUNTER_ATTEMPTS_RETRIED, 1);
-	}
 	entry->actions.start_attempt(entry->actions.ctx, &request);
 }
 
@@ -223,7 +221,7 @@
 		finish_with_error(entry, call, &error);
 		return TRUE;
 	}
-	entry_start_attempt(entry, service, call, endpoint, now);
+	start_attempt(entry, service, call, endpoint, now);
 	return TRUE;
 }
 
@@ -474,7 +472,6 @@
 static void retry_call(entry_t *entry, entry_service_t *service, call_t *call)
 {
 	entry->retry_credit -= 1;
-	entry_hedge_forget(service, call);
 	if (call->has_id)
 		request_ids_undispatch(entry->ids, call->sequence);
 	admission_requeue(service->admission, &call->queue);
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -13,8 +13,6 @@
 	upstream_t *upstream;
 	admission_t *admission;
 	gboolean declared; /* in the schema in force */
-	TAILQ_HEAD(hedge_list, call) hedges; /* earliest attempt first */
-	double hedge_credit; /* hedges that may start */
 } entry_service_t;
 
 struct entry {
@@ -52,22 +50,6 @@
 /* Starts waiting calls for which an endpoint has room. */
 void entry_dispatch(entry_t *entry, entry_service_t *service);
 
-/* Starts an attempt at the endpoint that was chosen. */
-void entry_start_attempt(entry_t *entry, entry_service_t *service, call_t *call,
-			 const endpoint_t *endpoint, GTimeSpan now);
-
-/* Plans a hedge of a call whose first attempt has just started. */
-void entry_hedge_plan(entry_t *entry, entry_service_t *service, call_t *call);
-
-/* Gives up a planned hedge, if there is one. */
-void entry_hedge_forget(entry_service_t *service, call_t *call);
-
-/* Instant of the next hedge of the service, or CATK_NEVER. */
-GTimeSpan entry_hedge_due(const entry_service_t *service);
-
-/* Starts the hedges that are due, or drops them when they are not allowed. */
-void entry_hedge_calls(entry_t *entry, entry_service_t *service);
-
 /* Ends the calls whose deadline has passed. */
 void entry_expire_calls(entry_t *entry);
 
--- a/lib/upstream/upstream.c
+++ b/lib/upstream/upstream.c
@@ -5,9 +5,6 @@
 
 /* Weight of a new latency in the moving average. */
 #define LATENCY_WEIGHT 0.2
-#define SLOW_QUANTILE 0.95
-/* Change of the quantile's estimate by one answer, in mean latencies. */
-#define QUANTILE_STEP 0.1
 /* Time after which the median of the endpoints' latencies is taken again. */
 #define MEDIAN_AGE_MAX (20 * G_TIME_SPAN_MILLISECOND)
 
@@ -302,20 +299,6 @@
 		*mean += LATENCY_WEIGHT * ((double)sample - *mean);
 }
 
-/*
- * Moves the estimate up for answers above it and down for those below, in the
- * ratio that keeps it still at the quantile.
- */
-static void estimate_quantile(double *estimate, GTimeSpan sample, double step)
-{
-	if (*estimate == 0)
-		*estimate = (double)sample;
-	else if ((double)sample > *estimate)
-		*estimate += step * SLOW_QUANTILE;
-	else
-		*estimate -= step * (1 - SLOW_QUANTILE);
-}
-
 /* A failure's latency says nothing of the work: it must not attract load. */
 static void take_latency(upstream_t *upstream, endpoint_t *endpoint,
 			 GTimeSpan latency)
@@ -323,11 +306,8 @@
 	if (endpoint->failures > 0)
 		return;
 	average(&endpoint->latency, latency);
-	if (endpoint->slow)
-		return;
-	average(&upstream->latency, latency);
-	estimate_quantile(&upstream->slow_latency, latency,
-			  QUANTILE_STEP * upstream->latency);
+	if (!endpoint->slow)
+		average(&upstream->latency, latency);
 }
 
 void upstream_attempt_ended(upstream_t *upstream, const char *address,
@@ -396,11 +376,6 @@
 	return NULL;
 }
 
-GTimeSpan upstream_slow_latency(const upstream_t *upstream)
-{
-	return (GTimeSpan)upstream->slow_latency;
-}
-
 GTimeSpan upstream_mean_latency(const upstream_t *upstream)
 {
 	return (GTimeSpan)upstream->latency;
--- a/lib/upstream/upstream_internal.h
+++ b/lib/upstream/upstream_internal.h
@@ -79,7 +79,6 @@
 	guint endpoint_count;
 	guint in_flight;
 	double latency; /* moving average in microseconds, 0 for none */
-	double slow_latency; /* estimated 95th percentile, 0 for none */
 	double median; /* of the endpoints' latencies, 0 for none */
 	GTimeSpan median_at;
 	double others; /* moving average of the other entries' load */
