--- a/codec/settings_json.c
+++ b/codec/settings_json.c
@@ -176,7 +176,7 @@
 	const char *name;
 	int policy;
 
-	settings->entry.routing = ROUTING_TWO_CHOICES;
+	settings->entry.routing = ROUTING_SUBSET;
 	if (!json_object_has_member(object, "routing"))
 		return;
 	name = json_reader_string(reader, "$", object, "routing");
