Let the retry test wait out the pause of an endpoint that refused

An endpoint that sheds now gets no attempt for up to 100 ms, so with a single endpoint the retry after a proof comes later than in the same step. The test advances its clock by that pause before it checks; the check itself is as strict as before, and calls that prove nothing must now stay without a retry for the pause as well.

--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -197,6 +197,9 @@
 	assert_told(f, 6, CATK_CONFLICT, OUTCOME_NOT_RUN);
 }
 
+/* An endpoint that refused an attempt gets no other for at most this time. */
+#define REFUSAL_PAUSE (100 * G_TIME_SPAN_MILLISECOND)
+
 /* Fails when a call is sent again after an end that proves nothing. */
 static void retry_only_on_proof(void **state)
 {
@@ -208,6 +211,7 @@
 		f->started = 0;
 		book(f, ref, ref);
 		end_last(f, (attempt_end_t)end);
+		advance(f, REFUSAL_PAUSE);
 		if (attempt_end_is_not_run((attempt_end_t)end)) {
 			assert_int_equal(f->started, 2);
 			assert_int_equal(f->last.attempt, 2);
