Keep the size of the subset when one of its endpoints is blocked

Cause of the missed target at 80% load: with three stragglers p99 was 183.2 ms against 137.1 ms, while the same load on the remaining capacity (88%, all alike) gave 165.0 ms. Entries with a straggler in their subset had fewer preferred endpoints than the others.

--- a/lib/upstream/health.c
+++ b/lib/upstream/health.c
@@ -44,7 +44,7 @@
 	       !endpoint->draining;
 }
 
-static gboolean is_blocked(const endpoint_t *endpoint, GTimeSpan now)
+gboolean health_is_blocked(const endpoint_t *endpoint, GTimeSpan now)
 {
 	return endpoint->slow || now < endpoint->ejected_until;
 }
@@ -60,7 +60,7 @@
 		if (!health_takes_work(endpoint))
 			continue;
 		working++;
-		blocked += is_blocked(endpoint, now);
+		blocked += health_is_blocked(endpoint, now);
 	}
 	return blocked * 2 <= working;
 }
@@ -213,7 +213,8 @@
 	guint doublings = MIN(endpoint->ejections, EJECTION_DOUBLINGS_MAX);
 
 	if (upstream->failure_ratio > SERVICE_FAILURE_RATIO ||
-	    (!is_blocked(endpoint, now) && !half_stays(upstream, 1, now)))
+	    (!health_is_blocked(endpoint, now) &&
+	     !half_stays(upstream, 1, now)))
 		return;
 	endpoint->ejections++;
 	endpoint->ejected_until = now + (EJECTION_MIN << doublings);
--- a/lib/upstream/routing_subset.c
+++ b/lib/upstream/routing_subset.c
@@ -36,8 +36,7 @@
 	guint rank = 0;
 
 	TAILQ_FOREACH (other, &upstream->endpoints, link)
-		if (health_takes_work(other) &&
-		    other->weight > endpoint->weight)
+		if (other->usable && other->weight > endpoint->weight)
 			rank++;
 	return rank;
 }
--- a/lib/upstream/upstream.c
+++ b/lib/upstream/upstream.c
@@ -179,6 +179,22 @@
 	endpoint->unlisted = FALSE;
 }
 
+/* TRUE when an endpoint has become usable or stopped being so. */
+static gboolean note_usable(upstream_t *upstream, GTimeSpan now)
+{
+	gboolean changed = FALSE;
+	endpoint_t *endpoint;
+	gboolean usable;
+
+	TAILQ_FOREACH (endpoint, &upstream->endpoints, link) {
+		usable = health_takes_work(endpoint) &&
+			 !health_is_blocked(endpoint, now);
+		changed |= usable != endpoint->usable;
+		endpoint->usable = usable;
+	}
+	return changed;
+}
+
 void upstream_set_endpoints(upstream_t *upstream, const endpoint_info_t *infos,
 			    gsize count, GTimeSpan now)
 {
@@ -193,6 +209,7 @@
 	for (i = 0; i < count; i++)
 		take_info(upstream, &infos[i], first_list, now);
 	free_unlisted(upstream);
+	note_usable(upstream, now);
 	if (upstream->routing.list_changed)
 		upstream->routing.list_changed(upstream->routing.ctx);
 }
@@ -252,6 +269,8 @@
 	candidates_t candidates;
 	GPtrArray *source;
 
+	if (note_usable(upstream, now) && upstream->routing.list_changed)
+		upstream->routing.list_changed(upstream->routing.ctx);
 	refresh_median(upstream, now);
 	collect(upstream, avoid, now);
 	source = upstream->open->len ? upstream->open : upstream->reserve;
--- a/lib/upstream/upstream_internal.h
+++ b/lib/upstream/upstream_internal.h
@@ -41,6 +41,7 @@
 
 	guint64 weight; /* rendezvous hash with this entry */
 	gboolean preferred; /* in this entry's subset */
+	gboolean usable; /* takes work and is not blocked */
 	double limit; /* learnt limit of concurrent attempts */
 	GTimeSpan rest_until; /* pause of a limit below 1 */
 };
@@ -57,7 +58,7 @@
 			      GTimeSpan now);
 	/* Instant from which one more attempt is allowed, or CATK_NEVER. */
 	GTimeSpan (*room_at)(void *ctx, const endpoint_t *endpoint);
-	/* The list of endpoints has changed. */
+	/* The endpoints, or which of them are usable, have changed. */
 	void (*list_changed)(void *ctx);
 	void (*attempt_ended)(void *ctx, endpoint_t *endpoint,
 			      attempt_end_t end, GTimeSpan latency,
@@ -139,6 +140,9 @@
 /* TRUE while listed and neither leaving nor draining. */
 gboolean health_takes_work(const endpoint_t *endpoint);
 
+/* TRUE for a straggler and while ejected. */
+gboolean health_is_blocked(const endpoint_t *endpoint, GTimeSpan now);
+
 /* FALSE when more than half of the endpoints are ejected or slow. */
 gboolean health_keeps_half(const upstream_t *upstream, GTimeSpan now);
 
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -294,6 +294,21 @@
 	assert_true(i < ENDPOINTS && !f->chosen[i]);
 }
 
+/* Fails when an entry whose subset has a fault is left with a smaller one. */
+static void subset_replaces_a_blocked_endpoint(void **state)
+{
+	fixture_t *f = *state;
+	guint others = 0, i, faulty;
+
+	use_policy(f, ROUTING_SUBSET, 10);
+	warm_up(f);
+	faulty = choose(f, NULL);
+	end_attempt(f, faulty, ATTEMPT_NOT_SENT, 0, NULL);
+	for (i = 0; i < ENDPOINTS; i++)
+		others += i != faulty && share(f, i) > 0;
+	assert_int_equal(others, 2);
+}
+
 /* Fails when refusals do not lower the limit, or answers do not restore it. */
 static void limit_is_learnt(void **state)
 {
@@ -344,6 +359,7 @@
 		TEST(cold_start_ramps_up),
 		TEST(refusal_pauses),
 		TEST(subset_is_preferred_and_spills),
+		TEST(subset_replaces_a_blocked_endpoint),
 		TEST(limit_is_learnt),
 		TEST(probe_goes_only_where_it_is_of_use),
 	};
