Admission policies with floors, caller fairness and deadline-aware refusal

Queues per priority had no floors, no fairness between callers and refused only when full. A policy is now a set of callbacks: fifo (baseline) and priority. The retry credit moves into its own file, and a caller's retry (Catkinstall-Attempt above 1) gets no retry here.

--- a/lib/admission/admission.h
+++ b/lib/admission/admission.h
@@ -17,7 +17,10 @@
 	GTimeSpan deadline; /* instant */
 	const char *caller; /* name; must outlive the queueing */
 
-	TAILQ_ENTRY(admission_item) link;
+	TAILQ_ENTRY(admission_item) link; /* in the caller's sub-queue */
+	TAILQ_ENTRY(admission_item) by_arrival;
+	guint64 arrival; /* order of arrival at this queue */
+	struct lane_caller *owner; /* NULL while not queued */
 	struct admission_lane *lane; /* NULL while not queued */
 } admission_item_t;
 
@@ -28,7 +31,7 @@
 
 typedef struct {
 	admission_policy_t policy;
-	guint queue_max; /* waiting calls of one priority, at least 1 */
+	guint queue_max; /* waiting calls over all priorities, at least 1 */
 	guint caller_share_percent; /* of queue_max one caller may fill */
 } admission_limits_t;
 
@@ -46,19 +49,53 @@
 
 /*
  * Queues an item. Returns FALSE, and leaves the item unqueued, with
- * CATK_OVERLOADED (queue full, or the call cannot start before its deadline),
+ * CATK_OVERLOADED (queue full, or the call cannot finish before its deadline),
  * CATK_RATE_LIMITED (the caller fills its share) or CATK_DEADLINE_EXCEEDED.
  * All are OUTCOME_NOT_RUN; retry_after is an estimate from the drain rate.
+ *
+ * When the item takes the place of another in a full queue, returns TRUE, sets
+ * *displaced to the other, which is no longer queued, and err to the error to
+ * end it with. Otherwise *displaced is NULL.
  */
 gboolean admission_offer(admission_t *admission, admission_item_t *item,
-			 GTimeSpan now, catk_error_t *err);
+			 GTimeSpan now, admission_item_t **displaced,
+			 catk_error_t *err);
 
 /*
- * Unlinks and returns the item to dispatch next, NULL when none waits. Its
- * deadline may have passed: the caller checks it at dispatch.
+ * Unlinks and returns the item to dispatch next, NULL when none waits or the
+ * limit of attempts in flight is reached. It may be too late to start it: see
+ * admission_can_finish(). A dispatch is reported with admission_started().
  */
 admission_item_t *admission_next(admission_t *admission, GTimeSpan now);
 
+/*
+ * FALSE with CATK_OVERLOADED, OUTCOME_NOT_RUN when a call that starts now would
+ * not finish before its deadline, at the mean latency of recent answers. With
+ * no attempt in flight it is TRUE, so that the latency is measured again.
+ */
+gboolean admission_can_finish(const admission_t *admission,
+			      const admission_item_t *item, GTimeSpan now,
+			      catk_error_t *err);
+
+/* How an attempt ended, as far as it matters to admission. */
+typedef enum {
+	ADMISSION_ANSWERED,
+	ADMISSION_REFUSED, /* by the upstream, before start */
+	ADMISSION_NO_ANSWER /* failed or abandoned */
+} admission_end_t;
+
+/* An attempt of the item starts. */
+void admission_started(admission_t *admission, const admission_item_t *item,
+		       GTimeSpan now);
+
+/*
+ * An attempt of the item ended after the given time. upstream_queued tells
+ * that the endpoint reported more requests than it has slots.
+ */
+void admission_ended(admission_t *admission, const admission_item_t *item,
+		     admission_end_t end, gboolean upstream_queued,
+		     GTimeSpan latency, GTimeSpan now);
+
 /* Queues an item again after an attempt that did not run, ahead of others. */
 void admission_requeue(admission_t *admission, admission_item_t *item);
 
@@ -68,4 +105,10 @@
 /* Waiting items of one priority. */
 guint admission_length(const admission_t *admission, guint priority);
 
+/* Attempts that may be in flight, learnt from the upstream's reports. */
+double admission_limit(const admission_t *admission);
+
+/* Calls per second that the service completes or could complete. */
+double admission_drain_rate(const admission_t *admission, GTimeSpan now);
+
 #endif
--- /dev/null
+++ b/lib/admission/policy_fifo.c
@@ -0,0 +1,59 @@
+/* First come, first served over all priorities and callers. */
+#include "lib/admission/policy.h"
+
+static admission_item_t *fifo_next(void *ctx, const admission_view_t *view)
+{
+	admission_item_t *item, *oldest = NULL;
+	guint i;
+
+	(void)ctx;
+	if (view->in_flight_total + 1 > view->limit)
+		return NULL;
+	for (i = 0; i < SCHEMA_PRIORITIES_MAX; i++) {
+		item = TAILQ_FIRST(&view->lanes[i].arrivals);
+		if (item && (!oldest || item->arrival < oldest->arrival))
+			oldest = item;
+	}
+	return oldest;
+}
+
+static void fifo_started(void *ctx, const admission_view_t *view,
+			 guint priority, GTimeSpan now)
+{
+	(void)ctx;
+	(void)view;
+	(void)priority;
+	(void)now;
+}
+
+static admission_item_t *fifo_displace(void *ctx, const admission_view_t *view,
+				       guint priority)
+{
+	(void)ctx;
+	(void)view;
+	(void)priority;
+	return NULL;
+}
+
+static double fifo_wait(void *ctx, const admission_view_t *view, guint priority,
+			double rate, GTimeSpan now)
+{
+	(void)ctx;
+	(void)priority;
+	(void)now;
+	return view->waiting / rate;
+}
+
+static void fifo_free(void *ctx)
+{
+	(void)ctx;
+}
+
+admission_policy_ops_t admission_policy_fifo(void)
+{
+	return (admission_policy_ops_t){ .next = fifo_next,
+					 .started = fifo_started,
+					 .displace = fifo_displace,
+					 .wait = fifo_wait,
+					 .free = fifo_free };
+}
--- /dev/null
+++ b/lib/admission/retry_budget.c
@@ -0,0 +1,27 @@
+#include "lib/admission/retry_budget.h"
+
+#define CREDIT_OF_RETRY 100
+
+void retry_budget_init(retry_budget_t *budget, guint percent)
+{
+	g_assert(percent <= 100);
+	budget->percent = percent;
+	budget->credit = 0;
+}
+
+void retry_budget_earn(retry_budget_t *budget)
+{
+	budget->credit = MIN(budget->credit + budget->percent,
+			     RETRY_BUDGET_SAVED_MAX * CREDIT_OF_RETRY);
+}
+
+gboolean retry_budget_has_room(const retry_budget_t *budget)
+{
+	return budget->credit >= CREDIT_OF_RETRY;
+}
+
+void retry_budget_spend(retry_budget_t *budget)
+{
+	g_assert(retry_budget_has_room(budget));
+	budget->credit -= CREDIT_OF_RETRY;
+}
--- /dev/null
+++ b/lib/admission/retry_budget.h
@@ -0,0 +1,30 @@
+/*
+ * Retry budget of one entry: retries are at most a percentage of first
+ * attempts, so that a failing upstream does not get more load than before.
+ */
+#ifndef CATK_RETRY_BUDGET_H
+#define CATK_RETRY_BUDGET_H
+
+#include <glib.h>
+
+/* Retries that unused credit may add up to. */
+#define RETRY_BUDGET_SAVED_MAX 10
+
+typedef struct {
+	guint percent; /* retries per hundred first attempts */
+	guint credit; /* in hundredths of a retry */
+} retry_budget_t;
+
+/* Starts without credit. percent is 0 to 100. */
+void retry_budget_init(retry_budget_t *budget, guint percent);
+
+/* A first attempt starts: adds its part of a retry. */
+void retry_budget_earn(retry_budget_t *budget);
+
+/* TRUE when a retry may start. */
+gboolean retry_budget_has_room(const retry_budget_t *budget);
+
+/* A retry starts. There must be room. */
+void retry_budget_spend(retry_budget_t *budget);
+
+#endif
--- a/lib/call/call.c
+++ b/lib/call/call.c
@@ -10,6 +10,7 @@
 	call->body = g_bytes_ref(attributes->body);
 	call->deadline = attributes->deadline;
 	call->idempotent = attributes->method->idempotent;
+	call->is_retry = attributes->is_retry;
 	call->queue.priority = attributes->method->priority;
 	call->queue.deadline = attributes->deadline;
 	call->queue.caller = call->caller;
--- a/lib/call/call.h
+++ b/lib/call/call.h
@@ -32,6 +32,7 @@
 	GBytes *body;
 	GTimeSpan deadline;
 	gboolean idempotent;
+	gboolean is_retry; /* the caller retries: no further retry here */
 	gboolean has_id;
 	guint64 sequence; /* of the request id, when has_id */
 	guint attempts_made;
@@ -47,6 +48,7 @@
 	const char *caller;
 	GBytes *body; /* referenced */
 	GTimeSpan deadline; /* instant */
+	gboolean is_retry; /* an attempt above the caller's first */
 } call_attributes_t;
 
 /* Copies the attributes. Free with call_free(). */
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -28,6 +28,7 @@
 		g_hash_table_new(g_int64_hash, g_int64_equal);
 	entry->calls_by_attempt = g_hash_table_new(g_int64_hash, g_int64_equal);
 	entry->calls_by_ref = g_hash_table_new(NULL, NULL);
+	retry_budget_init(&entry->retries, limits->retry_percent);
 	entry->next_attempt = 1;
 	entry->next_housekeeping = entry_now(entry);
 	return entry;
--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -45,6 +45,7 @@
 	const char *request_id; /* text form, NULL for none */
 	const char *caller; /* name for fair sharing */
 	GTimeSpan remaining; /* until the deadline, 0 for the method's own */
+	guint attempt; /* of the caller, from 1; 0 when not given */
 	GBytes *body;
 	void *caller_ref; /* not NULL; identifies the answer */
 } call_request_t;
--- a/lib/entry/entry_calls.c
+++ b/lib/entry/entry_calls.c
@@ -4,9 +4,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Retries that unused credit may add up to. */
-#define RETRY_CREDIT_MAX 10.0
-
 static void answer_error(entry_t *entry, void *caller_ref,
 			 const catk_error_t *error)
 {
@@ -65,6 +62,9 @@
 		upstream_attempt_ended(service->upstream, attempt->address,
 				       ATTEMPT_ABANDONED,
 				       now - attempt->started, NULL, now);
+		admission_ended(service->admission, &call->queue,
+				ADMISSION_NO_ANSWER, FALSE,
+				now - attempt->started, now);
 		g_hash_table_remove(entry->calls_by_attempt, &attempt->id);
 		entry->actions.cancel_attempt(entry->actions.ctx, attempt->id);
 	}
@@ -124,6 +124,14 @@
 	return TAILQ_EMPTY(&call->attempts) && !call->may_have_run;
 }
 
+/* Ends a call that admission gave up; an earlier attempt may have run. */
+static void finish_refused(entry_t *entry, call_t *call, catk_error_t *error)
+{
+	if (!is_proved_not_run(call))
+		error->outcome = OUTCOME_UNKNOWN;
+	finish_with_error(entry, call, error);
+}
+
 static void finish_expired(entry_t *entry, call_t *call)
 {
 	catk_error_t error;
@@ -180,14 +188,12 @@
 
 	g_hash_table_insert(entry->calls_by_attempt, &attempt->id, call);
 	upstream_attempt_started(service->upstream, attempt->address, now);
+	admission_started(service->admission, &call->queue, now);
 	counters_add(entry->counters, COUNTER_ATTEMPTS_STARTED, 1);
 	if (call->attempts_made > 1)
 		counters_add(entry->counters, COUNTER_ATTEMPTS_RETRIED, 1);
 	else
-		entry->retry_credit =
-			MIN(RETRY_CREDIT_MAX,
-			    entry->retry_credit +
-				    entry->limits.retry_percent / 100.0);
+		retry_budget_earn(&entry->retries);
 	entry->actions.start_attempt(entry->actions.ctx, &request);
 }
 
@@ -208,6 +214,11 @@
 		finish_expired(entry, call);
 		return TRUE;
 	}
+	if (!admission_can_finish(service->admission, &call->queue, now,
+				  &error)) {
+		finish_refused(entry, call, &error);
+		return TRUE;
+	}
 	endpoint = upstream_choose(service->upstream, avoid, now);
 	if (!endpoint) {
 		admission_requeue(service->admission, &call->queue);
@@ -258,6 +269,7 @@
 static void admit(entry_t *entry, entry_service_t *service, call_t *call,
 		  void *caller_ref)
 {
+	admission_item_t *displaced;
 	catk_error_t error;
 
 	insert_by_deadline(entry, call);
@@ -266,10 +278,14 @@
 				    call);
 	add_waiter(entry, call, caller_ref);
 	if (!admission_offer(service->admission, &call->queue, entry_now(entry),
-			     &error))
+			     &displaced, &error)) {
 		finish_with_error(entry, call, &error);
-	else
-		entry_dispatch(entry, service);
+		return;
+	}
+	if (displaced)
+		finish_refused(entry, container_of(displaced, call_t, queue),
+			       &error);
+	entry_dispatch(entry, service);
 }
 
 static call_t *new_call(entry_t *entry, const call_request_t *request,
@@ -281,6 +297,7 @@
 		.method = method,
 		.caller = request->caller,
 		.body = request->body,
+		.is_retry = request->attempt > 1,
 	};
 
 	if (request->remaining > 0)
@@ -463,15 +480,14 @@
 
 static gboolean may_retry(entry_t *entry, const call_t *call)
 {
-	if (call->attempts_made >= entry->limits.attempts_max ||
-	    entry->retry_credit < 1)
-		return FALSE;
-	return TRUE;
+	return !call->is_retry &&
+	       call->attempts_made < entry->limits.attempts_max &&
+	       retry_budget_has_room(&entry->retries);
 }
 
 static void retry_call(entry_t *entry, entry_service_t *service, call_t *call)
 {
-	entry->retry_credit -= 1;
+	retry_budget_spend(&entry->retries);
 	if (call->has_id)
 		request_ids_undispatch(entry->ids, call->sequence);
 	admission_requeue(service->admission, &call->queue);
@@ -512,6 +528,23 @@
 		counters_add(entry->counters, COUNTER_ANSWERS_DROPPED, 1);
 }
 
+static void report_to_admission(entry_service_t *service, const call_t *call,
+				const attempt_result_t *result,
+				GTimeSpan latency, GTimeSpan now)
+{
+	const load_report_t *report = &result->report;
+	gboolean queued = result->has_report &&
+			  report->in_flight >= report->slots;
+	admission_end_t end = ADMISSION_NO_ANSWER;
+
+	if (result->end == ATTEMPT_ANSWERED)
+		end = ADMISSION_ANSWERED;
+	else if (result->end == ATTEMPT_SHED)
+		end = ADMISSION_REFUSED;
+	admission_ended(service->admission, &call->queue, end, queued, latency,
+			now);
+}
+
 static void take_step(entry_t *entry, entry_service_t *service, call_t *call,
 		      call_step_t step, const attempt_result_t *result)
 {
@@ -554,6 +587,7 @@
 			       now - attempt->started,
 			       result->has_report ? &result->report : NULL,
 			       now);
+	report_to_admission(service, call, result, now - attempt->started, now);
 	g_hash_table_remove(entry->calls_by_attempt, &attempt->id);
 	step = call_end_attempt(call, attempt, result->end,
 				may_retry(entry, call), now);
--- a/lib/entry/entry_dump.c
+++ b/lib/entry/entry_dump.c
@@ -38,6 +38,10 @@
 	for (i = 0; schema && i < schema->priority_count; i++)
 		w->integer(w->ctx, schema->priorities[i].name,
 			   admission_length(service->admission, i));
+	w->number(w->ctx, "attempts_limit",
+		  admission_limit(service->admission));
+	w->number(w->ctx, "drain_rate_per_second",
+		  admission_drain_rate(service->admission, entry_now(entry)));
 	w->end_object(w->ctx);
 }
 
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -2,6 +2,7 @@
 #ifndef CATK_ENTRY_INTERNAL_H
 #define CATK_ENTRY_INTERNAL_H
 
+#include "lib/admission/retry_budget.h"
 #include "lib/call/call.h"
 #include "lib/entry/entry.h"
 
@@ -32,7 +33,7 @@
 	GHashTable *calls_by_attempt; /* attempt id -> call_t */
 	GHashTable *calls_by_ref; /* caller_ref -> call_t */
 	guint64 next_attempt;
-	double retry_credit; /* retries that may start */
+	retry_budget_t retries;
 
 	GTimeSpan next_housekeeping;
 	gboolean leaving;
--- a/net/caller_api.c
+++ b/net/caller_api.c
@@ -9,6 +9,7 @@
 #define RESOLVE_PATH "/v1/resolve"
 #define CALLER_NAME_MAX 128 /* bytes */
 #define REMAINING_MAX_MS 600000
+#define ATTEMPT_MAX 1000
 
 /* A call that waits for its answer; its address is the caller_ref. */
 typedef struct pending {
@@ -164,7 +165,7 @@
 		soup_server_message_get_request_headers(message);
 	const char *caller =
 		soup_message_headers_get_one(headers, "Catkinstall-Caller");
-	guint64 remaining;
+	guint64 remaining, attempt;
 
 	request->request_id =
 		soup_message_headers_get_one(headers, "Catkinstall-Request-Id");
@@ -182,6 +183,12 @@
 			      1, REMAINING_MAX_MS, 0, &remaining, err))
 		return FALSE;
 	request->remaining = (GTimeSpan)remaining * G_TIME_SPAN_MILLISECOND;
+	if (!http_read_number("Catkinstall-Attempt",
+			      soup_message_headers_get_one(
+				      headers, "Catkinstall-Attempt"),
+			      1, ATTEMPT_MAX, 1, &attempt, err))
+		return FALSE;
+	request->attempt = (guint)attempt;
 	return TRUE;
 }
 
