--- /dev/null
+++ b/bench/flood_sender.c
@@ -0,0 +1,291 @@
+/*
+ * Sends calls of one method to a range of entries at a constant rate, whatever
+ * the answers are, and counts the answers by outcome. It writes HTTP on plain
+ * sockets: the library's client spends more on a call that waits than an entry
+ * does on refusing it, and can't offer a flood.
+ */
+#include <argp.h>
+#include <gio/gio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/common/intrusive.h"
+
+#define TICK_MS 1
+#define ANSWER_BYTES_MAX 4096
+#define DRAIN_TIME (2 * G_TIME_SPAN_SECOND) /* for answers after the end */
+
+typedef struct target target_t;
+
+typedef struct connection {
+	TAILQ_ENTRY(connection) link; /* in the idle or busy list */
+	target_t *target;
+	GSocket *socket;
+	GSource *source;
+	gboolean busy;
+	gsize length;
+	char answer[ANSWER_BYTES_MAX + 1];
+} connection_t;
+
+TAILQ_HEAD(connection_list, connection);
+
+struct target {
+	guint port;
+	guint connections;
+	struct connection_list idle;
+	struct connection_list busy;
+};
+
+static struct {
+	guint port, count, connections_max;
+	double rate, seconds;
+	char *path, *caller, *deadline_ms;
+	target_t *targets;
+	gchar *request;
+	gsize request_length;
+	GTimeSpan begin;
+	guint64 due, sent, not_sent, ok, refused, unknown, no_answer;
+	GMainLoop *loop;
+} flood = { .port = 8100,
+	    .count = 1,
+	    .connections_max = 150,
+	    .rate = 1000,
+	    .seconds = 5,
+	    .caller = "flood",
+	    .deadline_ms = "1000" };
+
+static void connection_free(connection_t *connection)
+{
+	target_t *target = connection->target;
+
+	if (connection->busy) {
+		flood.no_answer++;
+		TAILQ_REMOVE(&target->busy, connection, link);
+	} else {
+		TAILQ_REMOVE(&target->idle, connection, link);
+	}
+	target->connections--;
+	g_source_destroy(connection->source);
+	g_source_unref(connection->source);
+	g_object_unref(connection->socket);
+	g_free(connection);
+}
+
+static gboolean is_whole(const connection_t *connection)
+{
+	const char *end = strstr(connection->answer, "\r\n\r\n");
+	const char *length = strstr(connection->answer, "Content-Length: ");
+
+	if (!end || !length || length > end)
+		return FALSE;
+	return connection->length >=
+	       (gsize)(end + 4 - connection->answer) +
+		       strtoul(length + strlen("Content-Length: "), NULL, 10);
+}
+
+static void count_answer(const char *answer)
+{
+	if (g_str_has_prefix(answer, "HTTP/1.1 200"))
+		flood.ok++;
+	else if (strstr(answer, "Catkinstall-Outcome: not_run"))
+		flood.refused++;
+	else
+		flood.unknown++;
+}
+
+static void set_idle(connection_t *connection)
+{
+	target_t *target = connection->target;
+
+	TAILQ_REMOVE(&target->busy, connection, link);
+	TAILQ_INSERT_HEAD(&target->idle, connection, link);
+	connection->busy = FALSE;
+	connection->length = 0;
+}
+
+static gboolean on_readable(GSocket *socket, GIOCondition condition,
+			    gpointer data)
+{
+	connection_t *connection = data;
+	gssize got = g_socket_receive(socket,
+				      connection->answer + connection->length,
+				      ANSWER_BYTES_MAX - connection->length,
+				      NULL, NULL);
+
+	(void)condition;
+	if (got <= 0) {
+		connection_free(connection);
+		return G_SOURCE_REMOVE;
+	}
+	connection->length += (gsize)got;
+	connection->answer[connection->length] = 0;
+	if (connection->busy && is_whole(connection)) {
+		count_answer(connection->answer);
+		set_idle(connection);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
+static connection_t *connection_new(target_t *target)
+{
+	GSocketAddress *address = g_inet_socket_address_new_from_string(
+		"127.0.0.1", target->port);
+	GSocket *socket = g_socket_new(G_SOCKET_FAMILY_IPV4,
+				       G_SOCKET_TYPE_STREAM,
+				       G_SOCKET_PROTOCOL_TCP, NULL);
+	gboolean ok = g_socket_connect(socket, address, NULL, NULL);
+	connection_t *connection;
+
+	g_object_unref(address);
+	if (!ok) {
+		g_object_unref(socket);
+		return NULL;
+	}
+	g_socket_set_blocking(socket, FALSE);
+	connection = g_new0(connection_t, 1);
+	connection->target = target;
+	connection->socket = socket;
+	connection->source = g_socket_create_source(socket, G_IO_IN, NULL);
+	g_source_set_callback(connection->source, G_SOURCE_FUNC(on_readable),
+			      connection, NULL);
+	g_source_attach(connection->source, NULL);
+	TAILQ_INSERT_HEAD(&target->idle, connection, link);
+	target->connections++;
+	return connection;
+}
+
+static connection_t *take_connection(target_t *target)
+{
+	connection_t *connection = TAILQ_FIRST(&target->idle);
+
+	if (!connection && target->connections < flood.connections_max)
+		connection = connection_new(target);
+	if (!connection)
+		return NULL;
+	TAILQ_REMOVE(&target->idle, connection, link);
+	TAILQ_INSERT_TAIL(&target->busy, connection, link);
+	connection->busy = TRUE;
+	return connection;
+}
+
+static void send_call(target_t *target)
+{
+	connection_t *connection = take_connection(target);
+
+	if (!connection) {
+		flood.not_sent++;
+		return;
+	}
+	flood.sent++;
+	if (g_socket_send(connection->socket, flood.request,
+			  flood.request_length, NULL,
+			  NULL) != (gssize)flood.request_length)
+		connection_free(connection);
+}
+
+static gboolean on_tick(gpointer data)
+{
+	GTimeSpan age = g_get_monotonic_time() - flood.begin;
+	double seconds = (double)age / G_TIME_SPAN_SECOND;
+
+	(void)data;
+	while (seconds < flood.seconds &&
+	       (double)flood.due < seconds * flood.rate)
+		send_call(&flood.targets[flood.due++ % flood.count]);
+	if (seconds > flood.seconds + (double)DRAIN_TIME / G_TIME_SPAN_SECOND)
+		g_main_loop_quit(flood.loop);
+	return G_SOURCE_CONTINUE;
+}
+
+static error_t parse_option(int key, char *argument, struct argp_state *state)
+{
+	(void)state;
+	switch (key) {
+	case 'p':
+		flood.port = (guint)atoi(argument);
+		break;
+	case 'n':
+		flood.count = (guint)atoi(argument);
+		break;
+	case 'x':
+		flood.connections_max = (guint)atoi(argument);
+		break;
+	case 'r':
+		flood.rate = g_ascii_strtod(argument, NULL);
+		break;
+	case 't':
+		flood.seconds = g_ascii_strtod(argument, NULL);
+		break;
+	case 'm':
+		flood.path = argument;
+		break;
+	case 'a':
+		flood.caller = argument;
+		break;
+	case 'd':
+		flood.deadline_ms = argument;
+		break;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+	return 0;
+}
+
+static void begin(void)
+{
+	guint i;
+
+	flood.request = g_strdup_printf("POST /v1/call/%s HTTP/1.1\r\n"
+					"Host: 127.0.0.1\r\n"
+					"Catkinstall-Caller: %s\r\n"
+					"Catkinstall-Deadline-Ms: %s\r\n"
+					"Content-Length: 5\r\n\r\nflood",
+					flood.path, flood.caller,
+					flood.deadline_ms);
+	flood.request_length = strlen(flood.request);
+	flood.targets = g_new0(target_t, flood.count);
+	for (i = 0; i < flood.count; i++) {
+		flood.targets[i].port = flood.port + i;
+		TAILQ_INIT(&flood.targets[i].idle);
+		TAILQ_INIT(&flood.targets[i].busy);
+	}
+	flood.begin = g_get_monotonic_time();
+	g_timeout_add(TICK_MS, on_tick, NULL);
+}
+
+static void report(void)
+{
+	printf("flood sent %" G_GUINT64_FORMAT "\n", flood.sent);
+	printf("flood not_sent %" G_GUINT64_FORMAT "\n", flood.not_sent);
+	printf("flood ok %" G_GUINT64_FORMAT "\n", flood.ok);
+	printf("flood refused %" G_GUINT64_FORMAT "\n", flood.refused);
+	printf("flood unknown %" G_GUINT64_FORMAT "\n", flood.unknown);
+	printf("flood no_answer %" G_GUINT64_FORMAT "\n", flood.no_answer);
+}
+
+int main(int argc, char **argv)
+{
+	static const struct argp_option options[] = {
+		{ "port", 'p', "N", 0, "First port", 0 },
+		{ "count", 'n', "N", 0, "Number of ports, used in turn", 0 },
+		{ "connections", 'x', "N", 0, "Connections to a port", 0 },
+		{ "rate", 'r', "N", 0, "Calls per second", 0 },
+		{ "seconds", 't', "S", 0, "Time", 0 },
+		{ "method", 'm', "SERVICE/METHOD", 0, "What to call", 0 },
+		{ "caller", 'a', "NAME", 0, "Name of the caller", 0 },
+		{ "deadline-ms", 'd', "MS", 0, "Deadline of a call", 0 },
+		{ 0 }
+	};
+	const struct argp argp = { .options = options, .parser = parse_option };
+
+	argp_parse(&argp, argc, argv, 0, NULL, NULL);
+	if (!flood.path) {
+		fprintf(stderr, "--method is missing: name what to call\n");
+		return EXIT_FAILURE;
+	}
+	flood.loop = g_main_loop_new(NULL, FALSE);
+	begin();
+	g_main_loop_run(flood.loop);
+	report();
+	return EXIT_SUCCESS;
+}
--- a/lib/admission/admission.c
+++ b/lib/admission/admission.c
@@ -298,25 +298,27 @@
 	admission->latency += LATENCY_WEIGHT * (sample - admission->latency);
 }
 
-static void update_limit(admission_t *admission, concurrency_signal_t signal)
+static void update_limit(admission_t *admission, admission_end_t end,
+			 double load)
 {
-	concurrency_limit_update(&admission->concurrency, signal,
-				 admission->view.in_flight_total);
-	admission->view.limit = admission->concurrency.limit;
+	concurrency_limit_t *concurrency = &admission->concurrency;
+
+	if (end == ADMISSION_REFUSED)
+		concurrency_limit_refused(concurrency);
+	else if (end == ADMISSION_ANSWERED)
+		concurrency_limit_answered(concurrency, load,
+					   admission->view.in_flight_total);
+	admission->view.limit = concurrency->limit;
 }
 
 void admission_ended(admission_t *admission, const admission_item_t *item,
-		     admission_end_t end, gboolean upstream_queued,
-		     GTimeSpan latency, GTimeSpan now)
+		     admission_end_t end, double load, GTimeSpan latency,
+		     GTimeSpan now)
 {
 	g_assert(admission->view.in_flight[item->priority] > 0);
-	if (end == ADMISSION_REFUSED) {
-		update_limit(admission, CONCURRENCY_REFUSED);
-	} else if (end == ADMISSION_ANSWERED) {
+	if (end == ADMISSION_ANSWERED)
 		count_answer(admission, latency, now);
-		update_limit(admission, upstream_queued ? CONCURRENCY_QUEUED :
-							  CONCURRENCY_ROOM);
-	}
+	update_limit(admission, end, load);
 	admission->view.in_flight[item->priority]--;
 	admission->view.in_flight_total--;
 }
--- a/lib/admission/admission.h
+++ b/lib/admission/admission.h
@@ -89,12 +89,12 @@
 		       GTimeSpan now);
 
 /*
- * An attempt of the item ended after the given time. upstream_queued tells
- * that the endpoint reported more requests than it has slots.
+ * An attempt of the item ended after the given time. load is what the endpoint
+ * reported, requests over slots, 0 when it reported nothing.
  */
 void admission_ended(admission_t *admission, const admission_item_t *item,
-		     admission_end_t end, gboolean upstream_queued,
-		     GTimeSpan latency, GTimeSpan now);
+		     admission_end_t end, double load, GTimeSpan latency,
+		     GTimeSpan now);
 
 /* Queues an item again after an attempt that did not run, ahead of others. */
 void admission_requeue(admission_t *admission, admission_item_t *item);
--- a/lib/admission/concurrency_limit.c
+++ b/lib/admission/concurrency_limit.c
@@ -6,51 +6,51 @@
 #define LIMIT_MAX 100000.0
 
 /*
- * Added per limit attempts, so about once per round trip, and taken off per
- * answer with a queue behind it. The limit settles where a share
- * STEP_UP / (STEP_UP + STEP_DOWN * limit) of answers reports a queue: about
- * one in eight with the 3 attempts that each of 18 entries has at 20 endpoints
- * of 3 slots. The step up is additive and the step down per answer is
- * multiplicative per round trip, which makes the entries' parts equal.
+ * Mean load that answers should report. A request that ends leaves two of
+ * three slots busy at an endpoint that is just full; entries choose endpoints
+ * independently of each other, so that some have a queue while others have
+ * room, and the mean must be higher to use the slots. A single report of a
+ * queue says nothing: at 60% load a quarter of random choices meets one.
  */
-#define STEP_UP 0.25
-#define STEP_DOWN 0.5
-#define STEP_REFUSED 1.0
+#define LOAD_TARGET 0.8
+/*
+ * Added to the target, divided by the limit: entries with a small limit raise
+ * it at a load at which others lower theirs, so the limits become equal.
+ */
+#define LOAD_TARGET_SPREAD 0.3
+#define LOAD_WEIGHT 0.1
+#define LOAD_MAX 2.0 /* one very long queue should not count for all */
+
+/* Change of the limit per answer and unit of load. */
+#define STEP 0.1
+#define STEP_REFUSED 0.5
 
 void concurrency_limit_init(concurrency_limit_t *limit)
 {
 	limit->limit = INITIAL_LIMIT;
+	limit->load = 0;
 	limit->learning = TRUE;
 }
 
-static void lower_limit(concurrency_limit_t *limit, double step)
-{
-	limit->learning = FALSE;
-	limit->limit = MAX(limit->limit - step, LIMIT_MIN);
-}
-
-/* A limit that is not reached says nothing and stays as it is. */
-static void raise_limit(concurrency_limit_t *limit, guint in_flight)
+void concurrency_limit_answered(concurrency_limit_t *limit, double load,
+				guint in_flight)
 {
-	double step = limit->learning ? 1 : STEP_UP / limit->limit;
+	double target = LOAD_TARGET + LOAD_TARGET_SPREAD / limit->limit;
+	double step;
 
-	if (in_flight + 1 <= limit->limit)
+	load = MIN(load, LOAD_MAX);
+	limit->load += LOAD_WEIGHT * (load - limit->load);
+	if (limit->load > target)
+		limit->learning = FALSE;
+	step = limit->learning ? 1 : STEP * (target - load);
+	/* A limit that is not reached must not rise: nothing tests it. */
+	if (step > 0 && in_flight + 1 <= limit->limit)
 		return;
-	limit->limit = MIN(limit->limit + step, LIMIT_MAX);
+	limit->limit = CLAMP(limit->limit + step, LIMIT_MIN, LIMIT_MAX);
 }
 
-void concurrency_limit_update(concurrency_limit_t *limit,
-			      concurrency_signal_t signal, guint in_flight)
+void concurrency_limit_refused(concurrency_limit_t *limit)
 {
-	switch (signal) {
-	case CONCURRENCY_ROOM:
-		raise_limit(limit, in_flight);
-		break;
-	case CONCURRENCY_QUEUED:
-		lower_limit(limit, STEP_DOWN);
-		break;
-	case CONCURRENCY_REFUSED:
-		lower_limit(limit, STEP_REFUSED);
-		break;
-	}
+	limit->learning = FALSE;
+	limit->limit = MAX(limit->limit - STEP_REFUSED, LIMIT_MIN);
 }
--- a/lib/admission/concurrency_limit.h
+++ b/lib/admission/concurrency_limit.h
@@ -9,22 +9,22 @@
 
 #include <glib.h>
 
-/* What the end of an attempt says about the load of the endpoint. */
-typedef enum {
-	CONCURRENCY_ROOM, /* answered, nothing was queued there */
-	CONCURRENCY_QUEUED, /* answered, other calls were queued there */
-	CONCURRENCY_REFUSED /* refused before start */
-} concurrency_signal_t;
-
 typedef struct {
 	double limit; /* attempts, at least 1 */
-	gboolean learning; /* no sign of a full endpoint was seen yet */
+	double load; /* moving average of the reported loads */
+	gboolean learning; /* no sign of a full service was seen yet */
 } concurrency_limit_t;
 
 void concurrency_limit_init(concurrency_limit_t *limit);
 
-/* in_flight includes the attempt that ended. */
-void concurrency_limit_update(concurrency_limit_t *limit,
-			      concurrency_signal_t signal, guint in_flight);
+/*
+ * An endpoint answered and reported a load, requests over slots. in_flight is
+ * the number of attempts from here, the one that ended included.
+ */
+void concurrency_limit_answered(concurrency_limit_t *limit, double load,
+				guint in_flight);
+
+/* An endpoint refused an attempt before start. */
+void concurrency_limit_refused(concurrency_limit_t *limit);
 
 #endif
--- a/lib/entry/entry_calls.c
+++ b/lib/entry/entry_calls.c
@@ -63,8 +63,8 @@
 				       ATTEMPT_ABANDONED,
 				       now - attempt->started, NULL, now);
 		admission_ended(service->admission, &call->queue,
-				ADMISSION_NO_ANSWER, FALSE,
-				now - attempt->started, now);
+				ADMISSION_NO_ANSWER, 0, now - attempt->started,
+				now);
 		g_hash_table_remove(entry->calls_by_attempt, &attempt->id);
 		entry->actions.cancel_attempt(entry->actions.ctx, attempt->id);
 	}
@@ -528,21 +528,27 @@
 		counters_add(entry->counters, COUNTER_ANSWERS_DROPPED, 1);
 }
 
+static double reported_load(const attempt_result_t *result)
+{
+	const load_report_t *report = &result->report;
+
+	if (!result->has_report || !report->slots)
+		return 0;
+	return (double)report->in_flight / report->slots;
+}
+
 static void report_to_admission(entry_service_t *service, const call_t *call,
 				const attempt_result_t *result,
 				GTimeSpan latency, GTimeSpan now)
 {
-	const load_report_t *report = &result->report;
-	gboolean queued = result->has_report &&
-			  report->in_flight >= report->slots;
 	admission_end_t end = ADMISSION_NO_ANSWER;
 
 	if (result->end == ATTEMPT_ANSWERED)
 		end = ADMISSION_ANSWERED;
 	else if (result->end == ATTEMPT_SHED)
 		end = ADMISSION_REFUSED;
-	admission_ended(service->admission, &call->queue, end, queued, latency,
-			now);
+	admission_ended(service->admission, &call->queue, end,
+			reported_load(result), latency, now);
 }
 
 static void take_step(entry_t *entry, entry_service_t *service, call_t *call,
