--- a/lib/admission/policy_priority.c
+++ b/lib/admission/policy_priority.c
@@ -101,16 +101,18 @@
 	return NULL;
 }
 
-/* Part of the rate that less urgent priorities are sure of. */
-static double owed_share(const admission_view_t *view, guint priority)
+/* Calls per second that less urgent priorities take within their floors. */
+static double owed_rate(const priority_policy_t *policy,
+			const admission_view_t *view, guint priority,
+			double rate, GTimeSpan now)
 {
-	guint percent = 0;
+	double owed = 0;
 	guint i;
 
 	for (i = priority + 1; i < SCHEMA_PRIORITIES_MAX; i++)
-		if (view->lanes[i].length)
-			percent += view->floor_percent[i];
-	return percent / 100.0;
+		owed += MIN(moving_rate_per_second(&policy->starts[i], now),
+			    rate * view->floor_percent[i] / 100);
+	return owed;
 }
 
 static double priority_wait(void *ctx, const admission_view_t *view,
@@ -119,7 +121,7 @@
 	const priority_policy_t *policy = ctx;
 	double own = view->lanes[priority].length;
 	double floor_rate = rate * view->floor_percent[priority] / 100;
-	double left = rate * (1 - owed_share(view, priority));
+	double left = rate - owed_rate(policy, view, priority, rate, now);
 	double wait = G_MAXINT32;
 	double ahead = own;
 	guint i;
--- /dev/null
+++ b/tests/test_retry_budget.c
@@ -0,0 +1,161 @@
+/* Guards the bounds of retries: percentage, saved credit, one layer only. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "lib/admission/retry_budget.h"
+#include "lib/entry/entry.h"
+
+#define ADDRESS "127.0.0.1:1"
+
+static guint spend_all(retry_budget_t *budget)
+{
+	guint retries = 0;
+
+	for (; retry_budget_has_room(budget); retries++)
+		retry_budget_spend(budget);
+	return retries;
+}
+
+/* Fails when retries exceed the percentage of first attempts. */
+static void retries_stay_within_percentage(void **state)
+{
+	guint i, retries = 0;
+	retry_budget_t budget;
+
+	(void)state;
+	retry_budget_init(&budget, 7);
+	assert_false(retry_budget_has_room(&budget));
+	for (i = 0; i < 1000; i++) {
+		retry_budget_earn(&budget);
+		retries += spend_all(&budget);
+	}
+	assert_int_equal(retries, 70);
+}
+
+/* Fails when a quiet hour saves up credit for a storm of retries. */
+static void saved_credit_is_bounded(void **state)
+{
+	retry_budget_t budget;
+	guint i;
+
+	(void)state;
+	retry_budget_init(&budget, 100);
+	for (i = 0; i < 100000; i++)
+		retry_budget_earn(&budget);
+	assert_int_equal(spend_all(&budget), RETRY_BUDGET_SAVED_MAX);
+}
+
+typedef struct {
+	guint attempts, answers;
+	guint64 in_flight; /* id of the attempt, 0 for none */
+	outcome_t outcome;
+} seen_t;
+
+static void on_answer(void *ctx, void *ref, const call_answer_t *answer)
+{
+	seen_t *seen = ctx;
+
+	(void)ref;
+	seen->answers++;
+	seen->outcome = answer->error.outcome;
+}
+
+static void on_start(void *ctx, const attempt_request_t *request)
+{
+	seen_t *seen = ctx;
+
+	seen->attempts++;
+	seen->in_flight = request->attempt_id;
+}
+
+static GTimeSpan zero(void *ctx)
+{
+	(void)ctx;
+	return 0;
+}
+
+static schema_t *schema_with_endpoint(void)
+{
+	schema_t *schema = schema_new();
+	schema_service_t *service;
+
+	assert_true(schema_add_priority(schema, "p", 0, NULL));
+	service = schema_add_service(schema, "s", 1, 1, 0, NULL);
+	assert_true(schema_add_endpoint(service, ADDRESS, NULL));
+	schema_add_method(schema, service, "m", "p", TRUE, G_TIME_SPAN_SECOND,
+			  NULL);
+	return schema;
+}
+
+static void refuse_every_attempt(entry_t *entry, seen_t *seen)
+{
+	attempt_result_t result = { .end = ATTEMPT_SHED };
+
+	while (seen->in_flight) {
+		result.attempt_id = seen->in_flight;
+		seen->in_flight = 0;
+		entry_attempt_ended(entry, &result);
+	}
+}
+
+/* Attempts of one call whose every attempt is refused before start. */
+static guint attempts_of_refused_call(guint caller_attempt)
+{
+	const entry_limits_t limits = {
+		.request_ids = { 1, 1, 1, 1 },
+		.admission = { ADMISSION_PRIORITY, 10, 100 },
+		.entries_max = 1,
+		.attempts_max = 10,
+		.retry_percent = 100,
+		.resolve_addresses = 1,
+	};
+	const member_t self = { .name = "e", .incarnation = 1 };
+	const catk_clock_t clock = { .now = zero };
+	GBytes *body = g_bytes_new_static("x", 1);
+	call_request_t request = { .service = "s",
+				   .method = "m",
+				   .caller = "",
+				   .attempt = caller_attempt,
+				   .body = body,
+				   .caller_ref = body };
+	seen_t seen = { 0 };
+	const entry_actions_t actions = { .answer = on_answer,
+					  .start_attempt = on_start,
+					  .ctx = &seen };
+	GRand *random = g_rand_new_with_seed(1);
+	counters_t counters = { 0 };
+	entry_t *entry =
+		entry_new(&self, &limits, &actions, &clock, random, &counters);
+
+	entry_offer_config(entry, 1, schema_with_endpoint(), body);
+	entry_call(entry, &request);
+	refuse_every_attempt(entry, &seen);
+	assert_int_equal(seen.answers, 1);
+	assert_int_equal(seen.outcome, OUTCOME_NOT_RUN);
+	entry_free(entry);
+	g_rand_free(random);
+	g_bytes_unref(body);
+	return seen.attempts;
+}
+
+/* Fails when retries at two layers multiply. */
+static void callers_retry_is_not_retried(void **state)
+{
+	(void)state;
+	assert_int_equal(attempts_of_refused_call(1), 2);
+	assert_int_equal(attempts_of_refused_call(2), 1);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(retries_stay_within_percentage),
+		cmocka_unit_test(saved_credit_is_bounded),
+		cmocka_unit_test(callers_retry_is_not_retried),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
