--- a/lib/admission/lane.c
+++ b/lib/admission/lane.c
@@ -80,6 +80,7 @@
 {
 	lane_caller_t *caller = item->owner;
 
+	g_assert(caller && lane->length);
 	TAILQ_REMOVE(&caller->items, item, link);
 	TAILQ_REMOVE(&lane->arrivals, item, by_arrival);
 	item->owner = NULL;
