--- a/lib/admission/concurrency_limit.c
+++ b/lib/admission/concurrency_limit.c
@@ -12,7 +12,7 @@
  * room, and the mean must be higher to use the slots. A single report of a
  * queue says nothing: at 60% load a quarter of random choices meets one.
  */
-#define LOAD_TARGET 0.8
+#define LOAD_TARGET 0.9
 /*
  * Added to the target, divided by the limit: entries with a small limit raise
  * it at a load at which others lower theirs, so the limits become equal.
--- a/lib/admission/policy_priority.c
+++ b/lib/admission/policy_priority.c
@@ -7,6 +7,8 @@
 #define CREDIT_MAX_WAITING (2 * CREDIT_OF_DISPATCH)
 /* After idleness a priority may start one call ahead of others, not more. */
 #define CREDIT_MAX_IDLE CREDIT_OF_DISPATCH
+/* Attempts of a burst, over the limit. */
+#define BURST_FACTOR 2
 
 typedef struct {
 	guint credit[SCHEMA_PRIORITIES_MAX];
@@ -19,18 +21,22 @@
 }
 
 /*
- * Calls less urgent than this one do not count: they must not delay it. This
- * exceeds the limit for one service time at most, since nothing less urgent
- * starts until the total is below the limit again.
+ * Calls less urgent than this one do not count: they must not delay it. While
+ * there are such calls in flight, a burst may exceed the limit, since the next
+ * of them starts only when the total is below the limit again. Without that,
+ * three attempts in flight of each entry delay a load of half the capacity.
  */
 static gboolean has_room(const admission_view_t *view, guint priority)
 {
+	double limit = view->limit;
 	guint ahead = 0;
 	guint i;
 
 	for (i = 0; i <= priority; i++)
 		ahead += view->in_flight[i];
-	return ahead + 1 <= view->limit;
+	if (view->in_flight_total > ahead)
+		limit *= BURST_FACTOR;
+	return ahead + 1 <= limit;
 }
 
 /* A priority that is owed a dispatch goes first, and beyond the limit. */
