Count the pause of an issuer against the deadline of forwarded calls

An issuer that was stopped for 3 s ran a forwarded call whose deadline had passed while the message waited in the kernel: the deadline travels as remaining time. The test of paused instances now covers it.

--- a/lib/entry/entry_peers.c
+++ b/lib/entry/entry_peers.c
@@ -263,7 +263,8 @@
 		.method = call->method,
 		.request_id = call->request_id,
 		.caller = call->caller,
-		.remaining = call->remaining,
+		/* 0 would stand for the method's own deadline. */
+		.remaining = MAX(call->remaining, 1),
 		.body = call->body,
 		.caller_ref = remote,
 	};
--- a/lib/entry/peer_message.h
+++ b/lib/entry/peer_message.h
@@ -28,7 +28,7 @@
 	const char *method;
 	const char *request_id;
 	const char *caller;
-	GTimeSpan remaining; /* until the deadline */
+	GTimeSpan remaining; /* until the deadline, below 0 when it passed */
 	GBytes *body;
 } peer_forward_call_t;
 
--- a/net/peer_link.c
+++ b/net/peer_link.c
@@ -57,6 +57,7 @@
 	guint64 last_id;
 	guint check_timer;
 	GTimeSpan last_check;
+	GTimeSpan pause; /* that the last check noticed, 0 for none */
 };
 
 /* Carries a decoded message to the events. */
@@ -190,11 +191,33 @@
 	write_queued(connection);
 }
 
+/* Longest time that a message just read may have waited in the kernel. */
+static GTimeSpan recent_pause(const peer_link_t *link)
+{
+	GTimeSpan gap = catk_clock_now(&system_clock) - link->last_check;
+
+	return gap > CHECK_LATE_AFTER ? gap : link->pause;
+}
+
+/*
+ * The time to the deadline ran on while this process was paused. A call that
+ * arrived just after the pause loses time too, for one check interval.
+ */
+static void pass_message(const connection_t *connection,
+			 const peer_message_t *message)
+{
+	const peer_link_events_t *events = &connection->owner->events;
+	peer_message_t adjusted = *message;
+
+	if (message->kind == PEER_FORWARD_CALL)
+		adjusted.u.call.remaining -= recent_pause(connection->owner);
+	events->message(events->ctx, connection->id, &adjusted);
+}
+
 static void on_message(void *ctx, const peer_message_t *message)
 {
 	delivery_t *delivery = ctx;
 	connection_t *connection = delivery->connection;
-	const peer_link_events_t *events = &connection->owner->events;
 
 	counters_add(connection->owner->counters,
 		     COUNTER_PEER_MESSAGES_RECEIVED, 1);
@@ -207,7 +230,7 @@
 	if (message->kind == PEER_FORWARD_ANSWER && connection->answers_due)
 		connection->answers_due--;
 	if (connection->greeted)
-		events->message(events->ctx, connection->id, message);
+		pass_message(connection, message);
 	else
 		delivery->refused = TRUE;
 }
@@ -425,6 +448,7 @@
 	gboolean after_pause = now > link->last_check + CHECK_LATE_AFTER;
 	connection_t *connection, *next;
 
+	link->pause = after_pause ? now - link->last_check : 0;
 	link->last_check = now;
 	TAILQ_FOREACH_SAFE (connection, &link->connections, link, next)
 		check_connection(link, connection, after_pause, now);
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -290,17 +290,19 @@
 }
 
 /*
- * Fails when a paused instance takes others for gone, does not return, or its
- * silent connections are kept.
+ * Fails when a paused instance takes others for gone, does not return, runs a
+ * forwarded call after its deadline, or its silent connections are kept.
  */
 static void paused_instance_returns(void **state)
 {
-	char *id;
+	char *id = take_request_id(caller_port(4));
 	guint i;
 
 	(void)state;
 	process_signal(all.entries[4], SIGSTOP);
-	run_loop_for(3000);
+	assert_call(0, id, "stale", 504, "unknown");
+	g_free(id);
+	run_loop_for(1400);
 	process_signal(all.entries[4], SIGCONT);
 	for (i = 0; i < 50; i++) {
 		assert_int_equal(count_seen(4, NULL, "gone"), 0);
@@ -310,6 +312,7 @@
 	assert_true(dumped(0, "counters.connections_closed_as_silent") > 0);
 	id = take_request_id(caller_port(4));
 	assert_call(0, id, "after-pause", 200, "ran");
+	assert_runs("stale", "0");
 	g_free(id);
 }
 
