Decide copies of recorded requests by their id, whatever the schema says

Cause: entry_call() looked for the method first. After a configuration removed a method, a copy of a request that had run was told not_run; after it made the method idempotent, the copy ran again; and a request refused for its missing method ran when a late copy came after the method was declared.

Ruled out: answering unknown for every unknown method, which would make a plain typing error look like a lost call.

Change: a request under an own id is decided by its record first, and a refusal for a missing method seals the id.

--- a/lib/entry/entry_calls.c
+++ b/lib/entry/entry_calls.c
@@ -504,21 +504,45 @@
 }
 
 /*
- * The issuer may have run the request under a schema that this instance does
- * not have: only the issuer may refuse its ids.
+ * Decides a request whose method is not declared here by its id. Its issuer may
+ * have run it under another schema, so only the issuer may refuse it; a refusal
+ * seals the id, or a late copy would run once the method is declared. FALSE when
+ * the id does not stand in the way of a refusal.
  */
-static gboolean decided_by_issuer(entry_t *entry, const call_request_t *request)
+static gboolean decided_by_id(entry_t *entry, const call_request_t *request)
 {
+	const held_answer_t *held = NULL;
+	request_id_state_t state;
 	request_id_t id;
 
 	if (!request->request_id ||
-	    !request_id_parse(request->request_id, &id, NULL) ||
-	    is_own_id(entry, &id))
+	    !request_id_parse(request->request_id, &id, NULL))
+		return FALSE;
+	if (!is_own_id(entry, &id)) {
+		call_issuer(entry, request, &id, 0);
+		return TRUE;
+	}
+	state = request_ids_begin(entry->ids, id.sequence, fingerprint(request),
+				  entry_now(entry), &held);
+	if (state == REQUEST_ID_FRESH) {
+		request_ids_seal(entry->ids, id.sequence);
 		return FALSE;
-	call_issuer(entry, request, &id, 0);
+	}
+	answer_by_id_state(entry, request, id.sequence, state, held);
 	return TRUE;
 }
 
+/* TRUE for a copy of a request that came when its method was not idempotent. */
+static gboolean is_recorded(entry_t *entry, const call_request_t *request)
+{
+	request_id_t id;
+
+	return request->request_id &&
+	       request_id_parse(request->request_id, &id, NULL) &&
+	       is_own_id(entry, &id) &&
+	       request_ids_has_record(entry->ids, id.sequence);
+}
+
 void entry_call(entry_t *entry, const call_request_t *request)
 {
 	const schema_method_t *method;
@@ -528,12 +552,13 @@
 	counters_add(entry->counters, COUNTER_CALLS_RECEIVED, 1);
 	method = find_method(entry, request, &error);
 	if (!method) {
-		if (!decided_by_issuer(entry, request))
+		if (!decided_by_id(entry, request))
 			answer_error(entry, request->caller_ref, &error);
 		return;
 	}
 	service = entry_find_service(entry, request->service);
-	if (method->idempotent || !rule_of(entry)->keeps_records) {
+	if (!rule_of(entry)->keeps_records ||
+	    (method->idempotent && !is_recorded(entry, request))) {
 		admit(entry, service, new_call(entry, request, method),
 		      request->caller_ref);
 		return;
--- a/lib/request_id/request_id.c
+++ b/lib/request_id/request_id.c
@@ -223,6 +223,11 @@
 	return REQUEST_ID_FRESH;
 }
 
+gboolean request_ids_has_record(const request_ids_t *ids, guint64 sequence)
+{
+	return g_hash_table_contains(ids->record_index, &sequence);
+}
+
 static record_t *find_in_progress(request_ids_t *ids, guint64 sequence)
 {
 	record_t *record = g_hash_table_lookup(ids->record_index, &sequence);
--- a/lib/request_id/request_id.h
+++ b/lib/request_id/request_id.h
@@ -96,6 +96,9 @@
 				     guint64 fingerprint, GTimeSpan now,
 				     const held_answer_t **answer);
 
+/* TRUE when a request under this id was registered and is still recorded. */
+gboolean request_ids_has_record(const request_ids_t *ids, guint64 sequence);
+
 /*
  * The permission to dispatch, given at most once for each attempt that was
  * not proved unexecuted. TRUE when the id is in progress, not expired and has
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -361,6 +361,60 @@
 	assert_told(f, 2, CATK_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN);
 }
 
+typedef enum { BOOK_REMOVED, BOOK_ONCE, BOOK_IDEMPOTENT } book_t;
+
+static void declare_book(fixture_t *f, guint64 version, book_t book_declared)
+{
+	GBytes *document = g_bytes_new_static("{}", 2);
+	schema_t *schema = schema_new();
+	schema_service_t *service;
+
+	assert_true(schema_add_priority(schema, "urgent", 10, NULL));
+	service = schema_add_service(schema, "s", 1, 10, 0, NULL);
+	assert_true(schema_add_endpoint(service, "127.0.0.1:1", NULL));
+	if (book_declared != BOOK_REMOVED)
+		schema_add_method(schema, service, "book", "urgent",
+				  book_declared == BOOK_IDEMPOTENT,
+				  BOOK_DEADLINE, NULL);
+	assert_int_equal(entry_offer_config(f->entry, version, schema,
+					    document),
+			 CONFIG_IN_FORCE);
+	g_bytes_unref(document);
+}
+
+/*
+ * Fails when a copy of a request that ran is told "not run", or runs again,
+ * because its method was removed or became idempotent meanwhile.
+ */
+static void changed_schema_keeps_the_outcome(void **state)
+{
+	fixture_t *f = *state;
+
+	book(f, 1, 1);
+	end_last(f, ATTEMPT_ANSWERED);
+	declare_book(f, 2, BOOK_REMOVED);
+	book(f, 2, 1);
+	assert_told(f, 2, CATK_OK, OUTCOME_RAN);
+	declare_book(f, 3, BOOK_IDEMPOTENT);
+	book(f, 3, 1);
+	assert_told(f, 3, CATK_OK, OUTCOME_RAN);
+	assert_int_equal(f->started, 1);
+}
+
+/* Fails when a request refused for its method runs once that is declared. */
+static void refusal_outlasts_the_schema(void **state)
+{
+	fixture_t *f = *state;
+
+	declare_book(f, 2, BOOK_REMOVED);
+	book(f, 1, 1);
+	assert_told(f, 1, CATK_NOT_FOUND, OUTCOME_NOT_RUN);
+	declare_book(f, 3, BOOK_ONCE);
+	book(f, 2, 1);
+	assert_told(f, 2, CATK_CONFLICT, OUTCOME_NOT_RUN);
+	assert_int_equal(f->started, 0);
+}
+
 /* Fails when a shutdown ends before the calls and what was handed out. */
 static void shutdown_waits_for_calls(void **state)
 {
@@ -415,6 +469,8 @@
 		TEST(duplicate_shares_the_answer),
 		TEST(cancel_keeps_what_may_run),
 		TEST(promise_only_for_own_ids),
+		TEST(changed_schema_keeps_the_outcome),
+		TEST(refusal_outlasts_the_schema),
 		TEST(shutdown_waits_for_calls),
 		TEST(shutdown_is_bounded),
 	};
