--- a/lib/admission/admission.c
+++ b/lib/admission/admission.c
@@ -332,6 +332,9 @@
 	g_assert(admission->view.in_flight[item->priority] > 0);
 	if (end == ADMISSION_ANSWERED)
 		count_answer(admission, latency, now);
+	else if (end == ADMISSION_REFUSED)
+		admission->policy.refused(admission->policy.ctx,
+					  item->priority);
 	update_limit(admission, end, load);
 	admission->view.in_flight[item->priority]--;
 	admission->view.in_flight_total--;
--- a/lib/admission/policy.h
+++ b/lib/admission/policy.h
@@ -24,6 +24,8 @@
 	/* An attempt of the priority started. */
 	void (*started)(void *ctx, const admission_view_t *view, guint priority,
 			GTimeSpan now);
+	/* The upstream refused an attempt of the priority before start. */
+	void (*refused)(void *ctx, guint priority);
 	/* The item that an arrival displaces from a full queue, or NULL. */
 	admission_item_t *(*displace)(void *ctx, const admission_view_t *view,
 				      guint priority);
--- a/lib/admission/policy_fifo.c
+++ b/lib/admission/policy_fifo.c
@@ -26,6 +26,12 @@
 	(void)now;
 }
 
+static void fifo_refused(void *ctx, guint priority)
+{
+	(void)ctx;
+	(void)priority;
+}
+
 static admission_item_t *fifo_displace(void *ctx, const admission_view_t *view,
 				       guint priority)
 {
@@ -53,6 +59,7 @@
 {
 	return (admission_policy_ops_t){ .next = fifo_next,
 					 .started = fifo_started,
+					 .refused = fifo_refused,
 					 .displace = fifo_displace,
 					 .wait = fifo_wait,
 					 .free = fifo_free };
--- a/lib/admission/policy_priority.c
+++ b/lib/admission/policy_priority.c
@@ -80,6 +80,16 @@
 	moving_rate_add(&policy->starts[priority], now);
 }
 
+/* A dispatch that the upstream refused is not one that the floor promised. */
+static void priority_refused(void *ctx, guint priority)
+{
+	priority_policy_t *policy = ctx;
+
+	policy->credit[priority] =
+		MIN(policy->credit[priority] + CREDIT_OF_DISPATCH,
+		    CREDIT_MAX_WAITING);
+}
+
 static gboolean is_above_floor(const admission_view_t *view, guint priority)
 {
 	return view->lanes[priority].length * 100 >
@@ -149,6 +159,7 @@
 {
 	return (admission_policy_ops_t){ .next = priority_next,
 					 .started = priority_started,
+					 .refused = priority_refused,
 					 .displace = priority_displace,
 					 .wait = priority_wait,
 					 .free = g_free,
