--- a/bench/load.c
+++ b/bench/load.c
@@ -58,7 +58,7 @@
 } request_t;
 
 static struct {
-	guint port, count, concurrency, seed, connections;
+	guint port, count, concurrency, seed, connections, resolve_shift;
 	double seconds, warmup;
 	gboolean direct;
 	char *caller;
@@ -184,8 +184,9 @@
 
 static void resolve(entry_ids_t *ids)
 {
-	gchar *uri =
-		g_strdup_printf("http://127.0.0.1:%u/v1/resolve", ids->port);
+	guint index = (guint)(ids - load.ids) + load.resolve_shift;
+	gchar *uri = g_strdup_printf("http://127.0.0.1:%u/v1/resolve",
+				     load.ids[index % load.count].port);
 	SoupMessage *message = soup_message_new(SOUP_METHOD_GET, uri);
 
 	ids->resolving = TRUE;
@@ -385,6 +386,9 @@
 	case 'x':
 		load.connections = (guint)atoi(argument);
 		break;
+	case 'i':
+		load.resolve_shift = (guint)atoi(argument);
+		break;
 	case 's':
 		add_stream(argument, state);
 		break;
@@ -428,6 +432,9 @@
 		{ "seed", 'r', "N", 0, "Seed of the arrivals", 0 },
 		{ "caller", 'a', "NAME", 0, "Name of the caller", 0 },
 		{ "connections", 'x', "N", 0, "Connections at most", 0 },
+		{ "resolve-shift", 'i', "N", 0,
+		  "Take ids from the Nth next port, so that calls are forwarded",
+		  0 },
 		{ "stream", 's', "STREAM", 0,
 		  "SERVICE/METHOD:RATE:DEADLINE_MS[:id]; repeatable", 0 },
 		{ 0 }
