Keep the sign of a drain on an answer without a load

read_report() dropped "Draining: 1" when the Load header was missing or malformed. A load report with 0 slots now means that the load is unknown; it changes only the draining state and keeps the last known load.

--- a/lib/upstream/endpoint.c
+++ b/lib/upstream/endpoint.c
@@ -69,9 +69,8 @@
 	upstream->others += OTHERS_WEIGHT * (others - upstream->others);
 }
 
-void endpoint_take_report(upstream_t *upstream, endpoint_t *endpoint,
-			  const load_report_t *report, GTimeSpan asked,
-			  GTimeSpan now)
+static void take_load(upstream_t *upstream, endpoint_t *endpoint,
+		      const load_report_t *report, GTimeSpan now)
 {
 	if (!endpoint->reported)
 		endpoint->others = upstream->others;
@@ -81,6 +80,14 @@
 	learn_usual_load(upstream, endpoint);
 	if (report->in_flight < report->slots)
 		endpoint->full_until = 0;
+}
+
+void endpoint_take_report(upstream_t *upstream, endpoint_t *endpoint,
+			  const load_report_t *report, GTimeSpan asked,
+			  GTimeSpan now)
+{
+	if (report->slots)
+		take_load(upstream, endpoint, report, now);
 	take_draining(endpoint, report->draining, asked, now);
 }
 
--- a/lib/upstream/upstream.h
+++ b/lib/upstream/upstream.h
@@ -28,7 +28,7 @@
 /* What an endpoint says of itself, on an answer or to a probe. */
 typedef struct {
 	guint in_flight; /* requests executing or queued there */
-	guint slots;
+	guint slots; /* 0 when the load is unknown */
 	gboolean draining;
 } load_report_t;
 
--- a/net/upstream_client.c
+++ b/net/upstream_client.c
@@ -155,33 +155,35 @@
 		reject_answer(exchange);
 }
 
+/* Leaves the load unknown when text is NULL or malformed. */
+static void read_load(const char *text, load_report_t *report)
+{
+	gchar **parts = g_strsplit(text ? text : "", "/", 2);
+	guint64 in_flight, slots;
+
+	if (g_strv_length(parts) == 2 &&
+	    g_ascii_string_to_unsigned(parts[0], 10, 0, G_MAXUINT32, &in_flight,
+				       NULL) &&
+	    g_ascii_string_to_unsigned(parts[1], 10, 1, G_MAXUINT32, &slots,
+				       NULL)) {
+		report->in_flight = (guint)in_flight;
+		report->slots = (guint)slots;
+	}
+	g_strfreev(parts);
+}
+
+/* FALSE when the answer tells neither a load nor a drain. */
 static gboolean read_report(SoupMessage *message, load_report_t *report)
 {
 	SoupMessageHeaders *headers =
 		soup_message_get_response_headers(message);
-	const char *load = soup_message_headers_get_one(headers, "Load");
 	const char *draining =
 		soup_message_headers_get_one(headers, "Draining");
-	gchar **parts;
-	guint64 in_flight, slots;
-	gboolean ok;
 
 	memset(report, 0, sizeof(*report));
 	report->draining = g_strcmp0(draining, "1") == 0;
-	if (!load)
-		return FALSE;
-	parts = g_strsplit(load, "/", 2);
-	ok = g_strv_length(parts) == 2 &&
-	     g_ascii_string_to_unsigned(parts[0], 10, 0, G_MAXUINT32,
-					&in_flight, NULL) &&
-	     g_ascii_string_to_unsigned(parts[1], 10, 1, G_MAXUINT32, &slots,
-					NULL);
-	g_strfreev(parts);
-	if (!ok)
-		return FALSE;
-	report->in_flight = (guint)in_flight;
-	report->slots = (guint)slots;
-	return TRUE;
+	read_load(soup_message_headers_get_one(headers, "Load"), report);
+	return report->slots || report->draining;
 }
 
 static gboolean is_whole(const exchange_t *exchange)
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -247,6 +247,28 @@
 	assert_true(share(f, 0) > 0 && share(f, 1) == 0 && share(f, 3) > 0);
 }
 
+/* Fails when a report of a drain without a load replaces the known slots. */
+static void drain_without_load_keeps_the_known_load(void **state)
+{
+	const load_report_t large = { .slots = 3 };
+	const load_report_t draining = { .draining = TRUE };
+	fixture_t *f = *state;
+	guint i;
+
+	end_attempt(f, 0, ATTEMPT_ANSWERED, SERVICE_TIME, &large);
+	upstream_probe_ended(f->upstream, f->infos[0].address, &draining,
+			     f->now);
+	assert_true(share(f, 0) == 0);
+	f->infos[0].leaving = TRUE;
+	upstream_set_endpoints(f->upstream, f->infos, ENDPOINTS, f->now);
+	f->infos[0].leaving = FALSE;
+	upstream_set_endpoints(f->upstream, f->infos, ENDPOINTS, f->now);
+	for (i = 0; i < 2 * ENDPOINTS; i++)
+		upstream_attempt_started(f->upstream, f->infos[i / 2].address,
+					 f->now);
+	assert_int_equal(choose(f, NULL), 0);
+}
+
 /* Fails when a new endpoint gets a full share at once, or stays below it. */
 static void cold_start_ramps_up(void **state)
 {
@@ -356,6 +378,7 @@
 		TEST(refused_connection_ejects_and_silence_does_not),
 		TEST(half_of_the_endpoints_stays),
 		TEST(drain_is_learnt_and_revoked),
+		TEST(drain_without_load_keeps_the_known_load),
 		TEST(cold_start_ramps_up),
 		TEST(refusal_pauses),
 		TEST(subset_is_preferred_and_spills),
--- a/tests/test_upstream_client.c
+++ b/tests/test_upstream_client.c
@@ -48,6 +48,8 @@
 	upstream_client_t *client;
 	gboolean ended;
 	attempt_end_t end;
+	gboolean has_report;
+	load_report_t report;
 } fixture_t;
 
 static const char good_answer[] = "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n"
@@ -187,6 +189,8 @@
 	assert_false(fixture->ended);
 	fixture->ended = TRUE;
 	fixture->end = result->end;
+	fixture->has_report = result->has_report;
+	fixture->report = result->report;
 }
 
 static int set_up(void **state)
@@ -396,6 +400,21 @@
 	g_string_free(answer, TRUE);
 }
 
+/* Fails when the sign of a drain is lost on an answer without a load. */
+static void drain_is_read_without_load(void **state)
+{
+	fixture_t *fixture = *state;
+
+	run_attempt(fixture, SERVER_ANSWERS, 1);
+	assert_false(fixture->has_report);
+	fixture->answer = HEAD "Attempt-Id: %s\r\nDraining: 1\r\n"
+			       "Content-Length: 1\r\n\r\nx";
+	run_attempt(fixture, SERVER_ANSWERS, 1);
+	assert_true(fixture->has_report);
+	assert_true(fixture->report.draining);
+	assert_int_equal(fixture->report.slots, 0);
+}
+
 static attempt_end_t run_inquiry(fixture_t *fixture, const char *state)
 {
 	fixture->behaviour = SERVER_IS_SILENT;
@@ -454,6 +473,7 @@
 		TEST(wrong_answers_are_dropped),
 		TEST(answer_needs_a_length),
 		TEST(chunked_answer_is_bounded),
+		TEST(drain_is_read_without_load),
 		TEST(inquiry_decides_on_a_silent_attempt),
 		TEST(silence_gives_up_idle_connections),
 	};
