Test that a draining endpoint gets no new work (R5)

Three entries under about 200 calls/s and three endpoints, one of which begins to drain: it refuses, or goes on executing and shows the drain only in its answers, only in its load report, or only in the instance list. From 3 s after the request for the drain nothing starts there, no call fails, and it gets work again once the drain is called off. The fake upstream can now show a drain in one place only; it then sends no Load header.

Started requests are read with /runs, which the fake counts in the same step as "started", since each endpoint has its own process here.

--- a/tests/fakes/fake_upstream.c
+++ b/tests/fakes/fake_upstream.c
@@ -3,8 +3,9 @@
  * of ports, one endpoint each, with slots, a short queue, load reports,
  * shedding, draining, cancellation and a count of runs per request body.
  *
- * POST /control?slow=F&fail=0|1&shed=0|1&drain=0|1 changes the endpoint of the
- * port it is sent to. POST /stats gives counts of all endpoints, POST
+ * POST /control?slow=F&fail=0|1&shed=0|1&drain=0|1&sign=0|1|2 changes the
+ * endpoint of the port it is sent to. drain refuses requests; sign only shows a
+ * drain, in answers (1) or in answers to probes (2), and hides the load. POST /stats gives counts of all endpoints, POST
  * /runs?body=TEXT the runs of a body over all endpoints.
  */
 #include <argp.h>
@@ -19,6 +20,8 @@
 
 typedef struct endpoint endpoint_t;
 
+typedef enum { SIGN_NONE, SIGN_IN_ANSWERS, SIGN_IN_PROBES } sign_t;
+
 typedef struct job {
 	TAILQ_ENTRY(job) link; /* in the endpoint's queue or running list */
 	endpoint_t *endpoint;
@@ -36,6 +39,7 @@
 	guint queued;
 	double slow;
 	gboolean fail, shed, drain;
+	sign_t sign;
 	guint64 started, finished, shed_count, probes, cancelled;
 	TAILQ_HEAD(job_list, job) queue;
 	TAILQ_HEAD(running_list, job) running;
@@ -54,6 +58,16 @@
 	   .service_ms = 5,
 	   .probe_ms = 0 };
 
+static gboolean shows_drain(const endpoint_t *endpoint,
+			    SoupServerMessage *message)
+{
+	const char *path = g_uri_get_path(soup_server_message_get_uri(message));
+	sign_t sign = g_str_equal(path, "/load") ? SIGN_IN_PROBES :
+						   SIGN_IN_ANSWERS;
+
+	return endpoint->drain || endpoint->sign == sign;
+}
+
 static void set_headers(endpoint_t *endpoint, SoupServerMessage *message)
 {
 	SoupMessageHeaders *headers =
@@ -63,10 +77,11 @@
 	gchar *load = g_strdup_printf(
 		"%u/%u", endpoint->busy + endpoint->queued, fake.slots);
 
-	soup_message_headers_replace(headers, "Load", load);
+	if (!endpoint->sign)
+		soup_message_headers_replace(headers, "Load", load);
 	if (id)
 		soup_message_headers_replace(headers, "Attempt-Id", id);
-	if (endpoint->drain)
+	if (shows_drain(endpoint, message))
 		soup_message_headers_replace(headers, "Draining", "1");
 	g_free(load);
 }
@@ -280,6 +295,7 @@
 	endpoint->fail = read_option(query, "fail", endpoint->fail) != 0;
 	endpoint->shed = read_option(query, "shed", endpoint->shed) != 0;
 	endpoint->drain = read_option(query, "drain", endpoint->drain) != 0;
+	endpoint->sign = (sign_t)read_option(query, "sign", endpoint->sign);
 	soup_server_message_set_status(message, SOUP_STATUS_OK, NULL);
 }
 
--- /dev/null
+++ b/tests/test_drain.c
@@ -0,0 +1,199 @@
+/* Guards that a draining endpoint gets no new work, unnoticed by callers. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "tests/support.h"
+
+#define ENTRIES 3
+#define ENDPOINTS 3 /* the first one drains */
+#define OBJECT_PORT 700
+#define ENTRY_PORT 701
+#define ENDPOINT_PORT 710
+#define START_MS 5000
+#define WARM_UP_MS 1000 /* the retry budget starts empty */
+#define ROUND_MS 15 /* about 200 calls/s */
+#define DRAIN_BOUND_MS 3000 /* requirement R5 */
+#define RETURN_BOUND_MS 4000 /* 2 s until the list is read, then a ramp */
+
+/* How the first endpoint is made to begin and to end a drain. */
+typedef struct {
+	gboolean (*set)(const char *value);
+	const char *on, *off;
+} drain_t;
+static GPtrArray *running; /* processes */
+
+static const char schema_text[] =
+	"{\"priorities\":[{\"name\":\"p\",\"floor_percent\":10}],"
+	"\"services\":[{\"name\":\"s\",\"slots\":3,\"connections\":200,"
+	"\"probes_per_second\":6,\"instance_list\":\"s\",\"methods\":["
+	"{\"name\":\"m\",\"priority\":\"p\",\"idempotent\":true,"
+	"\"deadline_ms\":2000}]}]}";
+
+static gboolean post(guint port, const char *path, const char *body)
+{
+	reply_t reply;
+	gboolean ok;
+
+	http_request(&reply, "POST", support_port(port), path, body, NULL);
+	ok = reply.status == 200;
+	reply_clear(&reply);
+	return ok;
+}
+
+static gboolean set_control(const char *path)
+{
+	return post(ENDPOINT_PORT, path, NULL);
+}
+
+#define INSTANCE                                        \
+	"{\"name\":\"s\",\"address\":\"127.0.0.1:%u\"," \
+	"\"data_centre\":\"k1\",\"state\":\"%s\"}"
+
+static gboolean set_list(const char *state_of_first)
+{
+	guint port = support_port(ENDPOINT_PORT);
+	gchar *list = g_strdup_printf("{\"instances\":[" INSTANCE "," INSTANCE
+				      "," INSTANCE "]}",
+				      port, state_of_first, port + 1, "live",
+				      port + 2, "live");
+	gboolean ok = post(OBJECT_PORT, "/instances/s", list);
+
+	g_free(list);
+	return ok;
+}
+
+static gboolean put_configuration(void *ctx)
+{
+	(void)ctx;
+	return set_list("live") &&
+	       post(OBJECT_PORT, "/v1/put/config/schema?if_version=0",
+		    schema_text);
+}
+
+static void start_fake(const char *program, guint port)
+{
+	gchar *text = g_strdup_printf("%u", support_port(port));
+
+	g_ptr_array_add(running, process_start(program, "--port", text, NULL));
+	g_free(text);
+}
+
+static void start_entry(guint port)
+{
+	char *path = write_file(
+		"drain_entry.json",
+		"{\"instance\":\"e%u\",\"data_centre\":\"k1\",\"entries_max\":"
+		"%d,\"routing\":\"two_choices\",\"caller_address\":"
+		"\"127.0.0.1:%u\",\"object_api\":\"127.0.0.1:%u\"}",
+		port, ENTRIES, port, support_port(OBJECT_PORT));
+
+	g_ptr_array_add(running, process_start("catkinstalld", "--settings",
+					       path, NULL));
+	g_free(path);
+	assert_true(
+		wait_until(daemon_answers, GUINT_TO_POINTER(port), START_MS));
+}
+
+static int set_up(void **state)
+{
+	guint i;
+
+	(void)state;
+	running = g_ptr_array_new_with_free_func((GDestroyNotify)process_free);
+	start_fake("fake_object_api", OBJECT_PORT);
+	for (i = 0; i < ENDPOINTS; i++)
+		start_fake("fake_upstream", ENDPOINT_PORT + i);
+	assert_true(wait_until(put_configuration, NULL, START_MS));
+	for (i = 0; i < ENTRIES; i++)
+		start_entry(support_port(ENTRY_PORT + i));
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	(void)state;
+	g_ptr_array_free(running, TRUE);
+	return 0;
+}
+
+/* Requests that the first endpoint, alone in its process, has started. */
+static gint64 count_started(void)
+{
+	gint64 started;
+	reply_t reply;
+
+	http_request(&reply, "POST", support_port(ENDPOINT_PORT),
+		     "/runs?body=x", NULL, NULL);
+	assert_int_equal(reply.status, 200);
+	started = g_ascii_strtoll(reply.body, NULL, 10);
+	reply_clear(&reply);
+	return started;
+}
+
+/* One call of each entry; all must succeed. */
+static void run_round(void)
+{
+	async_request_t *calls[ENTRIES];
+	reply_t reply;
+	guint i;
+
+	for (i = 0; i < ENTRIES; i++)
+		calls[i] = http_start("POST", support_port(ENTRY_PORT + i),
+				      "/v1/call/s/m", "x", NULL);
+	run_loop_for(ROUND_MS);
+	for (i = 0; i < ENTRIES; i++) {
+		http_join(calls[i], &reply);
+		assert_int_equal(reply.status, 200);
+		reply_clear(&reply);
+	}
+}
+
+/* Returns how many of the calls the first endpoint started. */
+static gint64 run_calls_for(guint ms)
+{
+	gint64 end = g_get_monotonic_time() + ms * G_TIME_SPAN_MILLISECOND;
+	gint64 before = count_started();
+
+	while (g_get_monotonic_time() < end)
+		run_round();
+	return count_started() - before;
+}
+
+/* The bound of R5 counts from the request, before any entry can see a sign. */
+static void check(void **state)
+{
+	const drain_t *drain = *state;
+
+	assert_true(run_calls_for(WARM_UP_MS) > 0);
+	assert_true(drain->set(drain->on));
+	run_calls_for(DRAIN_BOUND_MS);
+	assert_int_equal(run_calls_for(1500), 0);
+	assert_true(drain->set(drain->off));
+	assert_true(run_calls_for(RETURN_BOUND_MS) > 0);
+}
+
+int main(void)
+{
+	static drain_t refusals = { set_control, "/control?drain=1",
+				    "/control?drain=0" };
+	static drain_t answers = { set_control, "/control?sign=1",
+				   "/control?sign=0" };
+	static drain_t probes = { set_control, "/control?sign=2",
+				  "/control?sign=0" };
+	static drain_t list = { set_list, "leaving", "live" };
+	const struct CMUnitTest tests[] = {
+		/* Fails when a caller gets the refusal of a draining endpoint. */
+		{ "refusals_are_hidden", check, set_up, tear_down, &refusals },
+		/* Fails when a drain that only answers show is ignored. */
+		{ "answers_show_drain", check, set_up, tear_down, &answers },
+		/* Fails when a drain that only probes show is ignored. */
+		{ "probes_show_drain", check, set_up, tear_down, &probes },
+		/* Fails when a drain that only the list shows is ignored. */
+		{ "list_shows_drain", check, set_up, tear_down, &list },
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
