Split the calls of an entry by arrival, attempts and answers

No behaviour changes: test_entry, test_call, test_at_most_once, test_retry_budget and test_peers pass.

--- /dev/null
+++ b/lib/entry/entry_answers.c
@@ -0,0 +1,174 @@
+/* The end of a call: its answer, the record of its id, its removal. */
+#include "lib/entry/entry_internal.h"
+
+const call_rule_t *entry_call_rule(const entry_t *entry)
+{
+	return entry->limits.call_rule ? entry->limits.call_rule :
+					 &call_rule_by_proof;
+}
+
+outcome_t entry_outcome_of(const entry_t *entry, const call_t *call)
+{
+	const call_rule_t *rule = entry_call_rule(entry);
+
+	return rule->outcome(rule->ctx, call);
+}
+
+void entry_answer_error(entry_t *entry, void *caller_ref,
+			const catk_error_t *error)
+{
+	call_answer_t answer = { .error = *error };
+
+	switch (error->outcome) {
+	case OUTCOME_NOT_RUN:
+		counters_add(entry->counters, COUNTER_CALLS_REFUSED, 1);
+		break;
+	case OUTCOME_RAN:
+		counters_add(entry->counters, COUNTER_CALLS_RAN_FAILED, 1);
+		break;
+	case OUTCOME_UNKNOWN:
+		counters_add(entry->counters, COUNTER_CALLS_UNKNOWN, 1);
+		break;
+	}
+	entry_send_answer(entry, caller_ref, &answer);
+}
+
+void entry_answer_success(entry_t *entry, void *caller_ref, guint status,
+			  GBytes *body)
+{
+	call_answer_t answer = { .status = status, .body = body };
+
+	answer.error.outcome = OUTCOME_RAN;
+	counters_add(entry->counters, COUNTER_CALLS_SUCCEEDED, 1);
+	entry_send_answer(entry, caller_ref, &answer);
+}
+
+void entry_pass_answer(entry_t *entry, void *caller_ref,
+		       const call_answer_t *answer)
+{
+	if (answer->error.kind == CATK_OK)
+		entry_answer_success(entry, caller_ref, answer->status,
+				     answer->body);
+	else
+		entry_answer_error(entry, caller_ref, &answer->error);
+}
+
+/* Deadlines mostly arrive in order, so the search from the end is short. */
+void entry_insert_call(entry_t *entry, call_t *call)
+{
+	call_t *before = TAILQ_LAST(&entry->calls, call_list);
+
+	while (before && before->deadline > call->deadline)
+		before = TAILQ_PREV(before, call_list, by_deadline);
+	if (before)
+		TAILQ_INSERT_AFTER(&entry->calls, before, call, by_deadline);
+	else
+		TAILQ_INSERT_HEAD(&entry->calls, call, by_deadline);
+}
+
+void entry_add_waiter(entry_t *entry, call_t *call, void *caller_ref)
+{
+	call_add_waiter(call, caller_ref);
+	g_hash_table_insert(entry->calls_by_ref, caller_ref, call);
+}
+
+static void abandon_attempts(entry_t *entry, call_t *call)
+{
+	entry_service_t *service = entry_find_service(entry, call->service);
+	GTimeSpan now = entry_now(entry);
+	attempt_t *attempt;
+
+	TAILQ_FOREACH (attempt, &call->attempts, link) {
+		upstream_attempt_ended(service->upstream, attempt->address,
+				       ATTEMPT_ABANDONED,
+				       now - attempt->started, NULL, now);
+		admission_ended(service->admission, &call->queue,
+				ADMISSION_NO_ANSWER, 0, now - attempt->started,
+				now);
+		g_hash_table_remove(entry->calls_by_attempt, &attempt->id);
+		entry->actions.cancel_attempt(entry->actions.ctx, attempt->id);
+	}
+}
+
+/* Removes the call from every list and index and frees it. */
+static void drop_call(entry_t *entry, call_t *call)
+{
+	entry_service_t *service = entry_find_service(entry, call->service);
+	call_waiter_t *waiter;
+
+	admission_remove(service->admission, &call->queue);
+	abandon_attempts(entry, call);
+	TAILQ_FOREACH (waiter, &call->waiters, link)
+		g_hash_table_remove(entry->calls_by_ref, waiter->caller_ref);
+	if (call->has_id)
+		g_hash_table_remove(entry->calls_by_sequence, &call->sequence);
+	TAILQ_REMOVE(&entry->calls, call, by_deadline);
+	call_free(call);
+}
+
+void entry_drop_calls(entry_t *entry)
+{
+	while (!TAILQ_EMPTY(&entry->calls))
+		drop_call(entry, TAILQ_FIRST(&entry->calls));
+}
+
+void entry_finish_with_error(entry_t *entry, call_t *call,
+			     const catk_error_t *error)
+{
+	call_waiter_t *waiter;
+
+	if (call->has_id && error->outcome == OUTCOME_NOT_RUN)
+		request_ids_seal(entry->ids, call->sequence);
+	else if (call->has_id)
+		request_ids_abandon(entry->ids, call->sequence);
+	TAILQ_FOREACH (waiter, &call->waiters, link)
+		entry_answer_error(entry, waiter->caller_ref, error);
+	drop_call(entry, call);
+}
+
+void entry_finish_with_answer(entry_t *entry, call_t *call, guint status,
+			      GBytes *body)
+{
+	call_waiter_t *waiter;
+
+	if (call->has_id)
+		request_ids_complete(entry->ids, call->sequence, status, body);
+	TAILQ_FOREACH (waiter, &call->waiters, link)
+		entry_answer_success(entry, waiter->caller_ref, status, body);
+	drop_call(entry, call);
+}
+
+/* Ends a call that admission gave up; an earlier attempt may have run. */
+void entry_finish_refused(entry_t *entry, call_t *call, catk_error_t *error)
+{
+	error->outcome = entry_outcome_of(entry, call);
+	entry_finish_with_error(entry, call, error);
+}
+
+void entry_finish_expired(entry_t *entry, call_t *call)
+{
+	catk_error_t error;
+
+	if (entry_outcome_of(entry, call) == OUTCOME_NOT_RUN)
+		catk_error_set(&error, CATK_DEADLINE_EXCEEDED, OUTCOME_NOT_RUN,
+			       "the deadline passed before the call started: "
+			       "send it again with a new request id and a "
+			       "later deadline");
+	else
+		catk_error_set(&error, CATK_DEADLINE_EXCEEDED, OUTCOME_UNKNOWN,
+			       "the deadline passed while the call may have "
+			       "been running: read its effect before sending "
+			       "it again");
+	entry_finish_with_error(entry, call, &error);
+}
+
+void entry_expire_calls(entry_t *entry)
+{
+	GTimeSpan now = entry_now(entry);
+	call_t *call = TAILQ_FIRST(&entry->calls);
+
+	while (call && now >= call->deadline) {
+		entry_finish_expired(entry, call);
+		call = TAILQ_FIRST(&entry->calls);
+	}
+}
--- /dev/null
+++ b/lib/entry/entry_attempts.c
@@ -0,0 +1,282 @@
+/* Attempts of calls at endpoints: dispatch, end, retry. */
+#include "lib/entry/entry_internal.h"
+
+/*
+ * Time before the deadline at which an attempt is cancelled. It covers a new
+ * connection and one exchange between data centres (about 8 ms) with room for
+ * a busy endpoint.
+ */
+#define CANCEL_MARGIN (50 * G_TIME_SPAN_MILLISECOND)
+
+/*
+ * Shortest wait before an idempotent attempt without a byte is looked into.
+ * Shorter waits would cancel calls that only queue at a busy endpoint.
+ */
+#define SILENCE_MIN (250 * G_TIME_SPAN_MILLISECOND)
+
+static const char *priority_name(const entry_t *entry, guint priority)
+{
+	const schema_t *schema = config_schema(entry->config);
+
+	if (priority >= schema->priority_count)
+		priority = schema->priority_count - 1;
+	return schema->priorities[priority].name;
+}
+
+static GTimeSpan cancel_margin(const call_t *call)
+{
+	return MIN(CANCEL_MARGIN, (call->deadline - call->admitted) / 4);
+}
+
+static gboolean may_retry(const entry_t *entry, const call_t *call,
+			  GTimeSpan now)
+{
+	/* Calls are up to 7 levels deep: only one level retries. */
+	if (call->caller_attempt > 1)
+		return FALSE;
+	/* Too late to cancel: the outcome would most likely be unknown. */
+	if (call->deadline - now <= cancel_margin(call))
+		return FALSE;
+	return call->attempts_made < entry->limits.attempts_max &&
+	       retry_budget_has_room(&entry->retries);
+}
+
+/*
+ * Only an idempotent call that may be retried gains from an early look at a
+ * silent connection: it can be sent again in the time that is left. Any other
+ * call would lose its place at a busy endpoint.
+ */
+static void set_inquiry_times(const entry_t *entry, const call_t *call,
+			      attempt_request_t *request, GTimeSpan now)
+{
+	GTimeSpan remaining = request->remaining;
+
+	request->cancel_after =
+		MAX(remaining - cancel_margin(call), remaining / 2);
+	request->inquire_after = request->cancel_after;
+	if (call->idempotent && may_retry(entry, call, now))
+		request->inquire_after = MIN(MAX(SILENCE_MIN, remaining / 2),
+					     request->cancel_after);
+}
+
+static void start_attempt(entry_t *entry, entry_service_t *service,
+			  call_t *call, const endpoint_t *endpoint,
+			  GTimeSpan now)
+{
+	attempt_t *attempt = call_start_attempt(
+		call, entry->next_attempt++, endpoint_address(endpoint), now);
+	attempt_request_t request = {
+		.attempt_id = attempt->id,
+		.address = attempt->address,
+		.service = call->service,
+		.method = call->method,
+		.priority = priority_name(entry, call->queue.priority),
+		.remaining = call->deadline - now,
+		.attempt = call->caller_attempt - 1 + call->attempts_made,
+		.connections_max = upstream_connection_share(service->upstream),
+		.body = call->body,
+	};
+
+	g_hash_table_insert(entry->calls_by_attempt, &attempt->id, call);
+	upstream_attempt_started(service->upstream, attempt->address, now);
+	admission_started(service->admission, &call->queue, now);
+	counters_add(entry->counters, COUNTER_ATTEMPTS_STARTED, 1);
+	if (call->attempts_made > 1)
+		counters_add(entry->counters, COUNTER_ATTEMPTS_RETRIED, 1);
+	else
+		retry_budget_earn(&entry->retries);
+	set_inquiry_times(entry, call, &request, now);
+	entry->actions.start_attempt(entry->actions.ctx, &request);
+}
+
+/*
+ * Reads the clock, checks deadline and id, records and hands over in one step
+ * of the loop, so that a pause before this step cannot lead to a late
+ * dispatch.
+ */
+static gboolean dispatch_call(entry_t *entry, entry_service_t *service,
+			      call_t *call)
+{
+	const char *avoid = call->attempts_made ? call->last_address : NULL;
+	GTimeSpan now = entry_now(entry);
+	const endpoint_t *endpoint;
+	catk_error_t error;
+
+	if (now >= call->deadline) {
+		entry_finish_expired(entry, call);
+		return TRUE;
+	}
+	if (!admission_can_finish(service->admission, &call->queue, now,
+				  &error)) {
+		entry_finish_refused(entry, call, &error);
+		return TRUE;
+	}
+	endpoint = upstream_choose(service->upstream, avoid, now);
+	if (!endpoint) {
+		admission_requeue(service->admission, &call->queue);
+		return FALSE;
+	}
+	if (call->has_id &&
+	    !request_ids_dispatch(entry->ids, call->sequence, now)) {
+		catk_error_set(&error, CATK_DEADLINE_EXCEEDED, OUTCOME_NOT_RUN,
+			       "the request id expired before the call "
+			       "started: resolve again and use a new id");
+		entry_finish_with_error(entry, call, &error);
+		return TRUE;
+	}
+	start_attempt(entry, service, call, endpoint, now);
+	return TRUE;
+}
+
+void entry_dispatch(entry_t *entry, entry_service_t *service)
+{
+	admission_item_t *item;
+	gboolean again = TRUE;
+
+	while (again) {
+		item = admission_next(service->admission, entry_now(entry));
+		again = item &&
+			dispatch_call(entry, service,
+				      container_of(item, call_t, queue));
+	}
+}
+
+static void retry_call(entry_t *entry, entry_service_t *service, call_t *call)
+{
+	retry_budget_spend(&entry->retries);
+	if (call->has_id)
+		request_ids_undispatch(entry->ids, call->sequence);
+	admission_requeue(service->admission, &call->queue);
+}
+
+static void refuse_after_attempts(entry_t *entry, call_t *call)
+{
+	catk_error_t error;
+
+	if (call->has_id)
+		request_ids_undispatch(entry->ids, call->sequence);
+	catk_error_set(&error, CATK_UNAVAILABLE, OUTCOME_NOT_RUN,
+		       "no endpoint of %s took the call in %u attempts: try "
+		       "again later with a new request id",
+		       call->service, call->attempts_made);
+	error.retry_after = G_TIME_SPAN_SECOND;
+	entry_finish_with_error(entry, call, &error);
+}
+
+static void finish_unknown(entry_t *entry, call_t *call)
+{
+	catk_error_t error;
+
+	catk_error_set(&error, CATK_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN,
+		       "the upstream gave no whole answer and the call may "
+		       "have run: read its effect before sending it again");
+	entry_finish_with_error(entry, call, &error);
+}
+
+static void count_end(entry_t *entry, attempt_end_t end)
+{
+	if (end == ATTEMPT_SHED)
+		counters_add(entry->counters, COUNTER_ATTEMPTS_SHED, 1);
+	else if (end != ATTEMPT_ANSWERED)
+		counters_add(entry->counters, COUNTER_ATTEMPTS_FAILED, 1);
+	if (end == ATTEMPT_SILENT)
+		counters_add(entry->counters, COUNTER_CONNECTIONS_SILENT, 1);
+	if (end == ATTEMPT_BAD_ANSWER)
+		counters_add(entry->counters, COUNTER_ANSWERS_DROPPED, 1);
+}
+
+static double reported_load(const attempt_result_t *result)
+{
+	const load_report_t *report = &result->report;
+
+	if (!result->has_report || !report->slots)
+		return 0;
+	return (double)report->in_flight / report->slots;
+}
+
+static void report_to_admission(entry_service_t *service, const call_t *call,
+				const attempt_result_t *result,
+				GTimeSpan latency, GTimeSpan now)
+{
+	admission_end_t end = ADMISSION_NO_ANSWER;
+
+	if (result->end == ATTEMPT_ANSWERED)
+		end = ADMISSION_ANSWERED;
+	else if (result->end == ATTEMPT_SHED)
+		end = ADMISSION_REFUSED;
+	admission_ended(service->admission, &call->queue, end,
+			reported_load(result), latency, now);
+}
+
+static void take_step(entry_t *entry, entry_service_t *service, call_t *call,
+		      call_step_t step, const attempt_result_t *result)
+{
+	switch (step) {
+	case CALL_WAIT:
+		break;
+	case CALL_RETRY:
+		retry_call(entry, service, call);
+		break;
+	case CALL_RAN:
+		entry_finish_with_answer(entry, call, result->status,
+					 result->body);
+		break;
+	case CALL_NOT_RUN:
+		refuse_after_attempts(entry, call);
+		break;
+	case CALL_UNKNOWN:
+		finish_unknown(entry, call);
+		break;
+	}
+}
+
+/* A 5xx or an empty success is passed on, but counts against the endpoint. */
+static attempt_end_t judged_end(const attempt_result_t *result)
+{
+	if (result->end != ATTEMPT_ANSWERED)
+		return result->end;
+	if (result->status >= 500 || g_bytes_get_size(result->body) == 0)
+		return ATTEMPT_ERROR_ANSWER;
+	return ATTEMPT_ANSWERED;
+}
+
+void entry_attempt_ended(entry_t *entry, const attempt_result_t *result)
+{
+	GTimeSpan now = entry_now(entry);
+	entry_service_t *service;
+	attempt_t *attempt;
+	call_step_t step;
+	call_t *call;
+
+	call = g_hash_table_lookup(entry->calls_by_attempt,
+				   &result->attempt_id);
+	if (!call) {
+		counters_add(entry->counters, COUNTER_ANSWERS_DROPPED, 1);
+		return;
+	}
+	service = entry_find_service(entry, call->service);
+	attempt = call_find_attempt(call, result->attempt_id);
+	count_end(entry, result->end);
+	upstream_attempt_ended(service->upstream, attempt->address,
+			       judged_end(result), now - attempt->started,
+			       result->has_report ? &result->report : NULL,
+			       now);
+	report_to_admission(service, call, result, now - attempt->started, now);
+	g_hash_table_remove(entry->calls_by_attempt, &attempt->id);
+	step = call_end_attempt(call, entry_call_rule(entry), attempt,
+				result->end, may_retry(entry, call, now), now);
+	take_step(entry, service, call, step, result);
+	entry_dispatch(entry, service);
+}
+
+void entry_probe_ended(entry_t *entry, const char *name, const char *address,
+		       const load_report_t *report)
+{
+	entry_service_t *service = entry_find_service(entry, name);
+
+	if (!service)
+		return;
+	upstream_probe_ended(service->upstream, address, report,
+			     entry_now(entry));
+	entry_dispatch(entry, service);
+}
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -55,6 +55,35 @@
 /* Starts waiting calls for which an endpoint has room. */
 void entry_dispatch(entry_t *entry, entry_service_t *service);
 
+/* The rule for repeating calls that is set, or the product's. */
+const call_rule_t *entry_call_rule(const entry_t *entry);
+
+/* Outcome of a call that ends now without an answer. */
+outcome_t entry_outcome_of(const entry_t *entry, const call_t *call);
+
+/* Counts and sends an error, or the answer of a call that ran. */
+void entry_answer_error(entry_t *entry, void *caller_ref,
+			const catk_error_t *error);
+void entry_answer_success(entry_t *entry, void *caller_ref, guint status,
+			  GBytes *body);
+
+/* Links a new call into the list of calls. */
+void entry_insert_call(entry_t *entry, call_t *call);
+
+/* Makes a caller wait for the call's answer. */
+void entry_add_waiter(entry_t *entry, call_t *call, void *caller_ref);
+
+/*
+ * End a call: record the outcome of its id, answer all who wait, free it. For
+ * entry_finish_refused() the outcome of error is set by the call's attempts.
+ */
+void entry_finish_with_error(entry_t *entry, call_t *call,
+			     const catk_error_t *error);
+void entry_finish_with_answer(entry_t *entry, call_t *call, guint status,
+			      GBytes *body);
+void entry_finish_refused(entry_t *entry, call_t *call, catk_error_t *error);
+void entry_finish_expired(entry_t *entry, call_t *call);
+
 /* Ends the calls whose deadline has passed. */
 void entry_expire_calls(entry_t *entry);
 
