--- a/codec/settings_json.c
+++ b/codec/settings_json.c
@@ -15,6 +15,7 @@
 	{ "data_centre", offsetof(settings_t, data_centre), TRUE },
 	{ "caller_address", offsetof(settings_t, caller_address), TRUE },
 	{ "peer_address", offsetof(settings_t, peer_address), FALSE },
+	{ "peer_listen", offsetof(settings_t, peer_listen), FALSE },
 	{ "object_api", offsetof(settings_t, object_api), FALSE },
 	{ "config_file", offsetof(settings_t, config_file), FALSE },
 	{ "instance_list", offsetof(settings_t, instance_list), FALSE },
@@ -220,6 +221,14 @@
 				  "\"config_file\"");
 }
 
+static void check_peer_listen(json_reader_t *reader, const settings_t *settings)
+{
+	if (settings->peer_listen && !settings->peer_address)
+		json_reader_issue(reader, "$",
+				  "\"peer_listen\" needs \"peer_address\", "
+				  "the address that other instances use");
+}
+
 static void refuse_unknown(json_reader_t *reader, JsonObject *object)
 {
 	GPtrArray *known = g_ptr_array_new();
@@ -258,6 +267,7 @@
 	read_routing(&reader, object, settings);
 	read_admission(&reader, object, settings);
 	check_source(&reader, settings);
+	check_peer_listen(&reader, settings);
 	json_node_unref(root);
 out:
 	if (reader.issues)
--- a/codec/settings_json.h
+++ b/codec/settings_json.h
@@ -14,6 +14,7 @@
 	char *data_centre;
 	char *caller_address; /* "ip:port" for callers and operators */
 	char *peer_address; /* "ip:port" for other instances, or NULL */
+	char *peer_listen; /* "ip:port", or NULL to listen on peer_address */
 	char *object_api; /* "ip:port", or NULL */
 	char *config_file; /* path of a schema in place of the object API */
 	char *instance_list; /* key of the list of entry instances, or NULL */
--- a/net/daemon.c
+++ b/net/daemon.c
@@ -265,11 +265,14 @@
 		.lost = on_peer_lost,
 		.ctx = daemon,
 	};
+	const char *listen_address = settings->peer_listen ?
+					     settings->peer_listen :
+					     settings->peer_address;
 	guint i;
 
 	if (!settings->peer_address)
 		return TRUE;
-	daemon->peers = peer_link_new(settings->peer_address,
+	daemon->peers = peer_link_new(listen_address,
 				      (gsize)settings->body_bytes_max, &events,
 				      &daemon->counters, err);
 	for (i = 0; i < settings->seeds->len; i++)
