--- a/tests/support_relay.c
+++ b/tests/support_relay.c
@@ -1,5 +1,6 @@
 #include "tests/support_relay.h"
 
+#include <stdio.h>
 #include <string.h>
 #include <sys/stat.h>
 
--- a/tests/test_partition.c
+++ b/tests/test_partition.c
@@ -274,8 +274,8 @@
 		    0);
 	for (i = 0; i < INSTANCES; i++)
 		start_instance(i);
-	assert_true(wait_until(all_count, GUINT_TO_POINTER(INSTANCES),
-			       START_MS));
+	assert_true(
+		wait_until(all_count, GUINT_TO_POINTER(INSTANCES), START_MS));
 	apply(0, 1);
 	assert_true(wait_until(is_in_force, &first, IN_FORCE_MS));
 	return 0;
