--- /dev/null
+++ b/tests/test_partition.c
@@ -0,0 +1,332 @@
+/*
+ * Guards two data centres that lose contact with each other: all peer links,
+ * and the second data centre's way to the object API, go silent together.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "tests/support_relay.h"
+
+#define INSTANCES 6
+#define HALF 3 /* instances in each data centre */
+#define CALLER_PORT 700 /* offsets of the ports */
+#define PEER_PORT 710
+#define RELAY_PORT 720 /* one for each instance, then the object API's */
+#define OBJECT_RELAY_PORT (RELAY_PORT + INSTANCES)
+#define OBJECT_PORT 730
+#define UPSTREAM_PORT 731
+#define CONVERGENCE_MS 6000 /* bound of R7, here also for the members */
+#define UNDER_WAY_MS 20 /* less than the upstream's service time */
+#define CROSSINGS 6
+
+static const char schema_format[] =
+	"{\"priorities\":[{\"name\":\"urgent\",\"floor_percent\":%u}],"
+	"\"services\":[{\"name\":\"booking\",\"slots\":3,\"connections\":200,"
+	"\"probes_per_second\":0,\"endpoints\":[\"127.0.0.1:%u\"],\"methods\":["
+	"{\"name\":\"book\",\"priority\":\"urgent\",\"idempotent\":false,"
+	"\"deadline_ms\":1500}]}]}";
+
+/* A call that is sent to the half that did not issue its id. */
+typedef struct {
+	guint issuer;
+	char *id;
+	char body[16];
+} crossing_t;
+
+/* What all instances of each half shall show. */
+typedef struct {
+	gint64 versions[2];
+	guint live; /* members */
+} view_t;
+
+static struct {
+	process_t *instances[INSTANCES];
+	gint64 versions[INSTANCES]; /* last seen, must not fall */
+	process_t *object_api;
+	process_t *upstream;
+	crossing_t crossings[CROSSINGS];
+} fleet;
+
+static guint caller_port(guint instance)
+{
+	return support_port(CALLER_PORT + instance);
+}
+
+static void start_instance(guint i)
+{
+	guint half = i / HALF;
+	gchar *name = g_strdup_printf("partition_e%u.json", i);
+	char *settings = write_file(
+		name,
+		"{\"instance\":\"e%u\",\"data_centre\":\"k%u\","
+		"\"caller_address\":\"127.0.0.1:%u\","
+		"\"peer_address\":\"127.0.0.1:%u\","
+		"\"peer_listen\":\"127.0.0.1:%u\","
+		"\"seeds\":[\"127.0.0.1:%u\",\"127.0.0.1:%u\"],"
+		"\"object_api\":\"127.0.0.1:%u\","
+		"\"request_id_lifetime_ms\":60000}",
+		i, half, caller_port(i), support_port(RELAY_PORT + i),
+		support_port(PEER_PORT + i), support_port(RELAY_PORT),
+		support_port(RELAY_PORT + HALF),
+		support_port(half ? OBJECT_RELAY_PORT : OBJECT_PORT));
+
+	relay_start(support_port(RELAY_PORT + i), support_port(PEER_PORT + i),
+		    half);
+	fleet.instances[i] =
+		process_start("catkinstalld", "--settings", settings, NULL);
+	relay_add_process(fleet.instances[i], half);
+	g_free(settings);
+	g_free(name);
+}
+
+static gboolean instance_shows(guint i, gint64 version, guint live)
+{
+	gint64 seen;
+	reply_t reply;
+	char *place;
+
+	http_request(&reply, "GET", caller_port(i), "/v1/operator/dump", NULL,
+		     NULL);
+	seen = reply.status == 200 ?
+		       json_integer_at(reply.body, "config_version") :
+		       0;
+	assert_true(seen >= fleet.versions[i]);
+	fleet.versions[i] = seen;
+	place = reply.body;
+	while (place && (place = strstr(place + 1, "\"live\"")))
+		live--;
+	reply_clear(&reply);
+	return seen == version && live == 0;
+}
+
+/* Looks at every instance each time, so that no version falls unseen. */
+static gboolean fleet_shows(void *ctx)
+{
+	const view_t *view = ctx;
+	gboolean all = TRUE;
+	guint i;
+
+	for (i = 0; i < INSTANCES; i++)
+		all &= instance_shows(i, view->versions[i / HALF], view->live);
+	return all;
+}
+
+static void assert_shows(gint64 first, gint64 second, guint live)
+{
+	view_t view = { .versions = { first, second }, .live = live };
+	gint64 start = g_get_monotonic_time();
+
+	assert_true(wait_until(fleet_shows, &view, CONVERGENCE_MS));
+	print_message("versions %d and %d, %u live after %d ms\n", (int)first,
+		      (int)second, live,
+		      (int)((g_get_monotonic_time() - start) /
+			    G_TIME_SPAN_MILLISECOND));
+}
+
+static void apply(guint base)
+{
+	gchar *path = g_strdup_printf(
+		"/v1/operator/config?change_id=c%u&base_version=%u", base,
+		base);
+	gchar *text = g_strdup_printf(schema_format, base + 1,
+				      support_port(UPSTREAM_PORT));
+	reply_t reply;
+
+	http_request(&reply, "POST", caller_port(1), path, text, NULL);
+	assert_int_equal(reply.status, 200);
+	reply_clear(&reply);
+	g_free(text);
+	g_free(path);
+}
+
+static async_request_t *start_call(guint instance, const char *id,
+				   const char *body)
+{
+	return http_start("POST", caller_port(instance),
+			  "/v1/call/booking/book", body,
+			  "Catkinstall-Request-Id", id, NULL);
+}
+
+static async_request_t *start_crossing(guint i)
+{
+	crossing_t *crossing = &fleet.crossings[i];
+
+	crossing->issuer = i % 2 * HALF;
+	crossing->id = take_request_id(caller_port(crossing->issuer));
+	g_snprintf(crossing->body, sizeof(crossing->body), "cross%u", i);
+	return start_call(HALF - crossing->issuer, crossing->id,
+			  crossing->body);
+}
+
+/* Waits for an answer, which is the outcome, or "ran"; the runs agree. */
+static void assert_outcome(async_request_t *request, const char *body,
+			   const char *outcome)
+{
+	gchar *path = g_strdup_printf("/runs?body=%s", body);
+	reply_t reply, runs;
+
+	http_join(request, &reply);
+	http_request(&runs, "POST", support_port(UPSTREAM_PORT), path, NULL,
+		     NULL);
+	print_message("%s: %s, runs %s\n", body, reply.outcome, runs.body);
+	if (g_strcmp0(reply.outcome, "ran") == 0) {
+		assert_string_equal(reply.body, body);
+		assert_string_equal(runs.body, "1");
+	} else {
+		assert_string_equal(reply.outcome, outcome);
+		assert_in_range(atoi(runs.body), 0, *outcome == 'u');
+	}
+	reply_clear(&runs);
+	reply_clear(&reply);
+	g_free(path);
+}
+
+/* Each instance runs a call with an id of its own and one of its neighbour. */
+static void assert_halves_serve(const char *when)
+{
+	guint i;
+
+	for (i = 0; i < 2 * INSTANCES; i++) {
+		guint at = i % INSTANCES;
+		guint issuer =
+			i < INSTANCES ? at : at / HALF * HALF + (at + 1) % HALF;
+		gchar *body = g_strdup_printf("%s%u", when, i);
+		char *id = take_request_id(caller_port(issuer));
+
+		assert_outcome(start_call(at, id, body), body, "ran");
+		g_free(id);
+		g_free(body);
+	}
+}
+
+static int set_up(void **state)
+{
+	gchar *object_port = g_strdup_printf("%u", support_port(OBJECT_PORT));
+	gchar *upstream_port =
+		g_strdup_printf("%u", support_port(UPSTREAM_PORT));
+	guint i;
+
+	(void)state;
+	fleet.object_api =
+		process_start("fake_object_api", "--port", object_port, NULL);
+	fleet.upstream = process_start("fake_upstream", "--port", upstream_port,
+				       "--service-ms", "50", NULL);
+	g_free(object_port);
+	g_free(upstream_port);
+	relay_start(support_port(OBJECT_RELAY_PORT), support_port(OBJECT_PORT),
+		    0);
+	for (i = 0; i < INSTANCES; i++)
+		start_instance(i);
+	assert_shows(0, 0, INSTANCES);
+	apply(0);
+	assert_shows(1, 1, INSTANCES);
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	guint i;
+
+	(void)state;
+	for (i = 0; i < INSTANCES; i++)
+		process_free(fleet.instances[i]);
+	for (i = 0; i < CROSSINGS; i++)
+		g_free(fleet.crossings[i].id);
+	process_free(fleet.upstream);
+	process_free(fleet.object_api);
+	return 0;
+}
+
+/* Fails when an address to listen on is accepted without one to tell others. */
+static void listen_address_alone_is_refused(void **state)
+{
+	char *settings = write_file(
+		"partition_listen.json",
+		"{\"instance\":\"e\",\"data_centre\":\"k\",\"caller_address\":"
+		"\"127.0.0.1:1\",\"peer_listen\":\"127.0.0.1:2\","
+		"\"object_api\":\"127.0.0.1:3\"}");
+	process_t *process = process_start("catkinstalld", "--settings",
+					   settings, "--check", NULL);
+
+	(void)state;
+	assert_int_not_equal(process_wait(process), 0);
+	process_free(process);
+	g_free(settings);
+}
+
+/* Fails when a half stops serving, or denies a call that the other may run. */
+static void halves_serve_and_deny_nothing(void **state)
+{
+	async_request_t *requests[CROSSINGS];
+	guint i;
+
+	(void)state;
+	/* Two calls are under way at the cut, two start before it is noticed. */
+	for (i = 0; i < 2; i++)
+		requests[i] = start_crossing(i);
+	run_loop_for(UNDER_WAY_MS);
+	relay_set_cut(TRUE);
+	for (i = 2; i < 4; i++)
+		requests[i] = start_crossing(i);
+	assert_halves_serve("early");
+	assert_shows(1, 1, HALF);
+	for (i = 4; i < CROSSINGS; i++)
+		requests[i] = start_crossing(i);
+	for (i = 0; i < CROSSINGS; i++)
+		assert_outcome(requests[i], fleet.crossings[i].body, "unknown");
+	assert_halves_serve("late");
+	assert_true(relay_held_connections() > 0);
+}
+
+/* Fails when a version stays out of its half, crosses the cut, or falls. */
+static void version_stays_in_its_half(void **state)
+{
+	view_t view = { .versions = { 2, 1 }, .live = HALF };
+	guint i;
+
+	(void)state;
+	apply(1);
+	assert_shows(2, 1, HALF);
+	for (i = 0; i < 20; i++) {
+		assert_true(fleet_shows(&view));
+		run_loop_for(100);
+	}
+}
+
+/*
+ * Fails when the halves stay apart after the heal, or when a call runs twice:
+ * its id is sent to the issuer again, whose answer is final.
+ */
+static void heal_joins_the_halves(void **state)
+{
+	guint i;
+
+	(void)state;
+	relay_set_cut(FALSE);
+	assert_shows(2, 2, INSTANCES);
+	for (i = 0; i < CROSSINGS; i++) {
+		const crossing_t *crossing = &fleet.crossings[i];
+
+		assert_outcome(start_call(crossing->issuer, crossing->id,
+					  crossing->body),
+			       crossing->body, "not_run");
+	}
+	assert_halves_serve("healed");
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(listen_address_alone_is_refused),
+		cmocka_unit_test(halves_serve_and_deny_nothing),
+		cmocka_unit_test(version_stays_in_its_half),
+		cmocka_unit_test(heal_joins_the_halves),
+	};
+
+	return cmocka_run_group_tests(tests, set_up, tear_down);
+}
