Look at the endpoints for the next wakeup only while calls wait

Cause: entry_next_wakeup() went over all endpoints of all services. The loop asks it about 20 times a call, so CPU per call grew with endpoints that the call had nothing to do with: perf showed 39% in health_next_change().

Ruled out: the routing decision (0.96 us at 20 endpoints) and the parse of the schema (once).

--- a/lib/admission/admission.c
+++ b/lib/admission/admission.c
@@ -352,6 +352,11 @@
 		take_out(admission, item);
 }
 
+guint admission_waiting(const admission_t *admission)
+{
+	return admission->view.waiting;
+}
+
 guint admission_length(const admission_t *admission, guint priority)
 {
 	g_assert(priority < SCHEMA_PRIORITIES_MAX);
--- a/lib/admission/admission.h
+++ b/lib/admission/admission.h
@@ -102,6 +102,9 @@
 /* Unlinks an item. Does nothing when it is not queued. */
 void admission_remove(admission_t *admission, admission_item_t *item);
 
+/* Waiting items of all priorities. */
+guint admission_waiting(const admission_t *admission);
+
 /* Waiting items of one priority. */
 guint admission_length(const admission_t *admission, guint priority);
 
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -294,8 +294,14 @@
 
 	if (!TAILQ_EMPTY(&entry->calls))
 		wakeup = MIN(wakeup, TAILQ_FIRST(&entry->calls)->deadline);
+	/*
+	 * The loop asks before and after each wait, about 20 times a call: room
+	 * at endpoints matters only to services with waiting calls.
+	 */
 	TAILQ_FOREACH (service, &entry->services, link)
-		wakeup = MIN(wakeup, upstream_next_room(service->upstream,
+		if (admission_waiting(service->admission))
+			wakeup = MIN(wakeup,
+				     upstream_next_room(service->upstream,
 							entry_now(entry)));
 	return wakeup;
 }
