Refuse a call that may run once when it can no longer be cancelled

Cause: test_at_most_once/cancelled_before_start_is_not_run failed now and then (unknown, expected not_run). A call that waited in the entry was dispatched when less time was left than the cancel margin (50 ms or a quarter of its time). Its cancellation then raced with the request itself, and the outcome was unknown although the call never started.

Ruled out: completion of the first runs before the cancellation (they take at least 500 ms, the deadline is 400 ms); load alone (fails at load average 0.6).

Change: such a call is refused as not_run before the dispatch, as retries already were. A unit test in tests/test_entry.c shows the rule: failed before, passes after.

--- a/lib/entry/entry_attempts.c
+++ b/lib/entry/entry_attempts.c
@@ -89,6 +89,20 @@
 	entry->actions.start_attempt(entry->actions.ctx, &request);
 }
 
+/*
+ * An attempt that starts this late cannot be cancelled before the deadline, so
+ * that its outcome would most likely be unknown.
+ */
+static void refuse_too_late(entry_t *entry, call_t *call)
+{
+	catk_error_t error;
+
+	catk_error_set(&error, CATK_DEADLINE_EXCEEDED, OUTCOME_NOT_RUN,
+		       "too little time was left to start the call: send it "
+		       "again with a new request id and a later deadline");
+	entry_finish_refused(entry, call, &error);
+}
+
 /*
  * Reads the clock, checks deadline and id, records and hands over in one step
  * of the loop, so that a pause before this step cannot lead to a late
@@ -106,6 +120,10 @@
 		entry_finish_expired(entry, call);
 		return TRUE;
 	}
+	if (call->has_id && call->deadline - now <= cancel_margin(call)) {
+		refuse_too_late(entry, call);
+		return TRUE;
+	}
 	if (!admission_can_finish(service->admission, &call->queue, now,
 				  &error)) {
 		entry_finish_refused(entry, call, &error);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -361,6 +361,22 @@
 	assert_told(f, 2, CATK_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN);
 }
 
+/*
+ * Fails when a request that may run once starts when it can no longer be
+ * cancelled in time, so that its outcome becomes unknown without need.
+ */
+static void late_start_is_refused(void **state)
+{
+	fixture_t *f = *state;
+
+	call_attempt(f, 1, "status", 1, 1);
+	book(f, 2, 2);
+	advance(f, BOOK_DEADLINE - 10 * MS);
+	end_last(f, ATTEMPT_ANSWERED);
+	assert_int_equal(f->started, 1);
+	assert_told(f, 2, CATK_DEADLINE_EXCEEDED, OUTCOME_NOT_RUN);
+}
+
 typedef enum { BOOK_REMOVED, BOOK_ONCE, BOOK_IDEMPOTENT } book_t;
 
 static void declare_book(fixture_t *f, guint64 version, book_t book_declared)
@@ -469,6 +485,7 @@
 		TEST(duplicate_shares_the_answer),
 		TEST(cancel_keeps_what_may_run),
 		TEST(promise_only_for_own_ids),
+		TEST(late_start_is_refused),
 		TEST(changed_schema_keeps_the_outcome),
 		TEST(refusal_outlasts_the_schema),
 		TEST(shutdown_waits_for_calls),
