Keep the attempts at an endpoint within the entry's share of connections

Change: an endpoint at which this entry has as many attempts in flight as its share gets no more, under every routing policy.

tests/test_upstream.c/connections_bound_attempts failed before (a sixth attempt with a share of 1), passes after.

--- a/lib/upstream/health.c
+++ b/lib/upstream/health.c
@@ -134,6 +134,9 @@
 	if (!health_takes_work(endpoint) || now < endpoint->full_until ||
 	    now < room_at(upstream, endpoint))
 		return AVAILABLE_NO;
+	/* An attempt takes one connection. */
+	if (endpoint->in_flight >= upstream_connection_share(upstream))
+		return AVAILABLE_NO;
 	if (keep_blocked && (endpoint->slow || endpoint->ejections))
 		return is_on_trial(endpoint, now) ? AVAILABLE_YES :
 						    AVAILABLE_NO;
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -138,6 +138,27 @@
 	assert_int_equal(choose(f, NULL), ENDPOINTS);
 }
 
+/*
+ * Fails when all entries together may open more connections to an endpoint
+ * than it takes, whatever the policy.
+ */
+static void connections_bound_attempts(void **state)
+{
+	const schema_service_t service = { .slots = 2, .connections = 3 };
+	fixture_t *f = *state;
+	int policy;
+	guint i;
+
+	for (policy = 0; policy < ROUTING_POLICY_COUNT; policy++) {
+		use_policy(f, (routing_policy_t)policy, 2);
+		upstream_configure(f->upstream, &service, f->now);
+		for (i = 0; i < ENDPOINTS; i++)
+			upstream_attempt_started(f->upstream,
+						 f->infos[i].address, f->now);
+		assert_int_equal(choose(f, NULL), ENDPOINTS);
+	}
+}
+
 /* Fails when a straggler is noticed only once its first attempt has ended. */
 static void late_attempt_turns_calls_away(void **state)
 {
@@ -372,6 +393,7 @@
 	const struct CMUnitTest tests[] = {
 		TEST(old_report_counts_little),
 		TEST(slots_bound_attempts),
+		TEST(connections_bound_attempts),
 		TEST(late_attempt_turns_calls_away),
 		TEST(straggler_is_tried_slowly),
 		TEST(fast_failure_is_ejected),
--- a/tests/test_whole_path.c
+++ b/tests/test_whole_path.c
@@ -9,6 +9,7 @@
 #include "tests/support.h"
 
 #define START_TIMEOUT_MS 5000
+#define BODY_BYTES_MAX 1024
 
 static const char schema_text[] =
 	"{\"priorities\":[{\"name\":\"urgent\",\"floor_percent\":10}],"
@@ -92,9 +93,11 @@
 			      "\"caller_address\":\"127.0.0.1:%u\","
 			      "\"object_api\":\"127.0.0.1:%u\","
 			      "\"instance_list_poll_ms\":100,"
+			      "\"body_bytes_max\":%d,"
 			      "\"request_id_lifetime_ms\":1000,"
 			      "\"resolve_ttl_ms\":500}",
-			      system->entry_port, system->object_port);
+			      system->entry_port, system->object_port,
+			      BODY_BYTES_MAX);
 	system->entry =
 		process_start("catkinstalld", "--settings", settings, NULL);
 	g_free(settings);
@@ -180,6 +183,21 @@
 	assert_runs(system, "refused", "0");
 }
 
+/* Fails when a body beyond the bound is held in memory and passed on. */
+static void large_body_is_refused(void **state)
+{
+	const system_t *system = *state;
+	gchar *body = g_strnfill(BODY_BYTES_MAX + 1, 'x');
+	reply_t reply;
+
+	http_request(&reply, "POST", system->entry_port,
+		     "/v1/call/booking/status", body, NULL);
+	assert_int_equal(reply.status, 413);
+	assert_string_equal(reply.outcome, "not_run");
+	reply_clear(&reply);
+	g_free(body);
+}
+
 /*
  * Fails when SIGTERM cuts a call, or refuses a caller that kept the address
  * from an earlier resolve.
@@ -213,6 +231,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(call_is_served_once),
 		cmocka_unit_test(bad_input_is_refused_as_not_run),
+		cmocka_unit_test(large_body_is_refused),
 		cmocka_unit_test(shutdown_cuts_no_call),
 	};
 
