--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	libprotobuf-c cmocka libxxhash gsl
 DEBIAN_PACKAGES = libglib2.0-dev libsoup-3.0-dev libjson-glib-dev \
 	libprotobuf-c-dev protobuf-c-compiler libcmocka-dev libxxhash-dev \
-	libgsl-dev spin pkg-config
+	libgsl-dev libhttp-parser-dev spin pkg-config
 
 ALL_CFLAGS = -std=gnu11 -D_GNU_SOURCE -I. -Wall -Wextra -Wshadow \
 	-Wstrict-prototypes -Wmissing-prototypes -Werror $(CFLAGS)
@@ -21,13 +21,14 @@
 LIB_FLAGS = $(shell pkg-config --cflags glib-2.0 libxxhash)
 ALL_FLAGS = $(shell pkg-config --cflags $(PACKAGES))
 LIBS = $(shell pkg-config --libs glib-2.0 gio-2.0 libsoup-3.0 json-glib-1.0 \
-	libprotobuf-c libxxhash)
-LIB_ONLY = $(shell pkg-config --libs glib-2.0 libxxhash)
+	libprotobuf-c libxxhash) -lhttp_parser -lm
+LIB_ONLY = $(shell pkg-config --libs glib-2.0 libxxhash) -lm
 TEST_LIBS = $(shell pkg-config --libs cmocka)
 BENCH_LIBS = $(shell pkg-config --libs gsl)
 
 LIB_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard lib/*/*.c))
-NET_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard codec/*.c net/*.c proto/*.c))
+NET_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard codec/*.c net/*.c platform/*.c \
+	proto/*.c))
 CTL_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/ctl_*.c))
 # Code that several tests or benchmarks share, not a program of its own.
 TEST_SUPPORT = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/support*.c))
@@ -70,13 +71,15 @@
 
 LINK_ALL = $(BUILD)/libcatkinstall-net.a $(BUILD)/libcatkinstall.a
 
-$(BUILD)/catkinstalld: $(BUILD)/programs/catkinstalld.o $(LINK_ALL)
+$(BUILD)/catkinstalld: $(BUILD)/programs/catkinstalld.o \
+		$(BUILD)/programs/daemon.o $(LINK_ALL)
 	@echo "LD $@"
 	@$(CC) -o $@ $^ $(LIBS)
 
 # The daemon with a rule that tests must find to be wrong; never installed.
 $(BUILD)/catkinstalld_naive: programs/catkinstalld.c \
-		$(BUILD)/tests/naive/naive_rule.o $(LINK_ALL)
+		$(BUILD)/tests/naive/naive_rule.o \
+		$(BUILD)/programs/daemon.o $(LINK_ALL)
 	@echo "LD $@"
 	@$(CC) $(ALL_CFLAGS) $(ALL_FLAGS) -DCATK_CALL_RULE=call_rule_naive \
 	-o $@ $^ $(LIBS)
--- a/codec/schema_json.h
+++ b/codec/schema_json.h
@@ -1,4 +1,4 @@
-/* The JSON form of a schema. docs/operations.md describes the format. */
+/* The JSON form of a schema. docs/OPERATIONS.md describes the format. */
 #ifndef CATK_SCHEMA_JSON_H
 #define CATK_SCHEMA_JSON_H
 
--- a/codec/settings_json.c
+++ b/codec/settings_json.c
@@ -3,6 +3,7 @@
 #include <stddef.h>
 
 #include "codec/json_reader.h"
+#include "lib/call/call.h"
 
 typedef struct {
 	const char *key;
@@ -19,6 +20,10 @@
 	{ "object_api", offsetof(settings_t, object_api), FALSE },
 	{ "config_file", offsetof(settings_t, config_file), FALSE },
 	{ "instance_list", offsetof(settings_t, instance_list), FALSE },
+	{ "proxy_address", offsetof(settings_t, proxy_address), FALSE },
+	{ "directory_address", offsetof(settings_t, directory_address), FALSE },
+	{ "ready_address", offsetof(settings_t, ready_address), FALSE },
+	{ "metadata_store", offsetof(settings_t, metadata_store), FALSE },
 };
 
 /* Type of the field that a numeric key sets. */
@@ -66,6 +71,21 @@
 	  "priority wait" },
 	{ "attempts_max", ENTRY_FIELD(attempts_max), FIELD_UINT, 1, 10, 3,
 	  "attempts", "attempts of one call, the first included" },
+	{ "probe_fanout", ENTRY_FIELD(probe_fanout), FIELD_UINT, 0,
+	  CALL_PROBES_MAX, 0, "endpoints",
+	  "endpoints asked for their load before a routed request is placed; "
+	  "0 for none" },
+	{ "concurrency_max", ENTRY_FIELD(concurrency_max), FIELD_UINT, 0,
+	  100000, 0, "attempts",
+	  "attempts in flight at one service; 0 to learn the limit" },
+	{ "probes_per_second", offsetof(settings_t, probes_per_second),
+	  FIELD_INT64, 0, 1000, 10, "probes/s",
+	  "probe budget of an endpoint that the metadata store names, over "
+	  "all instances" },
+	{ "retry_saved", ENTRY_FIELD(retry_saved), FIELD_UINT, 0, 100000, 0,
+	  "retries",
+	  "retries per service that all instances together may start beyond "
+	  "retry_percent" },
 	{ "retry_percent", ENTRY_FIELD(retry_percent), FIELD_UINT, 0, 100, 10,
 	  "percent", "retries allowed per hundred first attempts" },
 	{ "report_stale_after_ms", ENTRY_FIELD(report_stale_after),
@@ -191,7 +211,8 @@
 	if (name)
 		json_reader_issue(reader, "$",
 				  "\"routing\" is \"%s\": use random, "
-				  "two_choices, subset or learnt_limit",
+				  "two_choices, subset, learnt_limit or "
+				  "expected_latency",
 				  name);
 }
 
@@ -215,10 +236,18 @@
 
 static void check_source(json_reader_t *reader, const settings_t *settings)
 {
-	if (!settings->object_api == !settings->config_file)
+	guint count = (settings->object_api != NULL) +
+		      (settings->config_file != NULL) +
+		      (settings->metadata_store != NULL);
+
+	if (count != 1)
+		json_reader_issue(reader, "$",
+				  "set exactly one of \"object_api\", "
+				  "\"config_file\" and \"metadata_store\"");
+	if (settings->proxy_address && !settings->metadata_store)
 		json_reader_issue(reader, "$",
-				  "set exactly one of \"object_api\" and "
-				  "\"config_file\"");
+				  "\"proxy_address\" needs "
+				  "\"metadata_store\", which names the routes");
 }
 
 static void check_peer_listen(json_reader_t *reader, const settings_t *settings)
--- a/codec/settings_json.h
+++ b/codec/settings_json.h
@@ -1,5 +1,5 @@
 /*
- * The settings of one daemon, from a JSON file. docs/operations.md lists the
+ * The settings of one daemon, from a JSON file. docs/OPERATIONS.md lists the
  * keys with ranges, units and defaults; the table in settings_json.c is their
  * source.
  */
@@ -18,6 +18,12 @@
 	char *object_api; /* "ip:port", or NULL */
 	char *config_file; /* path of a schema in place of the object API */
 	char *instance_list; /* key of the list of entry instances, or NULL */
+	/* Of a platform that routes HTTP requests; each "ip:port" or NULL. */
+	char *proxy_address; /* for callers' requests */
+	char *directory_address; /* for callers that ask where to connect */
+	char *ready_address; /* for readiness checks */
+	char *metadata_store; /* of configuration and endpoints */
+	gint64 probes_per_second; /* of an endpoint there, by all instances */
 	GPtrArray *seeds; /* of char *, peer addresses to join through */
 	gint64 body_bytes_max; /* of a caller's request or an answer */
 	gint64 object_api_poll_ms; /* between two fallback reads */
--- a/lib/admission/admission.c
+++ b/lib/admission/admission.c
@@ -26,6 +26,7 @@
 	moving_rate_t completions;
 	double latency; /* moving average in microseconds, 0 for none */
 	double deviation; /* moving average of the distance from it */
+	gboolean limit_is_fixed;
 	guint64 arrivals;
 };
 
@@ -65,6 +66,13 @@
 	g_free(admission);
 }
 
+void admission_fix_limit(admission_t *admission, guint attempts)
+{
+	g_assert(attempts >= 1);
+	admission->limit_is_fixed = TRUE;
+	admission->view.limit = attempts;
+}
+
 void admission_configure(admission_t *admission, const schema_t *schema)
 {
 	guint i;
@@ -317,6 +325,8 @@
 {
 	concurrency_limit_t *concurrency = &admission->concurrency;
 
+	if (admission->limit_is_fixed)
+		return;
 	if (end == ADMISSION_REFUSED)
 		concurrency_limit_refused(concurrency);
 	else if (end == ADMISSION_ANSWERED)
--- a/lib/admission/admission.h
+++ b/lib/admission/admission.h
@@ -44,6 +44,12 @@
 /* Frees the queue; the items are only unlinked. NULL is allowed. */
 void admission_free(admission_t *admission);
 
+/*
+ * Bounds the attempts in flight by a fixed number, at least 1, in place of a
+ * limit that is learnt from the upstream's reports.
+ */
+void admission_fix_limit(admission_t *admission, guint attempts);
+
 /* Takes the number of priorities and their floors from a schema. */
 void admission_configure(admission_t *admission, const schema_t *schema);
 
--- a/lib/admission/retry_budget.c
+++ b/lib/admission/retry_budget.c
@@ -7,12 +7,21 @@
 	g_assert(percent <= 100);
 	budget->percent = percent;
 	budget->credit = 0;
+	budget->saved_max = RETRY_BUDGET_SAVED_MAX;
+}
+
+void retry_budget_save(retry_budget_t *budget, guint retries)
+{
+	if (!retries)
+		return;
+	budget->saved_max = retries;
+	budget->credit = retries * CREDIT_OF_RETRY;
 }
 
 void retry_budget_earn(retry_budget_t *budget)
 {
 	budget->credit = MIN(budget->credit + budget->percent,
-			     RETRY_BUDGET_SAVED_MAX * CREDIT_OF_RETRY);
+			     budget->saved_max * CREDIT_OF_RETRY);
 }
 
 gboolean retry_budget_has_room(const retry_budget_t *budget)
--- a/lib/admission/retry_budget.h
+++ b/lib/admission/retry_budget.h
@@ -7,17 +7,24 @@
 
 #include <glib.h>
 
-/* Retries that unused credit may add up to. */
+/* Retries that unused credit may add up to, unless set otherwise. */
 #define RETRY_BUDGET_SAVED_MAX 10
 
 typedef struct {
 	guint percent; /* retries per hundred first attempts */
 	guint credit; /* in hundredths of a retry */
+	guint saved_max; /* retries that unused credit may add up to */
 } retry_budget_t;
 
 /* Starts without credit. percent is 0 to 100. */
 void retry_budget_init(retry_budget_t *budget, guint percent);
 
+/*
+ * Starts with a credit of so many retries, which is also the bound of what
+ * unused credit adds up to. 0 changes nothing.
+ */
+void retry_budget_save(retry_budget_t *budget, guint retries);
+
 /* A first attempt starts: adds its part of a retry. */
 void retry_budget_earn(retry_budget_t *budget);
 
--- a/lib/call/call.c
+++ b/lib/call/call.c
@@ -1,5 +1,13 @@
 #include "lib/call/call.h"
 
+static void take_route(call_t *call, const schema_route_t *route)
+{
+	call->routed = TRUE;
+	call->attempts_max = route->attempts_max;
+	if (route->objective > 0)
+		call->objective = call->admitted + route->objective;
+}
+
 call_t *call_new(const call_attributes_t *attributes)
 {
 	call_t *call = g_new0(call_t, 1);
@@ -15,6 +23,8 @@
 	call->queue.priority = attributes->method->priority;
 	call->queue.deadline = attributes->deadline;
 	call->queue.caller = call->caller;
+	if (attributes->route)
+		take_route(call, attributes->route);
 	TAILQ_INIT(&call->attempts);
 	TAILQ_INIT(&call->waiters);
 	return call;
@@ -34,7 +44,7 @@
 
 void call_free(call_t *call)
 {
-	g_assert(!call->queue.lane);
+	g_assert(!call->queue.lane && !call->measure.active);
 	while (!TAILQ_EMPTY(&call->attempts))
 		attempt_free(call, TAILQ_FIRST(&call->attempts));
 	while (!TAILQ_EMPTY(&call->waiters))
@@ -66,15 +76,15 @@
 	return FALSE;
 }
 
-attempt_t *call_start_attempt(call_t *call, guint64 id, const char *address,
+attempt_t *call_start_attempt(call_t *call, guint64 id, const char *endpoint,
 			      GTimeSpan now)
 {
 	attempt_t *attempt = g_new0(attempt_t, 1);
 
 	attempt->id = id;
 	attempt->started = now;
-	g_strlcpy(attempt->address, address, sizeof(attempt->address));
-	g_strlcpy(call->last_address, address, sizeof(call->last_address));
+	g_strlcpy(attempt->endpoint, endpoint, sizeof(attempt->endpoint));
+	g_strlcpy(call->last_endpoint, endpoint, sizeof(call->last_endpoint));
 	TAILQ_INSERT_TAIL(&call->attempts, attempt, link);
 	call->attempts_made++;
 	return attempt;
--- a/lib/call/call.h
+++ b/lib/call/call.h
@@ -12,7 +12,7 @@
 typedef struct attempt {
 	TAILQ_ENTRY(attempt) link;
 	guint64 id;
-	char address[UPSTREAM_ADDRESS_MAX + 1];
+	char endpoint[UPSTREAM_ID_MAX + 1]; /* id */
 	GTimeSpan started;
 } attempt_t;
 
@@ -22,6 +22,19 @@
 	void *caller_ref; /* given back with the answer */
 } call_waiter_t;
 
+/* Endpoints asked for their load before one call is placed. */
+#define CALL_PROBES_MAX 8
+
+/* The reports that a call waits for before it is placed. */
+typedef struct {
+	TAILQ_ENTRY(call) link; /* linked while active */
+	gboolean active;
+	upstream_scope_t scope;
+	GTimeSpan until; /* instant */
+	char pending[CALL_PROBES_MAX][UPSTREAM_ID_MAX + 1];
+	guint pending_count;
+} call_measure_t;
+
 /* Attributes are copied at admission; a new configuration leaves them. */
 typedef struct call {
 	TAILQ_ENTRY(call) by_deadline;
@@ -38,7 +51,12 @@
 	guint attempts_made;
 	guint caller_attempt; /* the caller's own count, 1 for its first */
 	gboolean may_have_run; /* an attempt ended without proof */
-	char last_address[UPSTREAM_ADDRESS_MAX + 1];
+	char last_endpoint[UPSTREAM_ID_MAX + 1]; /* id */
+	gboolean routed; /* came over a route: sent as the caller wrote it */
+	GTimeSpan objective; /* instant, 0 for none */
+	guint attempts_max; /* 0 for the entry's own limit */
+	guint unsent; /* attempts that could not be sent */
+	call_measure_t measure;
 	TAILQ_HEAD(attempt_list, attempt) attempts; /* in flight */
 	TAILQ_HEAD(call_waiter_list, call_waiter) waiters;
 } call_t;
@@ -51,6 +69,7 @@
 	GTimeSpan admitted; /* instant */
 	GTimeSpan deadline; /* instant */
 	guint caller_attempt; /* at least 1 */
+	const schema_route_t *route; /* NULL for a call by its method */
 } call_attributes_t;
 
 /* What may follow when a call has no answer and no attempt in flight. */
@@ -82,7 +101,7 @@
 gboolean call_remove_waiter(call_t *call, const void *caller_ref);
 
 /* Records the start of an attempt; the call owns the result. */
-attempt_t *call_start_attempt(call_t *call, guint64 id, const char *address,
+attempt_t *call_start_attempt(call_t *call, guint64 id, const char *endpoint,
 			      GTimeSpan now);
 
 /* The attempt in flight with this id, or NULL. */
--- a/lib/common/counters.h
+++ b/lib/common/counters.h
@@ -1,6 +1,6 @@
 /*
  * Event counters of one process. One X line per counter: identifier, name in
- * dumps, unit. docs/operations.md explains each.
+ * dumps, unit. docs/OPERATIONS.md explains each.
  */
 #ifndef CATK_COUNTERS_H
 #define CATK_COUNTERS_H
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/* Probes of one endpoint at once: calls come in bursts. */
+#define PROBE_BURST 20
+
 /* Time that other instances may take to learn that this one is leaving. */
 #define LEAVING_SPREAD_TIME (2 * G_TIME_SPAN_SECOND)
 
@@ -28,7 +31,7 @@
 		g_hash_table_new(g_int64_hash, g_int64_equal);
 	entry->calls_by_attempt = g_hash_table_new(g_int64_hash, g_int64_equal);
 	entry->calls_by_ref = g_hash_table_new(NULL, NULL);
-	retry_budget_init(&entry->retries, limits->retry_percent);
+	entry->splits = route_splits_new(random);
 	entry->next_attempt = 1;
 	entry->next_housekeeping = entry_now(entry);
 	return entry;
@@ -52,6 +55,7 @@
 	g_hash_table_destroy(entry->calls_by_sequence);
 	g_hash_table_destroy(entry->calls_by_attempt);
 	g_hash_table_destroy(entry->calls_by_ref);
+	route_splits_free(entry->splits);
 	request_ids_free(entry->ids);
 	entry_peers_free(entry);
 	config_free(entry->config);
@@ -76,12 +80,21 @@
 		.entries_max = entry->limits.entries_max,
 		.report_stale_after = entry->limits.report_stale_after,
 		.instance = membership_self(entry->membership)->name,
+		.data_centre = membership_self(entry->membership)->data_centre,
+		.probe_burst = entry->limits.probe_fanout ? PROBE_BURST : 1,
 	};
 
 	service->upstream =
 		upstream_new(name, &limits, entry->random, entry->counters);
 	service->admission =
 		admission_new(&entry->limits.admission, entry->counters);
+	if (entry->limits.concurrency_max)
+		admission_fix_limit(service->admission,
+				    entry->limits.concurrency_max);
+	retry_budget_init(&service->retries, entry->limits.retry_percent);
+	retry_budget_save(&service->retries, entry->limits.retry_saved /
+						     entry->limits.entries_max);
+	TAILQ_INIT(&service->measuring);
 	TAILQ_INSERT_TAIL(&entry->services, service, link);
 	return service;
 }
@@ -125,6 +138,7 @@
 		if (!declared->instance_list)
 			set_named_endpoints(entry, service, declared);
 	}
+	route_splits_configure(entry->splits, schema);
 }
 
 config_offer_t entry_offer_config(entry_t *entry, guint64 version,
@@ -249,16 +263,54 @@
 	return TRUE;
 }
 
+static void add_members(entry_t *entry, resolve_result_t *result,
+			const char *data_centre, member_state_t state)
+{
+	const member_t *member = membership_first(entry->membership);
+
+	for (; member; member = membership_next(member))
+		if (member->state == state && member->caller_address[0] &&
+		    (!data_centre ||
+		     strcmp(member->data_centre, data_centre) == 0) &&
+		    result->address_count < entry->limits.resolve_addresses)
+			add_address(result, member);
+}
+
+gboolean entry_resolve_near(entry_t *entry, const char *data_centre,
+			    resolve_result_t *result, catk_error_t *err)
+{
+	memset(result, 0, sizeof(*result));
+	add_members(entry, result, data_centre, MEMBER_LIVE);
+	if (!result->address_count)
+		add_members(entry, result, NULL, MEMBER_LIVE);
+	if (!result->address_count)
+		add_members(entry, result, NULL, MEMBER_SUSPECT);
+	if (!result->address_count) {
+		catk_error_set(err, CATK_UNAVAILABLE, OUTCOME_NOT_RUN,
+			       "no live instance is known: ask another "
+			       "instance or try again later");
+		return FALSE;
+	}
+	result->ttl = entry->limits.resolve_ttl;
+	result->config_version = config_version(entry->config);
+	return TRUE;
+}
+
+gboolean entry_is_ready(const entry_t *entry)
+{
+	return !entry->leaving && config_version(entry->config) > 0;
+}
+
 static void send_probes(entry_t *entry, entry_service_t *service)
 {
-	const char *address;
+	const char *endpoint;
 
-	while ((address = upstream_next_probe(service->upstream,
-					      entry_now(entry)))) {
+	while ((endpoint = upstream_next_probe(service->upstream,
+					       entry_now(entry)))) {
 		counters_add(entry->counters, COUNTER_PROBES_SENT, 1);
 		entry->actions.send_probe(entry->actions.ctx,
 					  upstream_service(service->upstream),
-					  address);
+					  endpoint);
 	}
 }
 
@@ -282,8 +334,19 @@
 	entry_peers_tick(entry);
 	if (entry_now(entry) >= entry->next_housekeeping)
 		housekeeping(entry);
-	TAILQ_FOREACH (service, &entry->services, link)
+	TAILQ_FOREACH (service, &entry->services, link) {
+		entry_measure_tick(entry, service);
 		entry_dispatch(entry, service);
+	}
+}
+
+const char *entry_endpoint_address(entry_t *entry, const char *name,
+				   const char *endpoint)
+{
+	const entry_service_t *service = entry_find_service(entry, name);
+
+	return service ? upstream_address_of(service->upstream, endpoint) :
+			 NULL;
 }
 
 GTimeSpan entry_next_wakeup(const entry_t *entry)
@@ -298,11 +361,13 @@
 	 * The loop asks before and after each wait, about 20 times a call: room
 	 * at endpoints matters only to services with waiting calls.
 	 */
-	TAILQ_FOREACH (service, &entry->services, link)
+	TAILQ_FOREACH (service, &entry->services, link) {
+		wakeup = MIN(wakeup, entry_measure_wakeup(service));
 		if (admission_waiting(service->admission))
 			wakeup = MIN(wakeup,
 				     upstream_next_room(service->upstream,
 							entry_now(entry)));
+	}
 	return wakeup;
 }
 
--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -22,7 +22,7 @@
 #include "lib/request_id/request_id.h"
 #include "lib/upstream/upstream.h"
 
-#define ENTRY_RESOLVE_ADDRESSES_MAX 8
+#define ENTRY_RESOLVE_ADDRESSES_MAX 64
 
 /* Two, so that a change is seen at once while one is paused or lost. */
 #define ENTRY_CONFIG_WATCHERS 2
@@ -37,9 +37,12 @@
 	GTimeSpan report_stale_after;
 	guint attempts_max; /* attempts of one call, at least 1 */
 	guint retry_percent; /* retries per hundred first attempts */
+	guint retry_saved; /* beyond that, by all instances together */
 	GTimeSpan resolve_ttl; /* how long a caller keeps addresses */
 	guint resolve_addresses; /* 1 to ENTRY_RESOLVE_ADDRESSES_MAX */
 	GTimeSpan shutdown_max; /* bound of a graceful shutdown */
+	guint concurrency_max; /* attempts at a service, 0 to learn it */
+	guint probe_fanout; /* endpoints probed per call, 0 for none */
 	/* What follows a failed attempt; NULL for call_rule_by_proof. */
 	const struct call_rule *call_rule;
 } entry_limits_t;
@@ -56,6 +59,15 @@
 	void *caller_ref; /* not NULL; identifies the answer */
 } call_request_t;
 
+/* A caller's request that a route names the service of. */
+typedef struct {
+	const char *host;
+	const char *path; /* without query */
+	GTimeSpan remaining; /* until the caller's deadline, 0 for none */
+	GBytes *body; /* referenced */
+	void *caller_ref; /* not NULL; identifies request and answer */
+} routed_request_t;
+
 /*
  * The answer to a call. error.kind is CATK_OK when an upstream's answer is
  * passed on, then status and body are the upstream's. error.outcome is always
@@ -65,12 +77,17 @@
 	catk_error_t error;
 	guint status;
 	GBytes *body;
+	/* The upstream's message to a routed call, for the front end. */
+	const void *message;
 } call_answer_t;
 
 /* A request to send to an endpoint. Valid during the callback. */
 typedef struct {
 	guint64 attempt_id;
 	const char *address;
+	const char *endpoint; /* id */
+	void *caller_ref; /* of a routed call, NULL for others */
+	gboolean idempotent;
 	const char *service;
 	const char *method;
 	const char *priority; /* name */
@@ -96,8 +113,12 @@
 	void (*start_attempt)(void *ctx, const attempt_request_t *request);
 	/* Cancels an attempt whose answer nobody waits for. */
 	void (*cancel_attempt)(void *ctx, guint64 attempt_id);
-	/* Asks an endpoint for its load; ends with entry_probe_ended(). */
-	void (*send_probe)(void *ctx, const char *service, const char *address);
+	/*
+	 * Asks an endpoint for its load; ends with entry_probe_ended(). For
+	 * its address see entry_endpoint_address().
+	 */
+	void (*send_probe)(void *ctx, const char *service,
+			   const char *endpoint);
 	/*
 	 * Sends on the connection that this instance opens to the address. When
 	 * it fails or closes, entry_peer_lost() follows.
@@ -121,6 +142,7 @@
 	attempt_end_t end;
 	guint status; /* with ATTEMPT_ANSWERED */
 	GBytes *body; /* with ATTEMPT_ANSWERED, not NULL */
+	const void *message; /* of a routed call, passed on to its answer */
 	gboolean has_report;
 	load_report_t report;
 } attempt_result_t;
@@ -192,16 +214,39 @@
 gboolean entry_resolve(entry_t *entry, resolve_result_t *result,
 		       catk_error_t *err);
 
+/*
+ * Like entry_resolve() without request ids, for a caller of a data centre: the
+ * live instances there, or of all data centres where there is none or
+ * data_centre is NULL.
+ */
+gboolean entry_resolve_near(entry_t *entry, const char *data_centre,
+			    resolve_result_t *result, catk_error_t *err);
+
+/* TRUE when a configuration is in force and this instance is not leaving. */
+gboolean entry_is_ready(const entry_t *entry);
+
 /* Takes a call. The answer comes through actions.answer, possibly at once. */
 void entry_call(entry_t *entry, const call_request_t *request);
 
+/*
+ * Takes a request that a route of the configuration in force names the service
+ * of. Its identity lies in the caller's message: a request that comes once runs
+ * at most once, and no record of it is kept. The answer comes through
+ * actions.answer, possibly at once.
+ */
+void entry_route(entry_t *entry, const routed_request_t *request);
+
+/* Address of an endpoint, NULL when it is not known. */
+const char *entry_endpoint_address(entry_t *entry, const char *service,
+				   const char *endpoint);
+
 /* The caller left: the call is cancelled unless others wait for it. */
 void entry_cancel(entry_t *entry, void *caller_ref);
 
 /* Results of earlier actions. */
 void entry_attempt_ended(entry_t *entry, const attempt_result_t *result);
-void entry_probe_ended(entry_t *entry, const char *service, const char *address,
-		       const load_report_t *report);
+void entry_probe_ended(entry_t *entry, const char *service,
+		       const char *endpoint, const load_report_t *report);
 
 /* Adds the peer address of an instance to join through. */
 void entry_add_seed(entry_t *entry, const char *peer_address);
--- a/lib/entry/entry_answers.c
+++ b/lib/entry/entry_answers.c
@@ -79,7 +79,7 @@
 	attempt_t *attempt;
 
 	TAILQ_FOREACH (attempt, &call->attempts, link) {
-		upstream_attempt_ended(service->upstream, attempt->address,
+		upstream_attempt_ended(service->upstream, attempt->endpoint,
 				       ATTEMPT_ABANDONED,
 				       now - attempt->started, NULL, now);
 		admission_ended(service->admission, &call->queue,
@@ -97,6 +97,7 @@
 	call_waiter_t *waiter;
 
 	admission_remove(service->admission, &call->queue);
+	entry_measure_end(service, call);
 	abandon_attempts(entry, call);
 	TAILQ_FOREACH (waiter, &call->waiters, link)
 		g_hash_table_remove(entry->calls_by_ref, waiter->caller_ref);
@@ -126,15 +127,24 @@
 	drop_call(entry, call);
 }
 
-void entry_finish_with_answer(entry_t *entry, call_t *call, guint status,
-			      GBytes *body)
+void entry_finish_with_answer(entry_t *entry, call_t *call,
+			      const attempt_result_t *result)
 {
+	call_answer_t answer = {
+		.error.outcome = OUTCOME_RAN,
+		.status = result->status,
+		.body = result->body,
+		.message = result->message,
+	};
 	call_waiter_t *waiter;
 
 	if (call->has_id)
-		request_ids_complete(entry->ids, call->sequence, status, body);
-	TAILQ_FOREACH (waiter, &call->waiters, link)
-		entry_answer_success(entry, waiter->caller_ref, status, body);
+		request_ids_complete(entry->ids, call->sequence, result->status,
+				     result->body);
+	TAILQ_FOREACH (waiter, &call->waiters, link) {
+		counters_add(entry->counters, COUNTER_CALLS_SUCCEEDED, 1);
+		entry_send_answer(entry, waiter->caller_ref, &answer);
+	}
 	drop_call(entry, call);
 }
 
--- a/lib/entry/entry_attempts.c
+++ b/lib/entry/entry_attempts.c
@@ -14,6 +14,9 @@
  */
 #define SILENCE_MIN (250 * G_TIME_SPAN_MILLISECOND)
 
+/* Endpoints that one call tries to connect to in vain. */
+#define UNSENT_MAX 4
+
 static const char *priority_name(const entry_t *entry, guint priority)
 {
 	const schema_t *schema = config_schema(entry->config);
@@ -28,17 +31,26 @@
 	return MIN(CANCEL_MARGIN, (call->deadline - call->admitted) / 4);
 }
 
-static gboolean may_retry(const entry_t *entry, const call_t *call,
-			  GTimeSpan now)
+static guint attempts_max(const entry_t *entry, const call_t *call)
+{
+	return call->attempts_max ? call->attempts_max :
+				    entry->limits.attempts_max;
+}
+
+static gboolean may_retry(const entry_t *entry, const entry_service_t *service,
+			  const call_t *call, GTimeSpan now)
 {
+	/* Nobody waits for the answer any more. */
+	if (call->routed && TAILQ_EMPTY(&call->waiters))
+		return FALSE;
 	/* Calls are up to 7 levels deep: only one level retries. */
 	if (call->caller_attempt > 1)
 		return FALSE;
 	/* Too late to cancel: the outcome would most likely be unknown. */
 	if (call->deadline - now <= cancel_margin(call))
 		return FALSE;
-	return call->attempts_made < entry->limits.attempts_max &&
-	       retry_budget_has_room(&entry->retries);
+	return call->attempts_made < attempts_max(entry, call) &&
+	       retry_budget_has_room(&service->retries);
 }
 
 /*
@@ -46,28 +58,41 @@
  * silent connection: it can be sent again in the time that is left. Any other
  * call would lose its place at a busy endpoint.
  */
-static void set_inquiry_times(const entry_t *entry, const call_t *call,
-			      attempt_request_t *request, GTimeSpan now)
+static void set_inquiry_times(const entry_t *entry,
+			      const entry_service_t *service,
+			      const call_t *call, attempt_request_t *request,
+			      GTimeSpan now)
 {
 	GTimeSpan remaining = request->remaining;
 
 	request->cancel_after =
 		MAX(remaining - cancel_margin(call), remaining / 2);
 	request->inquire_after = request->cancel_after;
-	if (call->idempotent && may_retry(entry, call, now))
+	if (call->idempotent && may_retry(entry, service, call, now))
 		request->inquire_after = MIN(MAX(SILENCE_MIN, remaining / 2),
 					     request->cancel_after);
 }
 
+/* A call goes on when its caller has left: the message may be gone then. */
+static void *routed_caller(const call_t *call)
+{
+	const call_waiter_t *waiter = TAILQ_FIRST(&call->waiters);
+
+	return call->routed && waiter ? waiter->caller_ref : NULL;
+}
+
 static void start_attempt(entry_t *entry, entry_service_t *service,
 			  call_t *call, const endpoint_t *endpoint,
 			  GTimeSpan now)
 {
-	attempt_t *attempt = call_start_attempt(
-		call, entry->next_attempt++, endpoint_address(endpoint), now);
+	attempt_t *attempt = call_start_attempt(call, entry->next_attempt++,
+						endpoint_id(endpoint), now);
 	attempt_request_t request = {
 		.attempt_id = attempt->id,
-		.address = attempt->address,
+		.address = endpoint_address(endpoint),
+		.endpoint = attempt->endpoint,
+		.caller_ref = routed_caller(call),
+		.idempotent = call->idempotent,
 		.service = call->service,
 		.method = call->method,
 		.priority = priority_name(entry, call->queue.priority),
@@ -78,14 +103,14 @@
 	};
 
 	g_hash_table_insert(entry->calls_by_attempt, &attempt->id, call);
-	upstream_attempt_started(service->upstream, attempt->address, now);
+	upstream_attempt_started(service->upstream, attempt->endpoint, now);
 	admission_started(service->admission, &call->queue, now);
 	counters_add(entry->counters, COUNTER_ATTEMPTS_STARTED, 1);
 	if (call->attempts_made > 1)
 		counters_add(entry->counters, COUNTER_ATTEMPTS_RETRIED, 1);
 	else
-		retry_budget_earn(&entry->retries);
-	set_inquiry_times(entry, call, &request, now);
+		retry_budget_earn(&service->retries);
+	set_inquiry_times(entry, service, call, &request, now);
 	entry->actions.start_attempt(entry->actions.ctx, &request);
 }
 
@@ -111,8 +136,8 @@
 static gboolean dispatch_call(entry_t *entry, entry_service_t *service,
 			      call_t *call)
 {
-	const char *avoid = call->attempts_made ? call->last_address : NULL;
 	GTimeSpan now = entry_now(entry);
+	upstream_need_t need;
 	const endpoint_t *endpoint;
 	catk_error_t error;
 
@@ -129,7 +154,8 @@
 		entry_finish_refused(entry, call, &error);
 		return TRUE;
 	}
-	endpoint = upstream_choose(service->upstream, avoid, now);
+	need = entry_need_of(service, call, now);
+	endpoint = upstream_choose_for(service->upstream, &need, now);
 	if (!endpoint) {
 		admission_requeue(service->admission, &call->queue);
 		return FALSE;
@@ -161,10 +187,25 @@
 
 static void retry_call(entry_t *entry, entry_service_t *service, call_t *call)
 {
-	retry_budget_spend(&entry->retries);
+	retry_budget_spend(&service->retries);
 	if (call->has_id)
 		request_ids_undispatch(entry->ids, call->sequence);
-	admission_requeue(service->admission, &call->queue);
+	entry_measure(entry, service, call);
+}
+
+/*
+ * An attempt of a routed call that could not be sent reached no endpoint, so
+ * it counts neither as an attempt nor against the retry budget.
+ */
+static gboolean place_again(entry_t *entry, entry_service_t *service,
+			    call_t *call, attempt_end_t end)
+{
+	if (!call->routed || end != ATTEMPT_NOT_SENT ||
+	    TAILQ_EMPTY(&call->waiters) || ++call->unsent > UNSENT_MAX)
+		return FALSE;
+	call->attempts_made--;
+	entry_measure(entry, service, call);
+	return TRUE;
 }
 
 static void refuse_after_attempts(entry_t *entry, call_t *call)
@@ -236,8 +277,7 @@
 		retry_call(entry, service, call);
 		break;
 	case CALL_RAN:
-		entry_finish_with_answer(entry, call, result->status,
-					 result->body);
+		entry_finish_with_answer(entry, call, result);
 		break;
 	case CALL_NOT_RUN:
 		refuse_after_attempts(entry, call);
@@ -253,15 +293,29 @@
 {
 	if (result->end != ATTEMPT_ANSWERED)
 		return result->end;
-	if (result->status >= 500 || g_bytes_get_size(result->body) == 0)
+	if (result->status >= 500 ||
+	    (!result->message && g_bytes_get_size(result->body) == 0))
 		return ATTEMPT_ERROR_ANSWER;
 	return ATTEMPT_ANSWERED;
 }
 
+/* An idempotent call gets another chance before a server error is passed on. */
+static attempt_end_t end_for_call(const call_t *call,
+				  const attempt_result_t *result,
+				  gboolean retry_allowed)
+{
+	if (call->routed && call->idempotent && retry_allowed &&
+	    result->end == ATTEMPT_ANSWERED && result->status >= 500)
+		return ATTEMPT_ERROR_ANSWER;
+	return result->end;
+}
+
 void entry_attempt_ended(entry_t *entry, const attempt_result_t *result)
 {
 	GTimeSpan now = entry_now(entry);
 	entry_service_t *service;
+	gboolean retry_allowed;
+	GTimeSpan latency;
 	attempt_t *attempt;
 	call_step_t step;
 	call_t *call;
@@ -274,27 +328,34 @@
 	}
 	service = entry_find_service(entry, call->service);
 	attempt = call_find_attempt(call, result->attempt_id);
+	latency = now - attempt->started;
 	count_end(entry, result->end);
-	upstream_attempt_ended(service->upstream, attempt->address,
-			       judged_end(result), now - attempt->started,
+	upstream_attempt_ended(service->upstream, attempt->endpoint,
+			       judged_end(result), latency,
 			       result->has_report ? &result->report : NULL,
 			       now);
-	report_to_admission(service, call, result, now - attempt->started, now);
+	report_to_admission(service, call, result, latency, now);
+	entry_learn_work(service, call, result, latency);
 	g_hash_table_remove(entry->calls_by_attempt, &attempt->id);
+	retry_allowed = may_retry(entry, service, call, now);
 	step = call_end_attempt(call, entry_call_rule(entry), attempt,
-				result->end, may_retry(entry, call, now), now);
-	take_step(entry, service, call, step, result);
+				end_for_call(call, result, retry_allowed),
+				retry_allowed, now);
+	if (step == CALL_WAIT ||
+	    !place_again(entry, service, call, result->end))
+		take_step(entry, service, call, step, result);
 	entry_dispatch(entry, service);
 }
 
-void entry_probe_ended(entry_t *entry, const char *name, const char *address,
+void entry_probe_ended(entry_t *entry, const char *name, const char *endpoint,
 		       const load_report_t *report)
 {
 	entry_service_t *service = entry_find_service(entry, name);
 
 	if (!service)
 		return;
-	upstream_probe_ended(service->upstream, address, report,
+	upstream_probe_ended(service->upstream, endpoint, report,
 			     entry_now(entry));
+	entry_measure_take(entry, service, endpoint);
 	entry_dispatch(entry, service);
 }
--- a/lib/entry/entry_calls.c
+++ b/lib/entry/entry_calls.c
@@ -24,23 +24,12 @@
 static void admit(entry_t *entry, entry_service_t *service, call_t *call,
 		  void *caller_ref)
 {
-	admission_item_t *displaced;
-	catk_error_t error;
-
 	entry_insert_call(entry, call);
 	if (call->has_id)
 		g_hash_table_insert(entry->calls_by_sequence, &call->sequence,
 				    call);
 	entry_add_waiter(entry, call, caller_ref);
-	if (!admission_offer(service->admission, &call->queue, entry_now(entry),
-			     &displaced, &error)) {
-		entry_finish_with_error(entry, call, &error);
-		return;
-	}
-	if (displaced)
-		entry_finish_refused(
-			entry, container_of(displaced, call_t, queue), &error);
-	entry_dispatch(entry, service);
+	entry_measure(entry, service, call);
 }
 
 static call_t *new_call(entry_t *entry, const call_request_t *request,
@@ -62,6 +51,55 @@
 	return call_new(&attributes);
 }
 
+static void answer_no_route(entry_t *entry, const routed_request_t *request)
+{
+	catk_error_t error;
+
+	if (!config_schema(entry->config))
+		catk_error_set(&error, CATK_UNAVAILABLE, OUTCOME_NOT_RUN,
+			       "no configuration is in force here yet: use "
+			       "another instance or try again later");
+	else
+		catk_error_set(&error, CATK_NOT_FOUND, OUTCOME_NOT_RUN,
+			       "no route of configuration version "
+			       "%" G_GUINT64_FORMAT
+			       " has this host and path: declare it or "
+			       "correct the address",
+			       config_version(entry->config));
+	entry_answer_error(entry, request->caller_ref, &error);
+}
+
+void entry_route(entry_t *entry, const routed_request_t *request)
+{
+	const schema_t *schema = config_schema(entry->config);
+	const schema_route_t *route = NULL;
+	const char *service = NULL;
+	call_attributes_t attributes = { .caller = "", .caller_attempt = 1 };
+	GTimeSpan remaining;
+
+	counters_add(entry->counters, COUNTER_CALLS_RECEIVED, 1);
+	if (schema)
+		route = schema_match_route(schema, request->host,
+					   request->path);
+	if (route)
+		service = route_splits_next(entry->splits, route);
+	if (!service) {
+		answer_no_route(entry, request);
+		return;
+	}
+	remaining = route->method.deadline;
+	if (request->remaining > 0)
+		remaining = MIN(remaining, request->remaining);
+	attributes.service = service;
+	attributes.method = &route->method;
+	attributes.route = route;
+	attributes.body = request->body;
+	attributes.admitted = entry_now(entry);
+	attributes.deadline = attributes.admitted + remaining;
+	admit(entry, entry_find_service(entry, service), call_new(&attributes),
+	      request->caller_ref);
+}
+
 /* Answers a request whose id was seen before or is not valid here. */
 static void answer_by_id_state(entry_t *entry, const call_request_t *request,
 			       guint64 sequence, request_id_state_t state,
@@ -283,7 +321,8 @@
 	 * A lost connection is no reason to lose the result of a call that may
 	 * be running: it goes on, and a copy under the same id gets its answer.
 	 */
-	if (call->has_id && entry_outcome_of(entry, call) != OUTCOME_NOT_RUN)
+	if ((call->has_id || (call->routed && !call->idempotent)) &&
+	    entry_outcome_of(entry, call) != OUTCOME_NOT_RUN)
 		return;
 	catk_error_set(&error, CATK_CANCELLED, entry_outcome_of(entry, call),
 		       "the caller closed its connection");
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -5,6 +5,7 @@
 #include "lib/admission/retry_budget.h"
 #include "lib/call/call.h"
 #include "lib/entry/entry.h"
+#include "lib/route/route_split.h"
 
 /* Time between two rounds of expiry and probing. */
 #define ENTRY_HOUSEKEEPING_INTERVAL (50 * G_TIME_SPAN_MILLISECOND)
@@ -16,6 +17,10 @@
 	upstream_t *upstream;
 	admission_t *admission;
 	gboolean declared; /* in the schema in force */
+	retry_budget_t retries;
+	TAILQ_HEAD(measuring_list, call) measuring; /* first one ends first */
+	GTimeSpan next_refresh; /* of the reports that waiting calls need */
+	double work[SCHEMA_PRIORITIES_MAX]; /* usual service time, 0: none */
 } entry_service_t;
 
 struct entry {
@@ -37,7 +42,7 @@
 	GHashTable *calls_by_attempt; /* attempt id -> call_t */
 	GHashTable *calls_by_ref; /* caller_ref -> call_t */
 	guint64 next_attempt;
-	retry_budget_t retries;
+	route_splits_t *splits;
 
 	GTimeSpan next_housekeeping;
 	gboolean leaving;
@@ -55,6 +60,36 @@
 /* Starts waiting calls for which an endpoint has room. */
 void entry_dispatch(entry_t *entry, entry_service_t *service);
 
+/* Queues a call, new or to be retried, and starts it when there is room. */
+void entry_queue_call(entry_t *entry, entry_service_t *service, call_t *call);
+
+/*
+ * Asks endpoints for their load, then queues the call. A call that is not
+ * routed is queued at once.
+ */
+void entry_measure(entry_t *entry, entry_service_t *service, call_t *call);
+
+/* A report has come, or none will. */
+void entry_measure_take(entry_t *entry, entry_service_t *service,
+			const char *endpoint);
+
+/* Ends waits for reports that have lasted too long; asks for waiting calls. */
+void entry_measure_tick(entry_t *entry, entry_service_t *service);
+
+/* Instant at which entry_measure_tick() has something to do. */
+GTimeSpan entry_measure_wakeup(const entry_service_t *service);
+
+/* The call waits for reports no longer. */
+void entry_measure_end(entry_service_t *service, call_t *call);
+
+/* What the call needs of an endpoint. */
+upstream_need_t entry_need_of(const entry_service_t *service,
+			      const call_t *call, GTimeSpan now);
+
+/* Learns the usual service time from an answer. */
+void entry_learn_work(entry_service_t *service, const call_t *call,
+		      const attempt_result_t *result, GTimeSpan latency);
+
 /* The rule for repeating calls that is set, or the product's. */
 const call_rule_t *entry_call_rule(const entry_t *entry);
 
@@ -79,8 +114,8 @@
  */
 void entry_finish_with_error(entry_t *entry, call_t *call,
 			     const catk_error_t *error);
-void entry_finish_with_answer(entry_t *entry, call_t *call, guint status,
-			      GBytes *body);
+void entry_finish_with_answer(entry_t *entry, call_t *call,
+			      const attempt_result_t *result);
 void entry_finish_refused(entry_t *entry, call_t *call, catk_error_t *error);
 void entry_finish_expired(entry_t *entry, call_t *call);
 
--- /dev/null
+++ b/lib/feed/feed.c
@@ -0,0 +1,109 @@
+#include "lib/feed/feed.h"
+
+/*
+ * A store that answers again must be followed again within the bound of a
+ * configuration (2 s); a fleet that asks this often stays far below its rates.
+ */
+#define BACKOFF_MIN (50 * G_TIME_SPAN_MILLISECOND)
+#define BACKOFF_MAX (800 * G_TIME_SPAN_MILLISECOND)
+#define BACKOFF_DOUBLINGS 4
+
+struct feed {
+	GRand *random;
+	gboolean listing;
+	char *after; /* last object of the pages so far, NULL for none */
+	guint64 listed_from; /* revision of the first page, 0 before it */
+	guint64 revision; /* to watch from */
+	guint failures;
+	GTimeSpan retry_at;
+};
+
+feed_t *feed_new(GRand *random)
+{
+	feed_t *feed = g_new0(feed_t, 1);
+
+	feed->random = random;
+	feed->listing = TRUE;
+	return feed;
+}
+
+void feed_free(feed_t *feed)
+{
+	if (!feed)
+		return;
+	g_free(feed->after);
+	g_free(feed);
+}
+
+feed_step_t feed_next(const feed_t *feed, GTimeSpan now)
+{
+	feed_step_t step = { .kind = feed->listing ? FEED_LIST : FEED_WATCH,
+			     .after = feed->after,
+			     .revision = feed->revision };
+
+	if (now < feed->retry_at) {
+		step.kind = FEED_WAIT;
+		step.until = feed->retry_at;
+	}
+	return step;
+}
+
+gboolean feed_is_listing(const feed_t *feed)
+{
+	return feed->listing;
+}
+
+static void start_list(feed_t *feed)
+{
+	feed->listing = TRUE;
+	feed->listed_from = 0;
+	g_clear_pointer(&feed->after, g_free);
+}
+
+void feed_page_read(feed_t *feed, guint64 as_of, const char *last,
+		    gboolean more)
+{
+	feed->failures = 0;
+	if (!feed->listed_from)
+		feed->listed_from = as_of;
+	if (more && last) {
+		g_free(feed->after);
+		feed->after = g_strdup(last);
+		return;
+	}
+	feed->listing = FALSE;
+	feed->revision = feed->listed_from;
+	g_clear_pointer(&feed->after, g_free);
+}
+
+void feed_changes_read(feed_t *feed, guint64 as_of)
+{
+	feed->failures = 0;
+	feed->revision = MAX(feed->revision, as_of);
+}
+
+void feed_history_lost(feed_t *feed)
+{
+	feed->failures = 0;
+	start_list(feed);
+}
+
+void feed_failed(feed_t *feed, GTimeSpan now)
+{
+	guint doublings = MIN(feed->failures, BACKOFF_DOUBLINGS);
+	GTimeSpan pause = MIN(BACKOFF_MIN << doublings, BACKOFF_MAX);
+
+	feed->failures++;
+	/* Spread, so that a fleet does not return in one moment. */
+	feed->retry_at =
+		now + (GTimeSpan)((double)pause *
+				  g_rand_double_range(feed->random, 0.5, 1.5));
+	/* Pages before an outage may be out of date. */
+	if (feed->listing)
+		start_list(feed);
+}
+
+guint feed_failures(const feed_t *feed)
+{
+	return feed->failures;
+}
--- a/lib/probe/probe_budget.c
+++ b/lib/probe/probe_budget.c
@@ -4,6 +4,7 @@
 		       guint entries_max, GTimeSpan now)
 {
 	g_assert(entries_max >= 1);
+	budget->burst = 1;
 	if (probes_per_second <= 0) {
 		budget->interval = CATK_NEVER;
 		budget->next = CATK_NEVER;
@@ -16,8 +17,19 @@
 
 gboolean probe_budget_take(probe_budget_t *budget, GTimeSpan now)
 {
-	if (now < budget->next)
+	GTimeSpan saved;
+
+	if (budget->next == CATK_NEVER)
 		return FALSE;
-	budget->next = now + budget->interval;
+	saved = budget->interval * (budget->burst - 1);
+	if (now < budget->next - saved)
+		return FALSE;
+	budget->next = MAX(budget->next, now) + budget->interval;
 	return TRUE;
 }
+
+void probe_budget_set_burst(probe_budget_t *budget, guint burst)
+{
+	g_assert(burst >= 1);
+	budget->burst = burst;
+}
--- a/lib/probe/probe_budget.h
+++ b/lib/probe/probe_budget.h
@@ -4,7 +4,8 @@
  * The share is the budget divided by the configured maximum number of entries.
  * Over any time T the fleet sends at most budget * T + entries probes, also
  * while instance lists disagree. A bucket starts empty and holds one probe,
- * so that neither a restart nor a pause saves up probes.
+ * so that neither a restart nor a pause saves up probes; a burst of more than
+ * one adds that many to the bound of each entry.
  */
 #ifndef CATK_PROBE_BUDGET_H
 #define CATK_PROBE_BUDGET_H
@@ -14,6 +15,7 @@
 typedef struct {
 	GTimeSpan interval; /* CATK_NEVER when probing is off */
 	GTimeSpan next; /* instant from which one probe is allowed */
+	guint burst; /* probes that unused budget may add up to */
 } probe_budget_t;
 
 /*
@@ -23,6 +25,9 @@
 void probe_budget_init(probe_budget_t *budget, double probes_per_second,
 		       guint entries_max, GTimeSpan now);
 
+/* Lets unused budget add up to burst probes, at least 1. */
+void probe_budget_set_burst(probe_budget_t *budget, guint burst);
+
 /* Takes the allowed probe. FALSE when none is allowed yet. */
 gboolean probe_budget_take(probe_budget_t *budget, GTimeSpan now);
 
--- /dev/null
+++ b/lib/route/route_split.c
@@ -0,0 +1,169 @@
+#include "lib/route/route_split.h"
+
+#include <string.h>
+
+typedef struct share {
+	TAILQ_ENTRY(share) link;
+	char *service;
+	guint weight;
+	gint64 credit;
+} share_t;
+
+typedef struct split {
+	TAILQ_ENTRY(split) link;
+	char *route;
+	gboolean declared;
+	TAILQ_HEAD(share_list, share) shares;
+} split_t;
+
+struct route_splits {
+	GRand *random;
+	TAILQ_HEAD(split_list, split) splits;
+};
+
+route_splits_t *route_splits_new(GRand *random)
+{
+	route_splits_t *splits = g_new0(route_splits_t, 1);
+
+	splits->random = random;
+	TAILQ_INIT(&splits->splits);
+	return splits;
+}
+
+static void shares_free(split_t *split)
+{
+	share_t *share, *next;
+
+	TAILQ_FOREACH_SAFE (share, &split->shares, link, next) {
+		g_free(share->service);
+		g_free(share);
+	}
+	TAILQ_INIT(&split->shares);
+}
+
+static void split_free(route_splits_t *splits, split_t *split)
+{
+	TAILQ_REMOVE(&splits->splits, split, link);
+	shares_free(split);
+	g_free(split->route);
+	g_free(split);
+}
+
+void route_splits_free(route_splits_t *splits)
+{
+	if (!splits)
+		return;
+	while (!TAILQ_EMPTY(&splits->splits))
+		split_free(splits, TAILQ_FIRST(&splits->splits));
+	g_free(splits);
+}
+
+static gboolean has_same_shares(const split_t *split,
+				const schema_route_t *route)
+{
+	const schema_target_t *target = TAILQ_FIRST(&route->targets);
+	const share_t *share;
+
+	TAILQ_FOREACH (share, &split->shares, link) {
+		if (!target || share->weight != target->weight ||
+		    strcmp(share->service, target->service) != 0)
+			return FALSE;
+		target = TAILQ_NEXT(target, link);
+	}
+	return !target;
+}
+
+static split_t *find_split(const route_splits_t *splits, const char *route)
+{
+	split_t *split;
+
+	TAILQ_FOREACH (split, &splits->splits, link)
+		if (strcmp(split->route, route) == 0)
+			return split;
+	return NULL;
+}
+
+/* Credits that a turn has after a random number of requests. */
+static void start_turn(const route_splits_t *splits, split_t *split)
+{
+	share_t *share;
+
+	TAILQ_FOREACH (share, &split->shares, link)
+		share->credit =
+			share->weight ?
+				g_rand_int_range(splits->random, 0,
+						 (gint32)share->weight * 2) :
+				0;
+}
+
+static void take_shares(const route_splits_t *splits, split_t *split,
+			const schema_route_t *route)
+{
+	const schema_target_t *target;
+	share_t *share;
+
+	shares_free(split);
+	TAILQ_FOREACH (target, &route->targets, link) {
+		share = g_new0(share_t, 1);
+		share->service = g_strdup(target->service);
+		share->weight = target->weight;
+		TAILQ_INSERT_TAIL(&split->shares, share, link);
+	}
+	start_turn(splits, split);
+}
+
+static split_t *split_of(route_splits_t *splits, const schema_route_t *route)
+{
+	split_t *split = find_split(splits, route->method.name);
+
+	if (!split) {
+		split = g_new0(split_t, 1);
+		split->route = g_strdup(route->method.name);
+		TAILQ_INIT(&split->shares);
+		TAILQ_INSERT_TAIL(&splits->splits, split, link);
+	}
+	if (!has_same_shares(split, route))
+		take_shares(splits, split, route);
+	return split;
+}
+
+const char *route_splits_next(route_splits_t *splits,
+			      const schema_route_t *route)
+{
+	const schema_target_t *only = TAILQ_FIRST(&route->targets);
+	share_t *chosen = NULL;
+	gint64 total = 0;
+	share_t *share;
+
+	if (only && !TAILQ_NEXT(only, link))
+		return only->service;
+	TAILQ_FOREACH (share, &split_of(splits, route)->shares, link) {
+		if (!share->weight)
+			continue;
+		total += share->weight;
+		share->credit += share->weight;
+		if (!chosen || share->credit > chosen->credit)
+			chosen = share;
+	}
+	if (!chosen)
+		return NULL;
+	chosen->credit -= total;
+	return chosen->service;
+}
+
+void route_splits_configure(route_splits_t *splits, const schema_t *schema)
+{
+	const schema_route_t *route;
+	split_t *split, *next;
+
+	TAILQ_FOREACH (split, &splits->splits, link)
+		split->declared = FALSE;
+	TAILQ_FOREACH (route, &schema->routes, link) {
+		split = find_split(splits, route->method.name);
+		if (split)
+			split->declared = TRUE;
+	}
+	TAILQ_FOREACH_SAFE (split, &splits->splits, link, next)
+		if (!split->declared)
+			split_free(splits, split);
+}
--- a/lib/schema/schema.c
+++ b/lib/schema/schema.c
@@ -1,12 +1,13 @@
-#include "lib/schema/schema.h"
-
 #include <string.h>
 
+#include "lib/schema/schema_internal.h"
+
 schema_t *schema_new(void)
 {
 	schema_t *schema = g_new0(schema_t, 1);
 
 	TAILQ_INIT(&schema->services);
+	TAILQ_INIT(&schema->routes);
 	return schema;
 }
 
@@ -26,6 +27,7 @@
 
 	endpoints_free(service);
 	g_free(service->instance_list);
+	g_free(service->health_path);
 
 	TAILQ_FOREACH_SAFE (method, &service->methods, link, next) {
 		g_free(method->name);
@@ -44,13 +46,14 @@
 		return;
 	TAILQ_FOREACH_SAFE (service, &schema->services, link, next)
 		service_free(service);
+	schema_free_routes(schema);
 	for (i = 0; i < schema->priority_count; i++)
 		g_free(schema->priorities[i].name);
 	g_free(schema);
 }
 
 /* Names appear in URL paths and request ids, so the alphabet is small. */
-static gboolean name_check(const char *what, const char *name,
+gboolean schema_check_name(const char *what, const char *name,
 			   catk_error_t *err)
 {
 	const char *allowed = "abcdefghijklmnopqrstuvwxyz0123456789-_";
@@ -67,7 +70,7 @@
 	return TRUE;
 }
 
-static gboolean range_check(const char *what, double value, double min,
+gboolean schema_check_range(const char *what, double value, double min,
 			    double max, catk_error_t *err)
 {
 	if (value < min || value > max) {
@@ -95,8 +98,8 @@
 	guint total = floor_percent;
 	guint i;
 
-	if (!name_check("priority", name, err) ||
-	    !range_check("floor_percent", floor_percent, 0, 100, err))
+	if (!schema_check_name("priority", name, err) ||
+	    !schema_check_range("floor_percent", floor_percent, 0, 100, err))
 		return FALSE;
 	if (schema_find_priority(schema, name) >= 0) {
 		catk_error_set(err, CATK_INVALID_ARGUMENT, OUTCOME_NOT_RUN,
@@ -133,12 +136,12 @@
 {
 	schema_service_t *service;
 
-	if (!name_check("service", name, err) ||
-	    !range_check("slots", slots, 1, SCHEMA_SLOTS_MAX, err) ||
-	    !range_check("connections", connections, 1, SCHEMA_CONNECTIONS_MAX,
-			 err) ||
-	    !range_check("probes_per_second", probes_per_second, 0,
-			 SCHEMA_PROBES_PER_SECOND_MAX, err))
+	if (!schema_check_name("service", name, err) ||
+	    !schema_check_range("slots", slots, 1, SCHEMA_SLOTS_MAX, err) ||
+	    !schema_check_range("connections", connections, 1,
+				SCHEMA_CONNECTIONS_MAX, err) ||
+	    !schema_check_range("probes_per_second", probes_per_second, 0,
+				SCHEMA_PROBES_PER_SECOND_MAX, err))
 		return NULL;
 	if (schema_find_service(schema, name)) {
 		catk_error_set(err, CATK_INVALID_ARGUMENT, OUTCOME_NOT_RUN,
@@ -160,7 +163,7 @@
 gboolean schema_set_instance_list(schema_service_t *service, const char *name,
 				  catk_error_t *err)
 {
-	if (!name_check("instance list", name, err))
+	if (!schema_check_name("instance list", name, err))
 		return FALSE;
 	g_free(service->instance_list);
 	service->instance_list = g_strdup(name);
@@ -210,28 +213,41 @@
 	return TRUE;
 }
 
+gboolean schema_check_deadline(GTimeSpan deadline, catk_error_t *err)
+{
+	return schema_check_range(
+		"deadline in ms", (double)deadline / G_TIME_SPAN_MILLISECOND,
+		(double)SCHEMA_DEADLINE_MIN / G_TIME_SPAN_MILLISECOND,
+		(double)SCHEMA_DEADLINE_MAX / G_TIME_SPAN_MILLISECOND, err);
+}
+
+int schema_check_priority(const schema_t *schema, const char *name,
+			  catk_error_t *err)
+{
+	int index = schema_find_priority(schema, name);
+
+	if (index < 0)
+		catk_error_set(err, CATK_INVALID_ARGUMENT, OUTCOME_NOT_RUN,
+			       "priority \"%s\" is not declared: add it to "
+			       "\"priorities\" or use one of them",
+			       name);
+	return index;
+}
+
 schema_method_t *schema_add_method(schema_t *schema, schema_service_t *service,
 				   const char *name, const char *priority,
 				   gboolean idempotent, GTimeSpan deadline,
 				   catk_error_t *err)
 {
 	schema_method_t *method;
-	int index = schema_find_priority(schema, priority);
-
-	if (!name_check("method", name, err) ||
-	    !range_check("deadline in ms",
-			 (double)deadline / G_TIME_SPAN_MILLISECOND,
-			 (double)SCHEMA_DEADLINE_MIN / G_TIME_SPAN_MILLISECOND,
-			 (double)SCHEMA_DEADLINE_MAX / G_TIME_SPAN_MILLISECOND,
-			 err))
+	int index;
+
+	if (!schema_check_name("method", name, err) ||
+	    !schema_check_deadline(deadline, err))
 		return NULL;
-	if (index < 0) {
-		catk_error_set(err, CATK_INVALID_ARGUMENT, OUTCOME_NOT_RUN,
-			       "priority \"%s\" is not declared: add it to "
-			       "\"priorities\" or use one of them",
-			       priority);
+	index = schema_check_priority(schema, priority, err);
+	if (index < 0)
 		return NULL;
-	}
 	if (schema_find_method(service, name)) {
 		catk_error_set(err, CATK_INVALID_ARGUMENT, OUTCOME_NOT_RUN,
 			       "method \"%s\" is declared twice in service "
--- a/lib/schema/schema.h
+++ b/lib/schema/schema.h
@@ -46,14 +46,46 @@
 	double probes_per_second; /* budget per endpoint, all entries */
 	/* Key of the platform's instance list; NULL when endpoints are named. */
 	char *instance_list;
+	char *health_path; /* of a probe over HTTP, NULL for none */
 	TAILQ_HEAD(schema_endpoint_list, schema_endpoint) endpoints;
 	TAILQ_HEAD(schema_method_list, schema_method) methods;
 } schema_service_t;
 
+/* One service that a route sends requests to. */
+typedef struct schema_target {
+	TAILQ_ENTRY(schema_target) link;
+	char *service;
+	guint weight; /* share relative to the route's other targets */
+} schema_target_t;
+
+/*
+ * Requests of one host whose path begins with a prefix. The method's deadline
+ * is the longest time that a request of the route may take.
+ */
+typedef struct schema_route {
+	TAILQ_ENTRY(schema_route) link;
+	schema_method_t method;
+	char *host; /* lower case, without port */
+	char *prefix; /* begins and ends with '/' */
+	GTimeSpan objective; /* latency objective, 0 for none */
+	guint attempts_max; /* endpoints that one request may be sent to */
+	TAILQ_HEAD(schema_target_list, schema_target) targets;
+} schema_route_t;
+
+/* What callers of routes may send, and how long they may take. 0: no bound. */
+typedef struct {
+	gsize header_bytes_max;
+	gsize body_bytes_max;
+	GTimeSpan header_timeout;
+	GTimeSpan idle_timeout;
+} schema_request_limits_t;
+
 typedef struct {
 	guint priority_count;
 	schema_priority_t priorities[SCHEMA_PRIORITIES_MAX];
 	TAILQ_HEAD(schema_service_list, schema_service) services;
+	TAILQ_HEAD(schema_route_list, schema_route) routes;
+	schema_request_limits_t request_limits;
 } schema_t;
 
 /* An empty schema. Free with schema_free(). */
@@ -108,6 +140,31 @@
 				   gboolean idempotent, GTimeSpan deadline,
 				   catk_error_t *err);
 
+/*
+ * Adds a route without targets; the schema owns it. Returns NULL with
+ * CATK_INVALID_ARGUMENT for a bad or repeated name, an empty host, a prefix
+ * that does not begin and end with '/', an unknown priority, a deadline out of
+ * range, an objective beyond the deadline, or no attempt.
+ */
+schema_route_t *schema_add_route(schema_t *schema,
+				 const schema_route_t *attributes,
+				 const char *priority, catk_error_t *err);
+
+/*
+ * Adds a target of a route; its service must be declared. FALSE with
+ * CATK_INVALID_ARGUMENT.
+ */
+gboolean schema_add_target(const schema_t *schema, schema_route_t *route,
+			   const char *service, guint weight,
+			   catk_error_t *err);
+
+/*
+ * The route of the host with the longest prefix that begins the path, or NULL.
+ * host may carry a port and capitals.
+ */
+const schema_route_t *schema_match_route(const schema_t *schema,
+					 const char *host, const char *path);
+
 /* The service of that name, or NULL. */
 const schema_service_t *schema_find_service(const schema_t *schema,
 					    const char *name);
--- a/lib/upstream/endpoint.c
+++ b/lib/upstream/endpoint.c
@@ -3,6 +3,8 @@
 
 /* Weight of a new report in the usual load from other entries. */
 #define OTHERS_WEIGHT 0.1
+/* Weight of a new report in the usual slowdown of the endpoints. */
+#define SLOWDOWN_WEIGHT 0.05
 
 const char *endpoint_address(const endpoint_t *endpoint)
 {
@@ -69,6 +71,17 @@
 	upstream->others += OTHERS_WEIGHT * (others - upstream->others);
 }
 
+static void learn_slowdown(upstream_t *upstream, const load_report_t *report)
+{
+	double sample = report->slowdown_percent;
+
+	if (!report->slowdown_percent)
+		return;
+	if (!upstream->slowdown)
+		upstream->slowdown = sample;
+	upstream->slowdown += SLOWDOWN_WEIGHT * (sample - upstream->slowdown);
+}
+
 static void take_load(upstream_t *upstream, endpoint_t *endpoint,
 		      const load_report_t *report, GTimeSpan now)
 {
@@ -78,6 +91,7 @@
 	endpoint->reported = now;
 	endpoint->own_at_report = endpoint->in_flight;
 	learn_usual_load(upstream, endpoint);
+	learn_slowdown(upstream, report);
 	if (report->in_flight < report->slots)
 		endpoint->full_until = 0;
 }
--- a/lib/upstream/health.c
+++ b/lib/upstream/health.c
@@ -140,7 +140,8 @@
 	if (keep_blocked && (endpoint->slow || endpoint->ejections))
 		return is_on_trial(endpoint, now) ? AVAILABLE_YES :
 						    AVAILABLE_NO;
-	if (is_late(upstream, endpoint, now) ||
+	if ((!upstream->routing.trusts_reports &&
+	     is_late(upstream, endpoint, now)) ||
 	    is_held_back(upstream, endpoint, now))
 		return AVAILABLE_RESERVE;
 	return AVAILABLE_YES;
@@ -266,7 +267,8 @@
 			return;
 		}
 		count_success(upstream, endpoint, now);
-		judge_latency(upstream, endpoint, latency, now);
+		if (!upstream->routing.trusts_reports)
+			judge_latency(upstream, endpoint, latency, now);
 		break;
 	case ATTEMPT_ERROR_ANSWER:
 	case ATTEMPT_BAD_ANSWER:
@@ -277,11 +279,17 @@
 		/* A refused connection leaves no doubt. */
 		count_failure(upstream, endpoint, FAILURES_TO_EJECT, now);
 		break;
+	case ATTEMPT_MISDIRECTED:
+		/* This start of the endpoint has ended. */
+		endpoint->draining = TRUE;
+		endpoint->drain_seen = now;
+		break;
 	case ATTEMPT_SHED:
 		pause_after_refusal(upstream, endpoint, now);
 		break;
 	case ATTEMPT_ABANDONED:
-		if (is_slow(upstream, endpoint, latency))
+		if (!upstream->routing.trusts_reports &&
+		    is_slow(upstream, endpoint, latency))
 			judge_latency(upstream, endpoint, latency, now);
 		break;
 	case ATTEMPT_CANCELLED:
--- /dev/null
+++ b/lib/upstream/routing_expected_latency.c
@@ -0,0 +1,301 @@
+/*
+ * The endpoint that is expected to answer first, by reports that were asked
+ * for just before. Endpoints of this data centre go first while one of them is
+ * expected to meet the objective: bytes between data centres are dear.
+ *
+ * A report of the load loses its worth within about one service time, so what
+ * it says of other entries' requests and of the slowdown is corrected towards
+ * the usual by its age.
+ */
+#include <math.h>
+#include <string.h>
+
+#include "lib/upstream/upstream_internal.h"
+
+/* Service time when neither the call nor the upstream knows one. */
+#define WORK_UNKNOWN (100 * G_TIME_SPAN_MILLISECOND)
+/* Slowdowns of neighbours last about this long (docs/platform.md). */
+#define SLOWDOWN_MEMORY (150 * G_TIME_SPAN_MILLISECOND)
+/* Usual slowdown before any report, in percent. */
+#define SLOWDOWN_USUAL 150.0
+/* Share of the objective that an expected latency may use. */
+#define OBJECTIVE_SHARE 0.85
+/* Expected latencies this close are the same: one of them at random. */
+#define TIE_FACTOR 1.1
+/* An endpoint just started takes about twice as long. */
+#define COLD_FACTOR 2.0
+/* The last free slot is slower than the others on a shared machine. */
+#define LAST_SLOT_FACTOR 1.3
+/* Requests that may wait at an endpoint; more risk that it resets. */
+#define QUEUE_MAX 2
+/* A failed attempt costs about so many expected latencies. */
+#define FAILURE_COST 6.0
+#define FAILURE_WEIGHT 0.3
+#define FAILURE_MEMORY (4 * G_TIME_SPAN_SECOND)
+/* An endpoint of another data centre must be this much quicker. */
+#define FAR_FACTOR 1.5
+/* A report this young needs no probe. */
+#define REPORT_FRESH (10 * G_TIME_SPAN_MILLISECOND)
+/* An endpoint that leaves this many probes unanswered is probed last. */
+#define PROBES_UNANSWERED_MAX 2
+
+static gboolean is_near(const upstream_t *upstream, const endpoint_t *endpoint)
+{
+	return g_strcmp0(endpoint->info.data_centre,
+			 upstream->limits.data_centre) == 0;
+}
+
+static guint slots_of(const upstream_t *upstream, const endpoint_t *endpoint)
+{
+	if (!endpoint->report.slots && endpoint->info.slots)
+		return endpoint->info.slots;
+	return endpoint_slots(upstream, endpoint);
+}
+
+static double slowdown_of(const upstream_t *upstream,
+			  const endpoint_t *endpoint, GTimeSpan now)
+{
+	double usual = upstream->slowdown ? upstream->slowdown : SLOWDOWN_USUAL;
+	double weight;
+
+	if (!endpoint->reported || !endpoint->report.slowdown_percent)
+		return usual;
+	weight = exp(-(double)(now - endpoint->reported) / SLOWDOWN_MEMORY);
+	return usual + weight * (endpoint->report.slowdown_percent - usual);
+}
+
+static double failure_share(const endpoint_t *endpoint, GTimeSpan now)
+{
+	double age = (double)(now - endpoint->failure_share_at);
+
+	return endpoint->failure_share * exp(-age / FAILURE_MEMORY);
+}
+
+static double expected_latency(const upstream_t *upstream,
+			       const endpoint_t *endpoint,
+			       const upstream_need_t *need, GTimeSpan now)
+{
+	double load = endpoint_load(upstream, endpoint, now);
+	double slots = slots_of(upstream, endpoint);
+	double work = need->work > 0 ? (double)need->work : WORK_UNKNOWN;
+	double latency = work * slowdown_of(upstream, endpoint, now) / 100;
+
+	if (now < endpoint->cold_until)
+		latency *= COLD_FACTOR;
+	if (load + 1 > slots)
+		latency *= 1 + (load + 1 - slots) / slots;
+	if (load + 1 >= slots)
+		latency *= LAST_SLOT_FACTOR;
+	return latency;
+}
+
+/* Expected latency with the risk of a failure counted as time. */
+static double cost_of(const upstream_t *upstream, const endpoint_t *endpoint,
+		      const upstream_need_t *need, GTimeSpan now)
+{
+	return expected_latency(upstream, endpoint, need, now) *
+	       (1 + FAILURE_COST * failure_share(endpoint, now));
+}
+
+static gboolean has_room(const upstream_t *upstream, const endpoint_t *endpoint,
+			 GTimeSpan now)
+{
+	return endpoint_load(upstream, endpoint, now) <
+	       slots_of(upstream, endpoint) + QUEUE_MAX;
+}
+
+/* The cheapest candidate of the scope, random among nearly equal ones. */
+static endpoint_t *cheapest(const upstream_t *upstream,
+			    const candidates_t *candidates,
+			    const upstream_need_t *need, gboolean near,
+			    GTimeSpan now)
+{
+	endpoint_t *best = NULL;
+	double best_cost = 0;
+	guint ties = 0;
+	guint i;
+
+	for (i = 0; i < candidates->count; i++) {
+		endpoint_t *endpoint = candidates->items[i];
+		double cost;
+
+		if (is_near(upstream, endpoint) != near ||
+		    !has_room(upstream, endpoint, now))
+			continue;
+		cost = cost_of(upstream, endpoint, need, now);
+		if (!best || cost * TIE_FACTOR < best_cost) {
+			best = endpoint;
+			best_cost = cost;
+			ties = 1;
+		} else if (cost < best_cost * TIE_FACTOR &&
+			   g_rand_int_range(upstream->random, 0,
+					    (gint32)++ties) == 0) {
+			best = endpoint;
+			best_cost = MIN(cost, best_cost);
+		}
+	}
+	return best;
+}
+
+static gboolean meets_objective(const upstream_t *upstream,
+				const endpoint_t *endpoint,
+				const upstream_need_t *need, GTimeSpan now)
+{
+	return need->objective > 0 &&
+	       cost_of(upstream, endpoint, need, now) <=
+		       OBJECTIVE_SHARE * (double)need->objective;
+}
+
+static endpoint_t *choose(void *ctx, const candidates_t *candidates,
+			  const upstream_need_t *need, GTimeSpan now)
+{
+	const upstream_t *upstream = ctx;
+	endpoint_t *near = cheapest(upstream, candidates, need, TRUE, now);
+	endpoint_t *far;
+
+	if (near && meets_objective(upstream, near, need, now))
+		return near;
+	far = cheapest(upstream, candidates, need, FALSE, now);
+	if (!near || !far)
+		return near ? near : far;
+	if (meets_objective(upstream, far, need, now))
+		return far;
+	return cost_of(upstream, far, need, now) * FAR_FACTOR <
+			       cost_of(upstream, near, need, now) ?
+		       far :
+		       near;
+}
+
+gboolean upstream_near_suffices(upstream_t *upstream,
+				const upstream_need_t *need, GTimeSpan now)
+{
+	const endpoint_t *endpoint;
+
+	if (!upstream->routing.trusts_reports)
+		return TRUE;
+	endpoint = upstream_choose_for(upstream, need, now);
+	return endpoint && is_near(upstream, endpoint) &&
+	       meets_objective(upstream, endpoint, need, now);
+}
+
+static gboolean wants_probe(const upstream_t *upstream,
+			    const endpoint_t *endpoint, upstream_scope_t scope,
+			    GTimeSpan now)
+{
+	return is_near(upstream, endpoint) == (scope == SCOPE_NEAR) &&
+	       health_takes_work(endpoint) &&
+	       !health_is_blocked(endpoint, now) &&
+	       now >= endpoint->full_until &&
+	       (!endpoint->reported || now - endpoint->reported > REPORT_FRESH);
+}
+
+static void shuffle(GPtrArray *items, GRand *random)
+{
+	guint i;
+
+	for (i = items->len; i > 1; i--) {
+		guint j = (guint)g_rand_int_range(random, 0, (gint32)i);
+		gpointer other = items->pdata[j];
+
+		items->pdata[j] = items->pdata[i - 1];
+		items->pdata[i - 1] = other;
+	}
+}
+
+static guint take_probes(GPtrArray *endpoints, const char **ids, guint max,
+			 guint unanswered_max, GTimeSpan now)
+{
+	guint count = 0;
+	guint i;
+
+	for (i = 0; i < endpoints->len && count < max; i++) {
+		endpoint_t *endpoint = endpoints->pdata[i];
+
+		if (endpoint->probes_unanswered > unanswered_max ||
+		    endpoint->probed == now ||
+		    !probe_budget_take(&endpoint->probes, now))
+			continue;
+		endpoint->probed = now;
+		ids[count++] = endpoint_id(endpoint);
+	}
+	return count;
+}
+
+guint upstream_plan_probes(upstream_t *upstream, upstream_scope_t scope,
+			   const char **ids, guint max, GTimeSpan now)
+{
+	GPtrArray *wanted = upstream->open;
+	endpoint_t *endpoint;
+	guint count;
+
+	if (!upstream->routing.trusts_reports)
+		return 0;
+	g_ptr_array_set_size(wanted, 0);
+	TAILQ_FOREACH (endpoint, &upstream->endpoints, link)
+		if (wants_probe(upstream, endpoint, scope, now))
+			g_ptr_array_add(wanted, endpoint);
+	shuffle(wanted, upstream->random);
+	count = take_probes(wanted, ids, max, PROBES_UNANSWERED_MAX, now);
+	if (count < max)
+		count += take_probes(wanted, ids + count, max - count,
+				     G_MAXUINT, now);
+	return count;
+}
+
+static void learn_failure(endpoint_t *endpoint, double sample, GTimeSpan now)
+{
+	double share = failure_share(endpoint, now);
+
+	endpoint->failure_share = share + FAILURE_WEIGHT * (sample - share);
+	endpoint->failure_share_at = now;
+}
+
+static void attempt_ended(void *ctx, endpoint_t *endpoint, attempt_end_t end,
+			  GTimeSpan latency, GTimeSpan now)
+{
+	(void)ctx;
+	(void)latency;
+	switch (end) {
+	case ATTEMPT_ANSWERED:
+		learn_failure(endpoint, 0, now);
+		break;
+	case ATTEMPT_FAILED:
+	case ATTEMPT_BAD_ANSWER:
+	case ATTEMPT_ERROR_ANSWER:
+	case ATTEMPT_SILENT:
+	case ATTEMPT_NOT_SENT:
+		learn_failure(endpoint, 1, now);
+		break;
+	case ATTEMPT_SHED:
+	case ATTEMPT_MISDIRECTED:
+	case ATTEMPT_CANCELLED:
+	case ATTEMPT_ABANDONED:
+		break;
+	}
+}
+
+/* Room depends on the load there, which choose() looks at. */
+static GTimeSpan room_at(void *ctx, const endpoint_t *endpoint)
+{
+	(void)ctx;
+	(void)endpoint;
+	return 0;
+}
+
+/* Probes follow calls; without calls no report is of use. */
+static gboolean needs_report(void *ctx, const endpoint_t *endpoint)
+{
+	(void)ctx;
+	(void)endpoint;
+	return FALSE;
+}
+
+routing_t routing_expected_latency(upstream_t *upstream)
+{
+	return (routing_t){ .choose = choose,
+			    .room_at = room_at,
+			    .attempt_ended = attempt_ended,
+			    .needs_report = needs_report,
+			    .trusts_reports = TRUE,
+			    .ctx = upstream };
+}
--- a/lib/upstream/routing_learnt_limit.c
+++ b/lib/upstream/routing_learnt_limit.c
@@ -62,8 +62,9 @@
 }
 
 static endpoint_t *choose(void *ctx, const candidates_t *candidates,
-			  GTimeSpan now)
+			  const upstream_need_t *need, GTimeSpan now)
 {
+	(void)need;
 	return candidates_pick_of_two(ctx, candidates, now);
 }
 
--- a/lib/upstream/routing_random.c
+++ b/lib/upstream/routing_random.c
@@ -8,10 +8,11 @@
 }
 
 static endpoint_t *choose(void *ctx, const candidates_t *candidates,
-			  GTimeSpan now)
+			  const upstream_need_t *need, GTimeSpan now)
 {
 	upstream_t *upstream = ctx;
 
+	(void)need;
 	(void)now;
 	return candidates_pick(candidates, upstream->random);
 }
--- a/lib/upstream/routing_subset.c
+++ b/lib/upstream/routing_subset.c
@@ -88,11 +88,12 @@
 }
 
 static endpoint_t *choose(void *ctx, const candidates_t *candidates,
-			  GTimeSpan now)
+			  const upstream_need_t *need, GTimeSpan now)
 {
 	endpoint_t *near = least_loaded(ctx, candidates, TRUE, now);
 	endpoint_t *rest;
 
+	(void)need;
 	if (near && !is_full(ctx, near, now))
 		return near;
 	rest = least_loaded(ctx, candidates, FALSE, now);
--- a/lib/upstream/upstream.c
+++ b/lib/upstream/upstream.c
@@ -13,6 +13,7 @@
 	[ROUTING_TWO_CHOICES] = "two_choices",
 	[ROUTING_SUBSET] = "subset",
 	[ROUTING_LEARNT_LIMIT] = "learnt_limit",
+	[ROUTING_EXPECTED_LATENCY] = "expected_latency",
 };
 
 const char *routing_policy_name(routing_policy_t policy)
@@ -23,8 +24,8 @@
 
 gboolean attempt_end_is_not_run(attempt_end_t end)
 {
-	return end == ATTEMPT_SHED || end == ATTEMPT_NOT_SENT ||
-	       end == ATTEMPT_CANCELLED;
+	return end == ATTEMPT_SHED || end == ATTEMPT_MISDIRECTED ||
+	       end == ATTEMPT_NOT_SENT || end == ATTEMPT_CANCELLED;
 }
 
 static routing_t new_routing(upstream_t *upstream)
@@ -36,6 +37,8 @@
 		return routing_subset(upstream);
 	case ROUTING_LEARNT_LIMIT:
 		return routing_learnt_limit(upstream);
+	case ROUTING_EXPECTED_LATENCY:
+		return routing_expected_latency(upstream);
 	case ROUTING_TWO_CHOICES:
 	case ROUTING_POLICY_COUNT:
 		break;
@@ -88,17 +91,33 @@
 	return upstream->service;
 }
 
-static endpoint_t *find_endpoint(const upstream_t *upstream,
-				 const char *address)
+static const char *id_of(const endpoint_info_t *info)
+{
+	return info->id[0] ? info->id : info->address;
+}
+
+const char *endpoint_id(const endpoint_t *endpoint)
+{
+	return id_of(&endpoint->info);
+}
+
+static endpoint_t *find_endpoint(const upstream_t *upstream, const char *id)
 {
 	endpoint_t *endpoint;
 
 	TAILQ_FOREACH (endpoint, &upstream->endpoints, link)
-		if (strcmp(endpoint->info.address, address) == 0)
+		if (strcmp(endpoint_id(endpoint), id) == 0)
 			return endpoint;
 	return NULL;
 }
 
+const char *upstream_address_of(const upstream_t *upstream, const char *id)
+{
+	const endpoint_t *endpoint = find_endpoint(upstream, id);
+
+	return endpoint ? endpoint->info.address : NULL;
+}
+
 /*
  * The first probe is due after one to two intervals: entries that start at the
  * same time must not probe at the same time.
@@ -115,6 +134,8 @@
 				    upstream->probes_per_second);
 	probe_budget_init(&endpoint->probes, upstream->probes_per_second,
 			  upstream->limits.entries_max, now + delay);
+	probe_budget_set_burst(&endpoint->probes,
+			       MAX(upstream->limits.probe_burst, 1));
 }
 
 void upstream_configure(upstream_t *upstream, const schema_service_t *service,
@@ -164,7 +185,7 @@
 static void take_info(upstream_t *upstream, const endpoint_info_t *info,
 		      gboolean first_list, GTimeSpan now)
 {
-	endpoint_t *endpoint = find_endpoint(upstream, info->address);
+	endpoint_t *endpoint = find_endpoint(upstream, id_of(info));
 
 	if (!endpoint) {
 		endpoint = add_endpoint(upstream, info, now);
@@ -174,6 +195,7 @@
 		   (endpoint->info.leaving || endpoint->unlisted)) {
 		welcome_back(endpoint, now);
 	}
+	endpoint->cold_until = info->cold_for > 0 ? now + info->cold_for : 0;
 	endpoint->info = *info;
 	endpoint->listed = TRUE;
 	endpoint->unlisted = FALSE;
@@ -256,7 +278,7 @@
 		if (availability == AVAILABLE_NO)
 			continue;
 		if (availability == AVAILABLE_RESERVE ||
-		    g_strcmp0(endpoint->info.address, avoid) == 0)
+		    g_strcmp0(endpoint_id(endpoint), avoid) == 0)
 			g_ptr_array_add(upstream->reserve, endpoint);
 		else
 			g_ptr_array_add(upstream->open, endpoint);
@@ -265,6 +287,15 @@
 
 const endpoint_t *upstream_choose(upstream_t *upstream, const char *avoid,
 				  GTimeSpan now)
+{
+	upstream_need_t need = { .avoid = avoid };
+
+	return upstream_choose_for(upstream, &need, now);
+}
+
+const endpoint_t *upstream_choose_for(upstream_t *upstream,
+				      const upstream_need_t *need,
+				      GTimeSpan now)
 {
 	candidates_t candidates;
 	GPtrArray *source;
@@ -272,14 +303,14 @@
 	if (note_usable(upstream, now) && upstream->routing.list_changed)
 		upstream->routing.list_changed(upstream->routing.ctx);
 	refresh_median(upstream, now);
-	collect(upstream, avoid, now);
+	collect(upstream, need->avoid, now);
 	source = upstream->open->len ? upstream->open : upstream->reserve;
 	if (source->len == 0)
 		return NULL;
 	candidates.items = (endpoint_t **)source->pdata;
 	candidates.count = source->len;
 	return upstream->routing.choose(upstream->routing.ctx, &candidates,
-					now);
+					need, now);
 }
 
 GTimeSpan upstream_next_room(const upstream_t *upstream, GTimeSpan now)
@@ -298,10 +329,10 @@
 	return MAX(upstream->connections / upstream->limits.entries_max, 1);
 }
 
-void upstream_attempt_started(upstream_t *upstream, const char *address,
+void upstream_attempt_started(upstream_t *upstream, const char *id,
 			      GTimeSpan now)
 {
-	endpoint_t *endpoint = find_endpoint(upstream, address);
+	endpoint_t *endpoint = find_endpoint(upstream, id);
 
 	if (!endpoint)
 		return;
@@ -329,11 +360,11 @@
 		average(&upstream->latency, latency);
 }
 
-void upstream_attempt_ended(upstream_t *upstream, const char *address,
+void upstream_attempt_ended(upstream_t *upstream, const char *id,
 			    attempt_end_t end, GTimeSpan latency,
 			    const load_report_t *report, GTimeSpan now)
 {
-	endpoint_t *endpoint = find_endpoint(upstream, address);
+	endpoint_t *endpoint = find_endpoint(upstream, id);
 	const routing_t *routing = &upstream->routing;
 
 	if (!endpoint || endpoint->in_flight == 0)
@@ -353,12 +384,16 @@
 	free_unlisted(upstream);
 }
 
-void upstream_probe_ended(upstream_t *upstream, const char *address,
+void upstream_probe_ended(upstream_t *upstream, const char *id,
 			  const load_report_t *report, GTimeSpan now)
 {
-	endpoint_t *endpoint = find_endpoint(upstream, address);
+	endpoint_t *endpoint = find_endpoint(upstream, id);
 
-	if (endpoint && report)
+	if (!endpoint)
+		return;
+	endpoint->probes_unanswered = report ? 0 :
+					       endpoint->probes_unanswered + 1;
+	if (report)
 		endpoint_take_report(upstream, endpoint, report,
 				     endpoint->probed, now);
 }
@@ -388,7 +423,7 @@
 			continue;
 		if (probe_budget_take(&endpoint->probes, now)) {
 			endpoint->probed = now;
-			return endpoint->info.address;
+			return endpoint_id(endpoint);
 		}
 		counters_add(upstream->counters, COUNTER_PROBES_SUPPRESSED, 1);
 	}
--- a/lib/upstream/upstream.h
+++ b/lib/upstream/upstream.h
@@ -14,15 +14,23 @@
 
 #define UPSTREAM_ADDRESS_MAX 64 /* bytes of "ip:port" */
 #define UPSTREAM_DATA_CENTRE_MAX 64 /* bytes */
+#define UPSTREAM_ID_MAX 64 /* bytes of an endpoint id */
 
 typedef struct upstream upstream_t;
 typedef struct endpoint endpoint_t;
 
 /* One line of the platform's instance list. */
 typedef struct {
+	/*
+	 * Names one start of an endpoint; empty where the platform names none,
+	 * then the address does.
+	 */
+	char id[UPSTREAM_ID_MAX + 1];
 	char address[UPSTREAM_ADDRESS_MAX + 1];
 	char data_centre[UPSTREAM_DATA_CENTRE_MAX + 1];
 	gboolean leaving;
+	guint slots; /* concurrent requests, 0 for the service's own figure */
+	GTimeSpan cold_for; /* how much longer it is slow after its start */
 } endpoint_info_t;
 
 /* What an endpoint says of itself, on an answer or to a probe. */
@@ -30,6 +38,8 @@
 	guint in_flight; /* requests executing or queued there */
 	guint slots; /* 0 when the load is unknown */
 	gboolean draining;
+	/* Time that work takes now, in percent of the usual; 0 for unknown. */
+	guint slowdown_percent;
 } load_report_t;
 
 /* How an attempt at an endpoint ended. */
@@ -42,7 +52,8 @@
 	ATTEMPT_SILENT, /* no byte came while other connections work */
 	ATTEMPT_FAILED, /* timeout, reset or close: it may have run */
 	ATTEMPT_ABANDONED, /* the deadline passed or the caller left */
-	ATTEMPT_ERROR_ANSWER /* a whole answer that is empty or a 5xx */
+	ATTEMPT_ERROR_ANSWER, /* a whole answer that is empty or a 5xx */
+	ATTEMPT_MISDIRECTED /* another endpoint has the address; not run */
 } attempt_end_t;
 
 /* TRUE for the ends that prove that the attempt did not run. */
@@ -53,10 +64,12 @@
 	ROUTING_TWO_CHOICES,
 	ROUTING_SUBSET,
 	ROUTING_LEARNT_LIMIT,
+	ROUTING_EXPECTED_LATENCY, /* by reports asked for just before */
 	ROUTING_POLICY_COUNT
 } routing_policy_t;
 
-/* Name in settings: "random", "two_choices", "subset", "learnt_limit". */
+/* Name in settings: "random", "two_choices", "subset", "learnt_limit",
+ * "expected_latency". */
 const char *routing_policy_name(routing_policy_t policy);
 
 typedef struct {
@@ -64,8 +77,21 @@
 	guint entries_max; /* configured maximum number of entries, >= 1 */
 	GTimeSpan report_stale_after;
 	const char *instance; /* name of this entry; outlives the upstream */
+	const char *data_centre; /* of this entry; outlives the upstream */
+	guint probe_burst; /* probes of one endpoint at once, at least 1 */
 } upstream_limits_t;
 
+/* What the call that is to be placed needs. */
+typedef struct {
+	const char *avoid; /* id to use only when there is no other, or NULL */
+	GTimeSpan work; /* usual service time, 0 for unknown */
+	GTimeSpan objective; /* time left to the objective, 0 for none */
+	gboolean idempotent;
+} upstream_need_t;
+
+/* Where to look for endpoints. */
+typedef enum { SCOPE_NEAR, SCOPE_FAR } upstream_scope_t;
+
 /*
  * An upstream without endpoints. limits is copied; random and counters must
  * outlive it. Free with upstream_free().
@@ -91,11 +117,27 @@
 
 /*
  * The endpoint for the next attempt, NULL when none has room. avoid is the
- * address of an endpoint to use only when there is no other, or NULL.
+ * id of an endpoint to use only when there is no other, or NULL.
  */
 const endpoint_t *upstream_choose(upstream_t *upstream, const char *avoid,
 				  GTimeSpan now);
 
+/* Like upstream_choose(), for a call with the given needs. */
+const endpoint_t *upstream_choose_for(upstream_t *upstream,
+				      const upstream_need_t *need,
+				      GTimeSpan now);
+
+/*
+ * Writes to ids up to max endpoints of the scope whose reports would help to
+ * place a call now, and takes the probes from the budget. Returns how many.
+ */
+guint upstream_plan_probes(upstream_t *upstream, upstream_scope_t scope,
+			   const char **ids, guint max, GTimeSpan now);
+
+/* TRUE when an endpoint of this data centre is expected to meet the need. */
+gboolean upstream_near_suffices(upstream_t *upstream,
+				const upstream_need_t *need, GTimeSpan now);
+
 /*
  * Instant at which upstream_choose() may succeed without an attempt ending
  * first, CATK_NEVER when only the end of an attempt can change that.
@@ -104,28 +146,34 @@
 
 const char *endpoint_address(const endpoint_t *endpoint);
 
+/* The key of the endpoint in the functions below. */
+const char *endpoint_id(const endpoint_t *endpoint);
+
+/* The address of an endpoint, NULL when the id is not known. */
+const char *upstream_address_of(const upstream_t *upstream, const char *id);
+
 /* Connections that this entry may hold to one endpoint, at least 1. */
 guint upstream_connection_share(const upstream_t *upstream);
 
-/* An attempt at the endpoint starts. Unknown addresses are ignored. */
-void upstream_attempt_started(upstream_t *upstream, const char *address,
+/* An attempt at the endpoint starts. Unknown ids are ignored. */
+void upstream_attempt_started(upstream_t *upstream, const char *id,
 			      GTimeSpan now);
 
 /*
  * An attempt ended after the given time. report is NULL when the end carried
  * none.
  */
-void upstream_attempt_ended(upstream_t *upstream, const char *address,
+void upstream_attempt_ended(upstream_t *upstream, const char *id,
 			    attempt_end_t end, GTimeSpan latency,
 			    const load_report_t *report, GTimeSpan now);
 
 /* The answer to a probe; report is NULL when the probe failed. */
-void upstream_probe_ended(upstream_t *upstream, const char *address,
+void upstream_probe_ended(upstream_t *upstream, const char *id,
 			  const load_report_t *report, GTimeSpan now);
 
 /*
- * The address to probe now, within the budget, NULL for none. Takes the
- * probe from the budget.
+ * The id of the endpoint to probe now, within the budget, NULL for none. Takes
+ * the probe from the budget.
  */
 const char *upstream_next_probe(upstream_t *upstream, GTimeSpan now);
 
--- a/lib/upstream/upstream_internal.h
+++ b/lib/upstream/upstream_internal.h
@@ -44,6 +44,10 @@
 	gboolean usable; /* takes work and is not blocked */
 	double limit; /* learnt limit of concurrent attempts */
 	GTimeSpan rest_until; /* pause of a limit below 1 */
+	GTimeSpan cold_until; /* slow after its start, 0 for no longer */
+	double failure_share; /* of recent attempts, moving average */
+	GTimeSpan failure_share_at; /* instant of failure_share */
+	guint probes_unanswered; /* in a row */
 };
 
 /* The endpoints among which a policy chooses; count is at least 1. */
@@ -55,7 +59,7 @@
 /* A routing policy. All callbacks but choose may be NULL. */
 typedef struct {
 	endpoint_t *(*choose)(void *ctx, const candidates_t *candidates,
-			      GTimeSpan now);
+			      const upstream_need_t *need, GTimeSpan now);
 	/* Instant from which one more attempt is allowed, or CATK_NEVER. */
 	GTimeSpan (*room_at)(void *ctx, const endpoint_t *endpoint);
 	/* The endpoints, or which of them are usable, have changed. */
@@ -65,6 +69,8 @@
 			      GTimeSpan now);
 	/* TRUE when fresh reports of the endpoint are of use. */
 	gboolean (*needs_report)(void *ctx, const endpoint_t *endpoint);
+	/* Reports tell how slow an endpoint is: latencies are not judged. */
+	gboolean trusts_reports;
 	void *ctx;
 } routing_t;
 
@@ -83,6 +89,7 @@
 	double median; /* of the endpoints' latencies, 0 for none */
 	GTimeSpan median_at;
 	double others; /* moving average of the other entries' load */
+	double slowdown; /* moving average in percent, 0 for none */
 	double failure_ratio; /* moving average over all endpoints */
 	GPtrArray *open; /* scratch of upstream_choose() */
 	GPtrArray *reserve;
@@ -94,6 +101,7 @@
 routing_t routing_two_choices(upstream_t *upstream);
 routing_t routing_subset(upstream_t *upstream);
 routing_t routing_learnt_limit(upstream_t *upstream);
+routing_t routing_expected_latency(upstream_t *upstream);
 
 /* A random candidate. */
 endpoint_t *candidates_pick(const candidates_t *candidates, GRand *random);
--- a/programs/catkinstalld.c
+++ b/programs/catkinstalld.c
@@ -3,8 +3,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "net/daemon.h"
 #include "net/log.h"
+#include "programs/daemon.h"
 
 /* A build for tests that shows the faults of another rule; see Makefile. */
 #ifdef CATK_CALL_RULE
--- a/programs/ctl.h
+++ b/programs/ctl.h
@@ -22,7 +22,7 @@
 	guint argument_count;
 } ctl_options_t;
 
-/* Exit statuses; docs/operations.md names the remedy of each. */
+/* Exit statuses; docs/OPERATIONS.md names the remedy of each. */
 typedef enum {
 	CTL_OK = 0,
 	CTL_FAILED = 1,
--- a/net/daemon.c
+++ b/programs/daemon.c
@@ -1,4 +1,4 @@
-#include "net/daemon.h"
+#include "programs/daemon.h"
 
 #include <glib-unix.h>
 #include <libsoup/soup.h>
@@ -10,8 +10,11 @@
 #include "net/object_api.h"
 #include "net/operator_api.h"
 #include "net/peer_link.h"
+#include "net/proxy.h"
 #include "net/system_clock.h"
 #include "net/upstream_client.h"
+#include "platform/http_codec.h"
+#include "platform/platform.h"
 
 #define OBJECT_API_TIMEOUT (2 * G_TIME_SPAN_SECOND)
 #define INCARNATION_RANDOM_BITS 10
@@ -33,6 +36,8 @@
 	object_api_t *object_api;
 	config_source_t *config_source;
 	peer_link_t *peers; /* NULL without a peer address */
+	proxy_t *proxy; /* NULL without a proxy address */
+	platform_t *platform; /* NULL without a metadata store */
 	GSource *timer;
 	GTimeSpan stopped; /* instant of entry_is_stopped(), 0 before */
 	guint sigterm;
@@ -75,7 +80,8 @@
 		daemon->stopped = now;
 	if (!daemon->stopped)
 		return;
-	if (caller_api_is_written(daemon->callers) ||
+	if ((caller_api_is_written(daemon->callers) &&
+	     (!daemon->proxy || proxy_is_idle(daemon->proxy))) ||
 	    now - daemon->stopped >= LAST_WRITES_MAX)
 		g_main_loop_quit(daemon->loop);
 }
@@ -102,28 +108,39 @@
 {
 	daemon_t *daemon = ctx;
 
-	caller_api_answer(daemon->callers, caller_ref, answer);
+	if (daemon->proxy && proxy_owns(daemon->proxy, caller_ref))
+		proxy_answer(daemon->proxy, caller_ref, answer);
+	else
+		caller_api_answer(daemon->callers, caller_ref, answer);
 }
 
 static void on_start_attempt(void *ctx, const attempt_request_t *request)
 {
 	daemon_t *daemon = ctx;
 
-	upstream_client_start(daemon->upstreams, request);
+	if (request->caller_ref)
+		proxy_start(daemon->proxy, request);
+	else
+		upstream_client_start(daemon->upstreams, request);
 }
 
 static void on_cancel_attempt(void *ctx, guint64 attempt_id)
 {
 	daemon_t *daemon = ctx;
 
+	if (daemon->proxy)
+		proxy_cancel(daemon->proxy, attempt_id);
 	upstream_client_cancel(daemon->upstreams, attempt_id);
 }
 
-static void on_send_probe(void *ctx, const char *service, const char *address)
+static void on_send_probe(void *ctx, const char *service, const char *endpoint)
 {
 	daemon_t *daemon = ctx;
 
-	upstream_client_probe(daemon->upstreams, service, address);
+	if (daemon->proxy)
+		proxy_probe(daemon->proxy, service, endpoint);
+	else
+		upstream_client_probe(daemon->upstreams, service, endpoint);
 }
 
 static void on_attempt_ended(void *ctx, const attempt_result_t *result)
@@ -162,6 +179,10 @@
 	daemon_t *daemon = ctx;
 	catk_error_t error;
 
+	if (daemon->platform) {
+		platform_offer_config(daemon->platform, document);
+		return;
+	}
 	if (!config_source_offer(daemon->entry, version, document, &error))
 		g_warning("configuration version %" G_GUINT64_FORMAT
 			  " of a peer is not valid and stays out of force: %s",
@@ -197,6 +218,10 @@
 	g_message("shutdown requested: serving until handed-out addresses and "
 		  "request ids have expired");
 	entry_shutdown(daemon->entry);
+	if (daemon->proxy)
+		proxy_leave(daemon->proxy);
+	if (daemon->platform)
+		platform_leave(daemon->platform);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -227,7 +252,9 @@
 	g_strlcpy(self.name, settings->instance, sizeof(self.name));
 	g_strlcpy(self.data_centre, settings->data_centre,
 		  sizeof(self.data_centre));
-	g_strlcpy(self.caller_address, settings->caller_address,
+	g_strlcpy(self.caller_address,
+		  settings->proxy_address ? settings->proxy_address :
+					    settings->caller_address,
 		  sizeof(self.caller_address));
 	if (settings->peer_address)
 		g_strlcpy(self.peer_address, settings->peer_address,
@@ -280,6 +307,22 @@
 	return daemon->peers != NULL;
 }
 
+static gboolean set_up_platform(daemon_t *daemon, catk_error_t *err)
+{
+	const settings_t *settings = daemon->settings;
+	proxy_codec_t codec = http_codec();
+
+	daemon->platform = platform_new(settings, daemon->entry, &system_clock,
+					daemon->random, &daemon->counters, err);
+	if (!daemon->platform)
+		return FALSE;
+	if (!settings->proxy_address)
+		return TRUE;
+	daemon->proxy = proxy_new(settings->proxy_address, daemon->entry,
+				  &codec, &system_clock, err);
+	return daemon->proxy != NULL;
+}
+
 static void start_timer(daemon_t *daemon)
 {
 	daemon->timer =
@@ -320,8 +363,13 @@
 	if (!http_listen(daemon.server, settings->caller_address, err) ||
 	    !set_up_peers(&daemon, err))
 		goto out;
-	daemon.config_source =
-		config_source_new(settings, daemon.object_api, daemon.entry);
+	if (settings->metadata_store) {
+		if (!set_up_platform(&daemon, err))
+			goto out;
+	} else {
+		daemon.config_source = config_source_new(
+			settings, daemon.object_api, daemon.entry);
+	}
 	start_timer(&daemon);
 	g_message("instance %s serves callers on %s", settings->instance,
 		  settings->caller_address);
@@ -330,6 +378,8 @@
 	g_message("shutdown complete");
 	ok = TRUE;
 out:
+	platform_free(daemon.platform);
+	proxy_free(daemon.proxy);
 	config_source_free(daemon.config_source);
 	peer_link_free(daemon.peers);
 	operator_api_free(daemon.operators);
--- a/tests/test_operations.c
+++ b/tests/test_operations.c
@@ -1,4 +1,4 @@
-/* Guards docs/operations.md: it lists what the programs have. */
+/* Guards docs/OPERATIONS.md: it lists what the programs have. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -13,7 +13,7 @@
 static void assert_row(char *row)
 {
 	if (!strstr(page, row))
-		fail_msg("docs/operations.md lacks the row \"%s\"", row);
+		fail_msg("docs/OPERATIONS.md lacks the row \"%s\"", row);
 	g_free(row);
 }
 
@@ -54,7 +54,7 @@
 		cmocka_unit_test(every_counter_is_listed),
 	};
 
-	if (!g_file_get_contents("docs/operations.md", &page, NULL, NULL))
+	if (!g_file_get_contents("docs/OPERATIONS.md", &page, NULL, NULL))
 		return 1;
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
