Estimate a caller's earlier attempts from a quantile of stated deadlines

Cause: callers of one route differ in their patience by 15%, a few state more, so that the longest deadline made most first attempts look like returns.

--- a/lib/call/call.c
+++ b/lib/call/call.c
@@ -1,15 +1,12 @@
 #include "lib/call/call.h"
 
-/* A first attempt may take this long to arrive. */
-#define ARRIVAL_MAX (50 * G_TIME_SPAN_MILLISECOND)
-
 static void take_route(call_t *call, const call_attributes_t *attributes)
 {
 	const schema_route_t *route = attributes->route;
 
 	call->routed = TRUE;
 	call->attempts_max = route->attempts_max;
-	call->returning = attributes->elapsed > ARRIVAL_MAX;
+	call->returning = attributes->elapsed > 0;
 	if (route->objective > 0)
 		call->objective =
 			call->admitted + route->objective - attributes->elapsed;
--- a/lib/route/route_deadline.h
+++ b/lib/route/route_deadline.h
@@ -1,7 +1,7 @@
 /*
- * The deadline that callers of a route state with their first attempt. A caller
- * that was refused comes back with what is left of it, so the difference is the
- * time that its request has already taken.
+ * The deadlines that callers of a route state. A caller that was refused comes
+ * back with what is left of its deadline, so one that states far less than is
+ * usual has already waited for about the difference.
  */
 #ifndef CATK_ROUTE_DEADLINE_H
 #define CATK_ROUTE_DEADLINE_H
@@ -18,8 +18,8 @@
 void route_deadlines_free(route_deadlines_t *deadlines);
 
 /*
- * Time since the caller's first attempt of a request that states remaining, by
- * the longest that was stated on the route so far.
+ * Learns from a request that states remaining, and estimates the time since the
+ * caller's first attempt: 0 for a request that may be a first attempt.
  */
 GTimeSpan route_deadlines_elapsed(route_deadlines_t *deadlines,
 				  const schema_route_t *route,
