Start no request at an endpoint without a recent report while it can wait

Change: all endpoints of the data centre are asked before a call waits or looks far; without a recent report none is chosen until the call's wait for its data centre is over.

--- a/lib/entry/entry_measure.c
+++ b/lib/entry/entry_measure.c
@@ -20,8 +20,8 @@
  * Wait for an endpoint of this data centre before others are considered: bytes
  * between data centres are dear, and a slowdown is over soon.
  */
-#define NEAR_WAIT_PART 4
-#define NEAR_WAIT_MAX (60 * G_TIME_SPAN_MILLISECOND)
+#define NEAR_WAIT_PART 2
+#define NEAR_WAIT_MAX (150 * G_TIME_SPAN_MILLISECOND)
 /* No call waits longer than this part of its time. */
 #define WAIT_PART 2
 /*
@@ -40,6 +40,7 @@
 				 NULL,
 		.work = (GTimeSpan)service->work[call->queue.priority],
 		.far_allowed = now >= call->far_after,
+		.blind_allowed = now >= call->far_after,
 	};
 
 	if (call->objective)
@@ -160,9 +161,10 @@
 	upstream_need_t need = entry_need_of(service, call, now);
 
 	entry_measure_end(service, call);
-	if (call->measure.scope == SCOPE_NEAR && need.far_allowed &&
-	    !upstream_near_suffices(service->upstream, &need, now) &&
-	    ask(entry, service, call, SCOPE_FAR))
+	if (!upstream_near_suffices(service->upstream, &need, now) &&
+	    ((call->measure.scope == SCOPE_NEAR &&
+	      ask(entry, service, call, SCOPE_NEAR)) ||
+	     (need.far_allowed && ask(entry, service, call, SCOPE_FAR))))
 		return;
 	entry_queue_call(entry, service, call);
 }
--- a/lib/upstream/routing_expected_latency.c
+++ b/lib/upstream/routing_expected_latency.c
@@ -44,6 +44,8 @@
 #define FAILURE_MEMORY (4 * G_TIME_SPAN_SECOND)
 /* A report this young needs no probe. */
 #define REPORT_FRESH (10 * G_TIME_SPAN_MILLISECOND)
+/* An older one says nothing of a slowdown that lasts 150 ms. */
+#define REPORT_USABLE (50 * G_TIME_SPAN_MILLISECOND)
 /* An endpoint that leaves this many probes unanswered is probed last. */
 #define PROBES_UNANSWERED_MAX 2
 
@@ -152,6 +154,9 @@
 			      const endpoint_t *endpoint,
 			      const upstream_need_t *need, GTimeSpan now)
 {
+	if (!need->blind_allowed && upstream->slowdown > 0 &&
+	    now - endpoint->reported > REPORT_USABLE)
+		return FALSE;
 	return slowdown_of(upstream, endpoint, now) <= SLOWDOWN_ACCEPTABLE ||
 	       meets_objective(upstream, endpoint, need, now);
 }
--- a/lib/upstream/upstream.h
+++ b/lib/upstream/upstream.h
@@ -89,6 +89,7 @@
 	GTimeSpan work; /* usual service time, 0 for unknown */
 	GTimeSpan objective; /* time left to the objective, 0 for none */
 	gboolean far_allowed; /* to another data centre, when it is in time */
+	gboolean blind_allowed; /* to an endpoint without a recent report */
 } upstream_need_t;
 
 /* Where to look for endpoints. */
