--- a/lib/admission/retry_budget.c
+++ b/lib/admission/retry_budget.c
@@ -10,12 +10,10 @@
 	budget->saved_max = RETRY_BUDGET_SAVED_MAX;
 }
 
-void retry_budget_save(retry_budget_t *budget, guint retries)
+void retry_budget_set_saved(retry_budget_t *budget, guint retries)
 {
-	if (!retries)
-		return;
 	budget->saved_max = retries;
-	budget->credit = retries * CREDIT_OF_RETRY;
+	budget->credit = MIN(budget->credit, retries * CREDIT_OF_RETRY);
 }
 
 void retry_budget_earn(retry_budget_t *budget)
--- a/lib/admission/retry_budget.h
+++ b/lib/admission/retry_budget.h
@@ -19,11 +19,8 @@
 /* Starts without credit. percent is 0 to 100. */
 void retry_budget_init(retry_budget_t *budget, guint percent);
 
-/*
- * Starts with a credit of so many retries, which is also the bound of what
- * unused credit adds up to. 0 changes nothing.
- */
-void retry_budget_save(retry_budget_t *budget, guint retries);
+/* Sets the retries that unused credit may add up to. */
+void retry_budget_set_saved(retry_budget_t *budget, guint retries);
 
 /* A first attempt starts: adds its part of a retry. */
 void retry_budget_earn(retry_budget_t *budget);
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -94,8 +94,6 @@
 		admission_fix_limit(service->admission,
 				    entry->limits.concurrency_max);
 	retry_budget_init(&service->retries, entry->limits.retry_percent);
-	retry_budget_save(&service->retries, entry->limits.retry_saved /
-						     entry->limits.entries_max);
 	TAILQ_INIT(&service->measuring);
 	TAILQ_INSERT_TAIL(&entry->services, service, link);
 	return service;
@@ -317,6 +315,22 @@
 	}
 }
 
+/*
+ * Each instance has its part of the credit that all may save. More instances
+ * than entries_max share it, too, once they are known.
+ */
+static void share_retry_credit(const entry_t *entry, entry_service_t *service)
+{
+	guint live = entry_count_live(entry);
+
+	if (entry->limits.retry_saved)
+		retry_budget_set_saved(
+			&service->retries,
+			MAX(entry->limits.retry_saved /
+				    MAX(live, entry->limits.entries_max),
+			    1));
+}
+
 static void housekeeping(entry_t *entry)
 {
 	entry_service_t *service;
@@ -324,9 +338,11 @@
 	entry->next_housekeeping =
 		entry_now(entry) + ENTRY_HOUSEKEEPING_INTERVAL;
 	request_ids_expire(entry->ids, entry_now(entry));
-	TAILQ_FOREACH (service, &entry->services, link)
+	TAILQ_FOREACH (service, &entry->services, link) {
+		share_retry_credit(entry, service);
 		if (service->declared)
 			send_probes(entry, service);
+	}
 }
 
 void entry_tick(entry_t *entry)
--- a/lib/entry/entry_attempts.c
+++ b/lib/entry/entry_attempts.c
@@ -221,6 +221,10 @@
 		       "again later with a new request id",
 		       call->service, call->attempts_made);
 	error.retry_after = G_TIME_SPAN_SECOND;
+	if (call->routed)
+		error.retry_after = entry_return_time(
+			entry, entry_find_service(entry, call->service), call,
+			TRUE);
 	entry_finish_with_error(entry, call, &error);
 }
 
--- a/lib/entry/entry_config.c
+++ b/lib/entry/entry_config.c
@@ -35,7 +35,7 @@
 	return before < ENTRY_CONFIG_WATCHERS;
 }
 
-static guint count_live(const entry_t *entry)
+guint entry_count_live(const entry_t *entry)
 {
 	const member_t *member;
 	guint live = 0;
@@ -62,7 +62,7 @@
 GTimeSpan entry_list_interval(const entry_t *entry, GTimeSpan shortest,
 			      guint reads_per_second)
 {
-	gint64 reads = (gint64)count_lists(entry) * count_live(entry);
+	gint64 reads = (gint64)count_lists(entry) * entry_count_live(entry);
 
 	return MAX(shortest, reads * G_TIME_SPAN_SECOND / reads_per_second);
 }
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -71,6 +71,16 @@
  */
 void entry_measure(entry_t *entry, entry_service_t *service, call_t *call);
 
+/* Instances that are live, this one included. */
+guint entry_count_live(const entry_t *entry);
+
+/*
+ * When the caller of a refused routed call should come back. soon tells that
+ * room is not what lacked.
+ */
+GTimeSpan entry_return_time(entry_t *entry, const entry_service_t *service,
+			    const call_t *call, gboolean soon);
+
 /* Refuses a routed call that finds no room in time. */
 void entry_refuse_for_room(entry_t *entry, call_t *call);
 
--- a/lib/entry/entry_measure.c
+++ b/lib/entry/entry_measure.c
@@ -28,6 +28,8 @@
  * A refused caller is told to come back after a part of the time that it has
  * left, at random, so that callers refused together return apart.
  */
+#define RETURN_SOON_MIN (10 * G_TIME_SPAN_MILLISECOND)
+#define RETURN_SOON_MAX (30 * G_TIME_SPAN_MILLISECOND)
 #define RETURN_MIN 0.08
 #define RETURN_MAX 0.3
 
@@ -67,14 +69,18 @@
 	*work += WORK_WEIGHT * (sample - *work);
 }
 
-static void set_return_time(entry_t *entry, const call_t *call,
-			    catk_error_t *error)
+GTimeSpan entry_return_time(entry_t *entry, const entry_service_t *service,
+			    const call_t *call, gboolean soon)
 {
-	double part =
-		g_rand_double_range(entry->random, RETURN_MIN, RETURN_MAX);
-
-	error->retry_after =
-		(GTimeSpan)(part * (double)(call->deadline - entry_now(entry)));
+	GTimeSpan now = entry_now(entry);
+	double work = WORK_MARGIN * service->work[call->queue.priority];
+	double part;
+
+	if (soon && call->objective - now - RETURN_SOON_MAX > (GTimeSpan)work)
+		return g_rand_int_range(entry->random, RETURN_SOON_MIN,
+					RETURN_SOON_MAX);
+	part = g_rand_double_range(entry->random, RETURN_MIN, RETURN_MAX);
+	return (GTimeSpan)(part * (double)(call->deadline - now));
 }
 
 void entry_refuse_for_room(entry_t *entry, call_t *call)
@@ -85,7 +91,8 @@
 		       "no endpoint of %.64s has room in time: come back "
 		       "after the time given",
 		       call->service);
-	set_return_time(entry, call, &error);
+	error.retry_after = entry_return_time(
+		entry, entry_find_service(entry, call->service), call, FALSE);
 	entry_finish_refused(entry, call, &error);
 }
 
@@ -97,7 +104,8 @@
 	if (!admission_offer(service->admission, &call->queue, entry_now(entry),
 			     &displaced, &error)) {
 		if (call->routed)
-			set_return_time(entry, call, &error);
+			error.retry_after =
+				entry_return_time(entry, service, call, FALSE);
 		entry_finish_with_error(entry, call, &error);
 		return;
 	}
