Pause between watches that bring changes

Ruled out: fewer watchers (the configuration's few changes are a small part); stale reads (they may be seconds old, the bounds are 2 s).

Change: after changes the next watch waits 500 ms.

--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -9,6 +9,9 @@
 #define BACKOFF_MAX (400 * G_TIME_SPAN_MILLISECOND)
 #define BACKOFF_DOUBLINGS 3
 
+/* A quarter of the shortest bound on learning a change (2 s). */
+#define CHANGES_PAUSE (500 * G_TIME_SPAN_MILLISECOND)
+
 struct feed {
 	GRand *random;
 	gboolean listing;
@@ -77,9 +80,12 @@
 	g_clear_pointer(&feed->after, g_free);
 }
 
-void feed_changes_read(feed_t *feed, guint64 as_of)
+void feed_changes_read(feed_t *feed, guint64 as_of, guint changes,
+		       GTimeSpan now)
 {
 	feed->failures = 0;
+	if (changes)
+		feed->retry_at = now + CHANGES_PAUSE;
 	feed->revision = MAX(feed->revision, as_of);
 }
 
--- a/lib/feed/feed.h
+++ b/lib/feed/feed.h
@@ -43,8 +43,13 @@
 void feed_page_read(feed_t *feed, guint64 as_of, const char *last,
 		    gboolean more);
 
-/* Changes were read; an answer of an earlier revision changes nothing. */
-void feed_changes_read(feed_t *feed, guint64 as_of);
+/*
+ * A watch was answered with so many changes; an answer of an earlier revision
+ * changes nothing. The next watch waits a little, so that changes in quick
+ * succession come with one call: each call is priced.
+ */
+void feed_changes_read(feed_t *feed, guint64 as_of, guint changes,
+		       GTimeSpan now);
 
 /* The store no longer has the history since the revision. */
 void feed_history_lost(feed_t *feed);
