--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 LIB_FLAGS = $(shell pkg-config --cflags glib-2.0 libxxhash)
 ALL_FLAGS = $(shell pkg-config --cflags $(PACKAGES))
 LIBS = $(shell pkg-config --libs glib-2.0 gio-2.0 libsoup-3.0 json-glib-1.0 \
-	libprotobuf-c libxxhash) -lhttp_parser -lm
+	libprotobuf-c libxxhash gsl) -lhttp_parser -lm
 LIB_ONLY = $(shell pkg-config --libs glib-2.0 libxxhash) -lm
 TEST_LIBS = $(shell pkg-config --libs cmocka)
 BENCH_LIBS = $(shell pkg-config --libs gsl)
--- a/lib/call/call.c
+++ b/lib/call/call.c
@@ -19,6 +19,7 @@
 	call->service = g_strdup(attributes->service);
 	call->method = g_strdup(attributes->method->name);
 	call->caller = g_strdup(attributes->caller);
+	call->name = g_strdup(attributes->name ? attributes->name : "");
 	call->body = g_bytes_ref(attributes->body);
 	call->admitted = attributes->admitted;
 	call->deadline = attributes->deadline;
@@ -57,6 +58,7 @@
 	g_free(call->service);
 	g_free(call->method);
 	g_free(call->caller);
+	g_free(call->name);
 	g_free(call);
 }
 
--- a/lib/call/call.h
+++ b/lib/call/call.h
@@ -52,6 +52,7 @@
 	guint caller_attempt; /* the caller's own count, 1 for its first */
 	gboolean may_have_run; /* an attempt ended without proof */
 	char last_endpoint[UPSTREAM_ID_MAX + 1]; /* id */
+	char *name; /* of the request in logs */
 	gboolean routed; /* came over a route: sent as the caller wrote it */
 	GTimeSpan objective; /* instant, 0 for none */
 	GTimeSpan far_after; /* instant from which any data centre will do */
@@ -74,6 +75,7 @@
 	guint caller_attempt; /* at least 1 */
 	const schema_route_t *route; /* NULL for a call by its method */
 	GTimeSpan elapsed; /* since the caller's first attempt */
+	const char *name; /* of the request in logs, NULL for none */
 } call_attributes_t;
 
 /* What may follow when a call has no answer and no attempt in flight. */
--- a/lib/common/counters.h
+++ b/lib/common/counters.h
@@ -37,6 +37,7 @@
 	X(PEER_MESSAGES_SENT, "peer_messages_sent", "messages")         \
 	X(PEER_BYTES_SENT, "peer_bytes_sent", "bytes")                  \
 	X(PEER_MESSAGES_RECEIVED, "peer_messages_received", "messages") \
+	X(LOG_LINES_DROPPED, "log_lines_dropped", "lines")              \
 	X(CONNECTIONS_SILENT, "connections_closed_as_silent", "connections")
 
 typedef enum {
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -83,6 +83,7 @@
 		.report_stale_after = entry->limits.report_stale_after,
 		.instance = membership_self(entry->membership)->name,
 		.data_centre = membership_self(entry->membership)->data_centre,
+		.log = &entry->actions.log,
 		.probe_burst = entry->limits.probe_fanout ? PROBE_BURST : 1,
 	};
 
@@ -148,8 +149,10 @@
 	config_offer_t result =
 		config_offer(entry->config, version, schema, document);
 
-	if (result == CONFIG_IN_FORCE)
+	if (result == CONFIG_IN_FORCE) {
 		configure_services(entry);
+		entry_log_config(entry);
+	}
 	return result;
 }
 
@@ -162,6 +165,7 @@
 		return FALSE;
 	upstream_set_endpoints(service->upstream, infos, count,
 			       entry_now(entry));
+	entry_log_endpoints(entry, service, infos, count);
 	entry_dispatch(entry, service);
 	return TRUE;
 }
--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -16,6 +16,7 @@
 #include "lib/common/counters.h"
 #include "lib/common/dump.h"
 #include "lib/common/error.h"
+#include "lib/common/event_log.h"
 #include "lib/config/config.h"
 #include "lib/entry/peer_message.h"
 #include "lib/membership/membership.h"
@@ -63,6 +64,7 @@
 typedef struct {
 	const char *host;
 	const char *path; /* without query */
+	const char *name; /* of the request in logs, NULL for none */
 	GTimeSpan remaining; /* until the caller's deadline, 0 for none */
 	GBytes *body; /* referenced */
 	void *caller_ref; /* not NULL; identifies request and answer */
@@ -79,6 +81,7 @@
 	GBytes *body;
 	/* The upstream's message to a routed call, for the front end. */
 	const void *message;
+	GTimeSpan elapsed; /* since the call came, 0 when it was not taken */
 } call_answer_t;
 
 /* A request to send to an endpoint. Valid during the callback. */
@@ -133,6 +136,7 @@
 	 * other actions, this one may call entry_offer_config() at once.
 	 */
 	void (*config_received)(void *ctx, guint64 version, GBytes *document);
+	event_log_t log; /* of decisions */
 	void *ctx;
 } entry_actions_t;
 
--- a/lib/entry/entry_answers.c
+++ b/lib/entry/entry_answers.c
@@ -14,10 +14,10 @@
 	return rule->outcome(rule->ctx, call);
 }
 
-void entry_answer_error(entry_t *entry, void *caller_ref,
-			const catk_error_t *error)
+static void answer_error(entry_t *entry, void *caller_ref,
+			 const catk_error_t *error, GTimeSpan elapsed)
 {
-	call_answer_t answer = { .error = *error };
+	call_answer_t answer = { .error = *error, .elapsed = elapsed };
 
 	switch (error->outcome) {
 	case OUTCOME_NOT_RUN:
@@ -33,6 +33,12 @@
 	entry_send_answer(entry, caller_ref, &answer);
 }
 
+void entry_answer_error(entry_t *entry, void *caller_ref,
+			const catk_error_t *error)
+{
+	answer_error(entry, caller_ref, error, 0);
+}
+
 void entry_answer_success(entry_t *entry, void *caller_ref, guint status,
 			  GBytes *body)
 {
@@ -122,8 +128,11 @@
 		request_ids_seal(entry->ids, call->sequence);
 	else if (call->has_id)
 		request_ids_abandon(entry->ids, call->sequence);
+	if (call->routed)
+		entry_log_call(entry, "request_ended", call, error);
 	TAILQ_FOREACH (waiter, &call->waiters, link)
-		entry_answer_error(entry, waiter->caller_ref, error);
+		answer_error(entry, waiter->caller_ref, error,
+			     entry_now(entry) - call->admitted);
 	drop_call(entry, call);
 }
 
@@ -135,12 +144,15 @@
 		.status = result->status,
 		.body = result->body,
 		.message = result->message,
+		.elapsed = entry_now(entry) - call->admitted,
 	};
 	call_waiter_t *waiter;
 
 	if (call->has_id)
 		request_ids_complete(entry->ids, call->sequence, result->status,
 				     result->body);
+	if (call->routed)
+		entry_log_call(entry, "request_ended", call, NULL);
 	TAILQ_FOREACH (waiter, &call->waiters, link) {
 		counters_add(entry->counters, COUNTER_CALLS_SUCCEEDED, 1);
 		entry_send_answer(entry, waiter->caller_ref, &answer);
--- a/lib/entry/entry_attempts.c
+++ b/lib/entry/entry_attempts.c
@@ -104,6 +104,8 @@
 
 	call->slowdown_at_start =
 		upstream_expected_slowdown(service->upstream, endpoint, now);
+	if (call->routed)
+		entry_log_start(entry, service, call, endpoint);
 	g_hash_table_insert(entry->calls_by_attempt, &attempt->id, call);
 	upstream_attempt_started(service->upstream, attempt->endpoint, now);
 	admission_started(service->admission, &call->queue, now);
@@ -336,6 +338,8 @@
 	attempt = call_find_attempt(call, result->attempt_id);
 	latency = now - attempt->started;
 	count_end(entry, result->end);
+	if (call->routed)
+		entry_log_end(entry, call, attempt, result);
 	upstream_attempt_ended(service->upstream, attempt->endpoint,
 			       judged_end(result), latency,
 			       result->has_report ? &result->report : NULL,
--- a/lib/entry/entry_calls.c
+++ b/lib/entry/entry_calls.c
@@ -66,6 +66,12 @@
 			       " has this host and path: declare it or "
 			       "correct the address",
 			       config_version(entry->config));
+	LOG_EVENT(&entry->actions.log, "no_route",
+		  LOG_TEXT("request", request->name ? request->name : ""),
+		  LOG_TEXT("host", request->host),
+		  LOG_TEXT("path", request->path),
+		  LOG_NUMBER("config_version",
+			     (gint64)config_version(entry->config)));
 	entry_answer_error(entry, request->caller_ref, &error);
 }
 
@@ -93,6 +99,7 @@
 		attributes.elapsed = route_deadlines_elapsed(
 			entry->deadlines, route, request->remaining);
 	}
+	attributes.name = request->name;
 	attributes.service = service;
 	attributes.method = &route->method;
 	attributes.route = route;
@@ -316,6 +323,7 @@
 		return;
 	}
 	counters_add(entry->counters, COUNTER_CALLS_CANCELLED, 1);
+	entry_log_call(entry, "caller_left", call, NULL);
 	g_hash_table_remove(entry->calls_by_ref, caller_ref);
 	call_remove_waiter(call, caller_ref);
 	if (!TAILQ_EMPTY(&call->waiters))
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -71,6 +71,26 @@
  */
 void entry_measure(entry_t *entry, entry_service_t *service, call_t *call);
 
+/*
+ * Logs an event about a call: what it is, how long it has taken and, when error
+ * is not NULL, how it ended.
+ */
+void entry_log_call(const entry_t *entry, const char *event, const call_t *call,
+		    const catk_error_t *error);
+
+/* Logs the start of the call's last attempt with what decided its place. */
+void entry_log_start(const entry_t *entry, const entry_service_t *service,
+		     const call_t *call, const endpoint_t *endpoint);
+
+/* Logs the end of an attempt. */
+void entry_log_end(const entry_t *entry, const call_t *call,
+		   const attempt_t *attempt, const attempt_result_t *result);
+
+/* Logs what an operator needs to know of a new belief. */
+void entry_log_config(const entry_t *entry);
+void entry_log_endpoints(const entry_t *entry, const entry_service_t *service,
+			 const endpoint_info_t *infos, gsize count);
+
 /* Instances that are live, this one included. */
 guint entry_count_live(const entry_t *entry);
 
--- /dev/null
+++ b/lib/entry/entry_log.c
@@ -0,0 +1,84 @@
+/* The log of an entry's decisions, with the inputs that decided them. */
+#include "lib/entry/entry_internal.h"
+
+void entry_log_call(const entry_t *entry, const char *event, const call_t *call,
+		    const catk_error_t *error)
+{
+	LOG_EVENT(&entry->actions.log, event, LOG_TEXT("request", call->name),
+		  LOG_TEXT("service", call->service),
+		  LOG_TEXT("method", call->method),
+		  LOG_NUMBER("priority", call->queue.priority),
+		  LOG_NUMBER("elapsed_us", entry_now(entry) - call->admitted),
+		  LOG_NUMBER("remaining_us", call->deadline - entry_now(entry)),
+		  LOG_NUMBER("attempts", call->attempts_made),
+		  LOG_TEXT("kind",
+			   error ? catk_error_kind_name(error->kind) : "ok"),
+		  LOG_TEXT("outcome",
+			   error ? outcome_name(error->outcome) : "ran"),
+		  LOG_NUMBER("retry_after_us", error ? error->retry_after : 0),
+		  LOG_TEXT("message", error ? error->message : ""));
+}
+
+void entry_log_start(const entry_t *entry, const entry_service_t *service,
+		     const call_t *call, const endpoint_t *endpoint)
+{
+	endpoint_belief_t belief =
+		upstream_belief(service->upstream, endpoint, entry_now(entry));
+
+	LOG_EVENT(&entry->actions.log, "attempt_started",
+		  LOG_TEXT("request", call->name),
+		  LOG_TEXT("service", call->service),
+		  LOG_TEXT("endpoint", endpoint_id(endpoint)),
+		  LOG_TEXT("address", endpoint_address(endpoint)),
+		  LOG_NUMBER("attempt", call->attempts_made),
+		  LOG_NUMBER("waited_us", entry_now(entry) - call->admitted),
+		  LOG_NUMBER("objective_left_us",
+			     call->objective ?
+				     call->objective - entry_now(entry) :
+				     0),
+		  LOG_NUMBER("remaining_us", call->deadline - entry_now(entry)),
+		  LOG_NUMBER("report_age_us", belief.report_age),
+		  LOG_NUMBER("load_percent", belief.load_percent),
+		  LOG_NUMBER("slowdown_percent", belief.slowdown_percent),
+		  LOG_NUMBER("near", belief.near),
+		  LOG_NUMBER("config_version",
+			     (gint64)config_version(entry->config)));
+}
+
+void entry_log_end(const entry_t *entry, const call_t *call,
+		   const attempt_t *attempt, const attempt_result_t *result)
+{
+	LOG_EVENT(&entry->actions.log, "attempt_ended",
+		  LOG_TEXT("request", call->name),
+		  LOG_TEXT("service", call->service),
+		  LOG_TEXT("endpoint", attempt->endpoint),
+		  LOG_TEXT("end", attempt_end_name(result->end)),
+		  LOG_NUMBER("status", result->status),
+		  LOG_NUMBER("latency_us",
+			     entry_now(entry) - attempt->started));
+}
+
+void entry_log_config(const entry_t *entry)
+{
+	LOG_EVENT(&entry->actions.log, "config_in_force",
+		  LOG_NUMBER("config_version",
+			     (gint64)config_version(entry->config)));
+}
+
+void entry_log_endpoints(const entry_t *entry, const entry_service_t *service,
+			 const endpoint_info_t *infos, gsize count)
+{
+	gint64 leaving = 0;
+	gint64 doubtful = 0;
+	gsize i;
+
+	for (i = 0; i < count; i++) {
+		leaving += infos[i].leaving;
+		doubtful += infos[i].doubtful;
+	}
+	LOG_EVENT(&entry->actions.log, "endpoints_changed",
+		  LOG_TEXT("service", upstream_service(service->upstream)),
+		  LOG_NUMBER("listed", (gint64)count),
+		  LOG_NUMBER("leaving", leaving),
+		  LOG_NUMBER("doubtful", doubtful));
+}
--- a/lib/entry/entry_peers.c
+++ b/lib/entry/entry_peers.c
@@ -93,6 +93,7 @@
 	entry->peers = peers;
 	entry->membership =
 		membership_new(self, &actions, entry->random, entry->counters);
+	membership_set_log(entry->membership, &entry->actions.log);
 }
 
 static void forward_free(entry_peers_t *peers, forward_t *forward)
--- a/lib/membership/membership.c
+++ b/lib/membership/membership.c
@@ -124,6 +124,11 @@
 		insert_turn(membership, node);
 	node->info.state = state;
 	node->since = now;
+	LOG_EVENT(&membership->log, "member_state",
+		  LOG_TEXT("member", node->info.name),
+		  LOG_TEXT("state", member_state_name(state)),
+		  LOG_NUMBER("incarnation", (gint64)node->info.incarnation),
+		  LOG_NUMBER("refutation", node->info.refutation));
 	spread(membership, node);
 }
 
@@ -216,6 +221,11 @@
 			node_free(membership, node_of(member));
 }
 
+void membership_set_log(membership_t *membership, const event_log_t *log)
+{
+	membership->log = *log;
+}
+
 const member_t *membership_self(const membership_t *membership)
 {
 	return membership->self;
--- a/lib/membership/membership.h
+++ b/lib/membership/membership.h
@@ -11,6 +11,7 @@
 #include "lib/common/clock.h"
 #include "lib/common/counters.h"
 #include "lib/common/dump.h"
+#include "lib/common/event_log.h"
 #include "lib/common/intrusive.h"
 
 /* One ping each; with 5 members a stopped one is gone within 4 s. */
@@ -96,6 +97,9 @@
 /* Frees all members. NULL is allowed. */
 void membership_free(membership_t *membership);
 
+/* Logs changes of state of the other members from now on. */
+void membership_set_log(membership_t *membership, const event_log_t *log);
+
 /* This instance. */
 const member_t *membership_self(const membership_t *membership);
 
--- a/lib/membership/membership_internal.h
+++ b/lib/membership/membership_internal.h
@@ -30,6 +30,7 @@
 	counters_t *counters;
 	GRand *random;
 	membership_actions_t actions;
+	event_log_t log;
 	member_t *self; /* first of members */
 	guint count; /* of members */
 	TAILQ_HEAD(member_list, member) members;
--- a/lib/route/route_deadline.c
+++ b/lib/route/route_deadline.c
@@ -1,17 +1,20 @@
 #include "lib/route/route_deadline.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 /* Callers of one route differ in their patience by about this part. */
 #define SPREAD 0.15
-/* First attempts are the usual of what is stated, but for a few callers. */
-#define QUANTILE 0.9
-#define QUANTILE_STEP 0.01 /* of the estimate, per request */
+/* First attempts are the longest of what is stated, but for a few callers. */
+#define LONGER_PART 10 /* one in so many may state more */
+#define STATED_KEPT 64 /* the last ones; some seconds of a route's requests */
 
 typedef struct usual {
 	TAILQ_ENTRY(usual) link;
 	char *route;
-	double stated; /* estimate of the quantile in microseconds */
+	GTimeSpan stated[STATED_KEPT];
+	guint count; /* of stated */
+	guint next; /* place of the next one */
 	gboolean declared;
 } usual_t;
 
@@ -65,14 +68,29 @@
 	return usual;
 }
 
-static void learn(usual_t *usual, double stated)
+static void learn(usual_t *usual, GTimeSpan stated)
 {
-	if (!usual->stated)
-		usual->stated = stated;
-	if (stated > usual->stated)
-		usual->stated *= 1 + QUANTILE_STEP * QUANTILE;
-	else
-		usual->stated *= 1 - QUANTILE_STEP * (1 - QUANTILE);
+	usual->stated[usual->next] = stated;
+	usual->next = (usual->next + 1) % STATED_KEPT;
+	usual->count =
+		MAX(usual->count, usual->next ? usual->next : STATED_KEPT);
+}
+
+static int compare_descending(const void *a, const void *b)
+{
+	GTimeSpan x = *(const GTimeSpan *)a;
+	GTimeSpan y = *(const GTimeSpan *)b;
+
+	return (y > x) - (y < x);
+}
+
+static double usual_deadline(const usual_t *usual)
+{
+	GTimeSpan sorted[STATED_KEPT];
+
+	memcpy(sorted, usual->stated, usual->count * sizeof(*sorted));
+	qsort(sorted, usual->count, sizeof(*sorted), compare_descending);
+	return (double)sorted[usual->count / LONGER_PART];
 }
 
 GTimeSpan route_deadlines_elapsed(route_deadlines_t *deadlines,
@@ -81,11 +99,13 @@
 {
 	usual_t *usual = find_or_add(deadlines, route->method.name);
 	double stated = (double)remaining;
+	double deadline;
 
-	learn(usual, stated);
-	if (stated >= usual->stated * (1 - SPREAD))
+	learn(usual, remaining);
+	deadline = usual_deadline(usual);
+	if (stated >= deadline * (1 - SPREAD))
 		return 0;
-	return (GTimeSpan)(usual->stated * (1 - SPREAD / 2) - stated);
+	return (GTimeSpan)(deadline * (1 - SPREAD / 2) - stated);
 }
 
 void route_deadlines_configure(route_deadlines_t *deadlines,
--- a/lib/route/route_split.c
+++ b/lib/route/route_split.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/* Weights mostly add up to 100 or less; this is some turns of them. */
+#define START_STEPS_MAX 1000
+
 typedef struct share {
 	TAILQ_ENTRY(share) link;
 	char *service;
@@ -83,17 +86,32 @@
 	return NULL;
 }
 
-/* Credits that a turn has after a random number of requests. */
-static void start_turn(const route_splits_t *splits, split_t *split)
+/* One step of the turn; NULL when no share has a weight. */
+static share_t *step_turn(split_t *split)
 {
+	share_t *chosen = NULL;
+	gint64 total = 0;
 	share_t *share;
 
-	TAILQ_FOREACH (share, &split->shares, link)
-		share->credit =
-			share->weight ?
-				g_rand_int_range(splits->random, 0,
-						 (gint32)share->weight * 2) :
-				0;
+	TAILQ_FOREACH (share, &split->shares, link) {
+		if (!share->weight)
+			continue;
+		total += share->weight;
+		share->credit += share->weight;
+		if (!chosen || share->credit > chosen->credit)
+			chosen = share;
+	}
+	if (chosen)
+		chosen->credit -= total;
+	return chosen;
+}
+
+static void start_turn(const route_splits_t *splits, split_t *split)
+{
+	gint32 steps = g_rand_int_range(splits->random, 0, START_STEPS_MAX);
+
+	for (; steps > 0; steps--)
+		step_turn(split);
 }
 
 static void take_shares(const route_splits_t *splits, split_t *split,
@@ -131,24 +149,12 @@
 			      const schema_route_t *route)
 {
 	const schema_target_t *only = TAILQ_FIRST(&route->targets);
-	share_t *chosen = NULL;
-	gint64 total = 0;
-	share_t *share;
+	const share_t *chosen;
 
 	if (only && !TAILQ_NEXT(only, link))
 		return only->service;
-	TAILQ_FOREACH (share, &split_of(splits, route)->shares, link) {
-		if (!share->weight)
-			continue;
-		total += share->weight;
-		share->credit += share->weight;
-		if (!chosen || share->credit > chosen->credit)
-			chosen = share;
-	}
-	if (!chosen)
-		return NULL;
-	chosen->credit -= total;
-	return chosen->service;
+	chosen = step_turn(split_of(splits, route));
+	return chosen ? chosen->service : NULL;
 }
 
 void route_splits_configure(route_splits_t *splits, const schema_t *schema)
--- a/lib/upstream/endpoint.c
+++ b/lib/upstream/endpoint.c
@@ -125,3 +125,18 @@
 	g_free(flight);
 	endpoint->in_flight--;
 }
+
+endpoint_belief_t upstream_belief(const upstream_t *upstream,
+				  const endpoint_t *endpoint, GTimeSpan now)
+{
+	return (endpoint_belief_t){
+		.report_age = endpoint->reported ? now - endpoint->reported :
+						   -1,
+		.load_percent =
+			(gint64)(100 * endpoint_load(upstream, endpoint, now) /
+				 endpoint_slots(upstream, endpoint)),
+		.slowdown_percent = endpoint->report.slowdown_percent,
+		.near = g_strcmp0(endpoint->info.data_centre,
+				  upstream->limits.data_centre) == 0,
+	};
+}
--- a/lib/upstream/health.c
+++ b/lib/upstream/health.c
@@ -213,6 +213,18 @@
 	       (double)latency < QUICK_FACTOR * usual;
 }
 
+static void log_health(const upstream_t *upstream, const endpoint_t *endpoint,
+		       const char *event, GTimeSpan duration)
+{
+	if (!upstream->limits.log)
+		return;
+	LOG_EVENT(upstream->limits.log, event,
+		  LOG_TEXT("service", upstream->service),
+		  LOG_TEXT("endpoint", endpoint_id(endpoint)),
+		  LOG_NUMBER("failures", endpoint->failures),
+		  LOG_NUMBER("duration_us", duration));
+}
+
 static void eject(upstream_t *upstream, endpoint_t *endpoint, GTimeSpan now)
 {
 	guint doublings = MIN(endpoint->ejections, EJECTION_DOUBLINGS_MAX);
@@ -224,6 +236,8 @@
 	endpoint->ejections++;
 	endpoint->ejected_until = now + (EJECTION_MIN << doublings);
 	counters_add(upstream->counters, COUNTER_ENDPOINTS_EJECTED, 1);
+	log_health(upstream, endpoint, "endpoint_ejected",
+		   endpoint->ejected_until - now);
 }
 
 static void count_failure(upstream_t *upstream, endpoint_t *endpoint,
@@ -284,6 +298,7 @@
 		/* This start of the endpoint has ended. */
 		endpoint->draining = TRUE;
 		endpoint->drain_seen = now;
+		log_health(upstream, endpoint, "endpoint_replaced", 0);
 		break;
 	case ATTEMPT_SHED:
 		pause_after_refusal(upstream, endpoint, now);
--- a/lib/upstream/upstream.c
+++ b/lib/upstream/upstream.c
@@ -22,6 +22,25 @@
 	return policy_names[policy];
 }
 
+static const char *const end_names[] = {
+	[ATTEMPT_ANSWERED] = "answered",
+	[ATTEMPT_SHED] = "shed",
+	[ATTEMPT_NOT_SENT] = "not_sent",
+	[ATTEMPT_CANCELLED] = "cancelled",
+	[ATTEMPT_BAD_ANSWER] = "bad_answer",
+	[ATTEMPT_SILENT] = "silent",
+	[ATTEMPT_FAILED] = "failed",
+	[ATTEMPT_ABANDONED] = "abandoned",
+	[ATTEMPT_ERROR_ANSWER] = "error_answer",
+	[ATTEMPT_MISDIRECTED] = "misdirected",
+};
+
+const char *attempt_end_name(attempt_end_t end)
+{
+	g_assert(end < G_N_ELEMENTS(end_names));
+	return end_names[end];
+}
+
 gboolean attempt_end_is_not_run(attempt_end_t end)
 {
 	return end == ATTEMPT_SHED || end == ATTEMPT_MISDIRECTED ||
--- a/lib/upstream/upstream.h
+++ b/lib/upstream/upstream.h
@@ -8,6 +8,7 @@
 #include "lib/common/clock.h"
 #include "lib/common/counters.h"
 #include "lib/common/dump.h"
+#include "lib/common/event_log.h"
 #include "lib/common/intrusive.h"
 #include "lib/probe/probe_budget.h"
 #include "lib/schema/schema.h"
@@ -58,6 +59,9 @@
 	ATTEMPT_MISDIRECTED /* another endpoint has the address; not run */
 } attempt_end_t;
 
+/* "answered", "shed", "failed" and so on. */
+const char *attempt_end_name(attempt_end_t end);
+
 /* TRUE for the ends that prove that the attempt did not run. */
 gboolean attempt_end_is_not_run(attempt_end_t end);
 
@@ -80,6 +84,7 @@
 	GTimeSpan report_stale_after;
 	const char *instance; /* name of this entry; outlives the upstream */
 	const char *data_centre; /* of this entry; outlives the upstream */
+	const event_log_t *log; /* of ejections, NULL for none */
 	guint probe_burst; /* probes of one endpoint at once, at least 1 */
 } upstream_limits_t;
 
@@ -160,6 +165,17 @@
 /* The key of the endpoint in the functions below. */
 const char *endpoint_id(const endpoint_t *endpoint);
 
+/* What is believed of an endpoint, for logs. */
+typedef struct {
+	GTimeSpan report_age; /* -1 without a report */
+	gint64 load_percent; /* estimated requests over slots */
+	gint64 slowdown_percent; /* 0 for unknown */
+	gboolean near; /* in this entry's data centre */
+} endpoint_belief_t;
+
+endpoint_belief_t upstream_belief(const upstream_t *upstream,
+				  const endpoint_t *endpoint, GTimeSpan now);
+
 /* Slowdown that a request has which starts now, in percent; 0 for unknown. */
 double upstream_expected_slowdown(const upstream_t *upstream,
 				  const endpoint_t *endpoint, GTimeSpan now);
--- a/net/http_message.c
+++ b/net/http_message.c
@@ -188,6 +188,17 @@
 	return count;
 }
 
+/* "Content-Length : 5" is a length to some readers and none to others. */
+static gboolean has_bad_name(const http_message_t *message)
+{
+	const http_header_t *header;
+
+	TAILQ_FOREACH (header, &message->headers, link)
+		if (strpbrk(header->name, " \t"))
+			return TRUE;
+	return FALSE;
+}
+
 /*
  * Two readings of the length let a request hide inside another. The parser
  * checks a length beside chunks; here are the other ways.
@@ -196,7 +207,8 @@
 {
 	const char *coding = http_message_header(message, "Transfer-Encoding");
 
-	return count_headers(message, "Content-Length") > 1 ||
+	return has_bad_name(message) ||
+	       count_headers(message, "Content-Length") > 1 ||
 	       count_headers(message, "Transfer-Encoding") > 1 ||
 	       (coding && http_message_header(message, "Content-Length")) ||
 	       (coding && g_ascii_strcasecmp(coding, "chunked") != 0);
--- /dev/null
+++ b/net/metrics.c
@@ -0,0 +1,156 @@
+#include "net/metrics.h"
+
+#include <gsl/gsl_histogram.h>
+
+#include "net/http_reply.h"
+
+#define METRICS_PATH "/metrics"
+
+/* Upper edges of the buckets in seconds. */
+static const double edges[] = { 0,    0.001, 0.002, 0.005, 0.01, 0.02,
+				0.05, 0.1,   0.2,   0.3,   0.5,	 0.8,
+				1.2,  2,     4,	    10,	   60 };
+
+typedef struct {
+	gsl_histogram *buckets;
+	double sum; /* seconds */
+	guint64 count;
+} latency_t;
+
+/* By what the caller was told. */
+typedef enum {
+	RESULT_ANSWERED,
+	RESULT_REFUSED,
+	RESULT_UNKNOWN,
+	RESULT_COUNT
+} result_t;
+
+static const char *const result_names[RESULT_COUNT] = {
+	[RESULT_ANSWERED] = "answered",
+	[RESULT_REFUSED] = "refused",
+	[RESULT_UNKNOWN] = "unknown",
+};
+
+struct metrics {
+	SoupServer *server;
+	const counters_t *counters;
+	const entry_t *entry;
+	latency_t latencies[RESULT_COUNT];
+};
+
+static void append_counters(const metrics_t *metrics, GString *text)
+{
+	int i;
+
+	for (i = 0; i < COUNTER_COUNT; i++) {
+		const char *name = counter_name((counter_t)i);
+
+		g_string_append_printf(text,
+				       "# TYPE catkinstall_%s_total counter\n"
+				       "catkinstall_%s_total "
+				       "%" G_GUINT64_FORMAT "\n",
+				       name, name, metrics->counters->value[i]);
+	}
+}
+
+static void append_latency(const latency_t *latency, const char *result,
+			   GString *text)
+{
+	double below = 0;
+	gsize i;
+
+	for (i = 0; i + 1 < G_N_ELEMENTS(edges); i++) {
+		below += gsl_histogram_get(latency->buckets, i);
+		g_string_append_printf(
+			text,
+			"catkinstall_request_seconds_bucket{result=\"%s\","
+			"le=\"%g\"} %.0f\n",
+			result, edges[i + 1], below);
+	}
+	g_string_append_printf(
+		text,
+		"catkinstall_request_seconds_bucket{result=\"%s\",le=\"+Inf\"} "
+		"%" G_GUINT64_FORMAT "\n"
+		"catkinstall_request_seconds_sum{result=\"%s\"} %.6f\n"
+		"catkinstall_request_seconds_count{result=\"%s\"} "
+		"%" G_GUINT64_FORMAT "\n",
+		result, latency->count, result, latency->sum, result,
+		latency->count);
+}
+
+static void on_metrics(SoupServer *server, SoupServerMessage *message,
+		       const char *path, GHashTable *query, gpointer data)
+{
+	const metrics_t *metrics = data;
+	GString *text = g_string_new(NULL);
+	GBytes *body;
+	int i;
+
+	(void)server;
+	(void)path;
+	(void)query;
+	append_counters(metrics, text);
+	g_string_append_printf(text,
+			       "# TYPE catkinstall_config_version gauge\n"
+			       "catkinstall_config_version %" G_GUINT64_FORMAT
+			       "\n"
+			       "# TYPE catkinstall_request_seconds histogram\n",
+			       config_version(entry_config(metrics->entry)));
+	for (i = 0; i < RESULT_COUNT; i++)
+		append_latency(&metrics->latencies[i], result_names[i], text);
+	body = g_string_free_to_bytes(text);
+	http_reply_bytes(message, SOUP_STATUS_OK, "text/plain; version=0.0.4",
+			 body);
+	g_bytes_unref(body);
+}
+
+metrics_t *metrics_new(SoupServer *server, const counters_t *counters,
+		       const entry_t *entry)
+{
+	metrics_t *metrics = g_new0(metrics_t, 1);
+	int i;
+
+	metrics->server = server;
+	metrics->counters = counters;
+	metrics->entry = entry;
+	for (i = 0; i < RESULT_COUNT; i++) {
+		metrics->latencies[i].buckets =
+			gsl_histogram_alloc(G_N_ELEMENTS(edges) - 1);
+		gsl_histogram_set_ranges(metrics->latencies[i].buckets, edges,
+					 G_N_ELEMENTS(edges));
+	}
+	soup_server_add_handler(server, METRICS_PATH, on_metrics, metrics,
+				NULL);
+	return metrics;
+}
+
+void metrics_free(metrics_t *metrics)
+{
+	int i;
+
+	if (!metrics)
+		return;
+	soup_server_remove_handler(metrics->server, METRICS_PATH);
+	for (i = 0; i < RESULT_COUNT; i++)
+		gsl_histogram_free(metrics->latencies[i].buckets);
+	g_free(metrics);
+}
+
+static result_t result_of(const call_answer_t *answer)
+{
+	if (answer->error.kind == CATK_OK)
+		return RESULT_ANSWERED;
+	return answer->error.outcome == OUTCOME_NOT_RUN ? RESULT_REFUSED :
+							  RESULT_UNKNOWN;
+}
+
+void metrics_answer(metrics_t *metrics, const call_answer_t *answer)
+{
+	latency_t *latency = &metrics->latencies[result_of(answer)];
+	double seconds = (double)answer->elapsed / G_TIME_SPAN_SECOND;
+
+	/* Beyond the last edge it counts in the total only. */
+	gsl_histogram_increment(latency->buckets, seconds);
+	latency->sum += seconds;
+	latency->count++;
+}
--- a/net/proxy.c
+++ b/net/proxy.c
@@ -101,6 +101,7 @@
 	path = g_strndup(message->target, strcspn(message->target, "?#"));
 	request.host = http_message_header(message, "Host");
 	request.path = path;
+	request.name = proxy->codec.identity(proxy->codec.ctx, message);
 	g_hash_table_add(proxy->exchanges, exchange);
 	entry_route(proxy->entry, &request);
 	g_free(path);
--- a/programs/daemon.c
+++ b/programs/daemon.c
@@ -7,6 +7,8 @@
 #include "net/caller_api.h"
 #include "net/config_source.h"
 #include "net/http_listen.h"
+#include "net/log.h"
+#include "net/metrics.h"
 #include "net/object_api.h"
 #include "net/operator_api.h"
 #include "net/peer_link.h"
@@ -27,6 +29,8 @@
 	GMainLoop *loop;
 	GRand *random;
 	counters_t counters;
+	event_log_t log;
+	metrics_t *metrics;
 	guint64 incarnation;
 	entry_t *entry;
 	SoupServer *server;
@@ -108,6 +112,8 @@
 {
 	daemon_t *daemon = ctx;
 
+	if (daemon->metrics)
+		metrics_answer(daemon->metrics, answer);
 	if (daemon->proxy && proxy_owns(daemon->proxy, caller_ref))
 		proxy_answer(daemon->proxy, caller_ref, answer);
 	else
@@ -246,6 +252,7 @@
 		.send_peer = on_send_peer,
 		.reply_peer = on_reply_peer,
 		.config_received = on_config_received,
+		.log = daemon->log,
 		.ctx = daemon,
 	};
 
@@ -346,6 +353,7 @@
 	daemon_t daemon = { .settings = settings };
 	gboolean ok = FALSE;
 
+	daemon.log = log_start_events(&daemon.counters);
 	daemon.loop = g_main_loop_new(NULL, FALSE);
 	daemon.random = g_rand_new();
 	daemon.incarnation = new_incarnation(daemon.random);
@@ -358,6 +366,8 @@
 		daemon.object_api =
 			object_api_new(settings->object_api, settings->instance,
 				       OBJECT_API_TIMEOUT, &daemon.counters);
+	daemon.metrics =
+		metrics_new(daemon.server, &daemon.counters, daemon.entry);
 	daemon.operators = operator_api_new(daemon.server, daemon.entry,
 					    daemon.object_api);
 	if (!http_listen(daemon.server, settings->caller_address, err) ||
@@ -371,11 +381,17 @@
 			settings, daemon.object_api, daemon.entry);
 	}
 	start_timer(&daemon);
-	g_message("instance %s serves callers on %s", settings->instance,
-		  settings->caller_address);
+	LOG_EVENT(&daemon.log, "started",
+		  LOG_TEXT("instance", settings->instance),
+		  LOG_TEXT("data_centre", settings->data_centre),
+		  LOG_TEXT("callers", settings->caller_address),
+		  LOG_TEXT("proxy", settings->proxy_address ?
+					    settings->proxy_address :
+					    ""));
 	g_main_loop_run(daemon.loop);
 	stop_timer(&daemon);
-	g_message("shutdown complete");
+	LOG_EVENT(&daemon.log, "stopped",
+		  LOG_TEXT("instance", settings->instance));
 	ok = TRUE;
 out:
 	platform_free(daemon.platform);
@@ -383,6 +399,7 @@
 	config_source_free(daemon.config_source);
 	peer_link_free(daemon.peers);
 	operator_api_free(daemon.operators);
+	metrics_free(daemon.metrics);
 	object_api_free(daemon.object_api);
 	caller_api_free(daemon.callers);
 	upstream_client_free(daemon.upstreams);
@@ -391,5 +408,6 @@
 	entry_free(daemon.entry);
 	g_rand_free(daemon.random);
 	g_main_loop_unref(daemon.loop);
+	log_stop_events();
 	return ok;
 }
--- /dev/null
+++ b/tests/test_feed.c
@@ -0,0 +1,141 @@
+/* Guards the order of lists and watches, and the time to find a store again. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "lib/feed/feed.h"
+
+#define NOW (100 * G_TIME_SPAN_SECOND)
+
+typedef struct {
+	GRand *random;
+	feed_t *feed;
+} fixture_t;
+
+static int set_up(void **state)
+{
+	fixture_t *f = g_new0(fixture_t, 1);
+
+	f->random = g_rand_new_with_seed(1);
+	f->feed = feed_new(f->random);
+	*state = f;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	fixture_t *f = *state;
+
+	feed_free(f->feed);
+	g_rand_free(f->random);
+	g_free(f);
+	return 0;
+}
+
+/*
+ * Fails when a watch starts from the revision of the last page: a change of an
+ * object on an earlier page would be missed.
+ */
+static void watch_starts_from_the_first_page(void **state)
+{
+	fixture_t *f = *state;
+	feed_step_t step = feed_next(f->feed, NOW);
+
+	assert_int_equal(step.kind, FEED_LIST);
+	assert_null(step.after);
+	feed_page_read(f->feed, 500, "m", TRUE);
+	step = feed_next(f->feed, NOW);
+	assert_int_equal(step.kind, FEED_LIST);
+	assert_string_equal(step.after, "m");
+	feed_page_read(f->feed, 510, "z", FALSE);
+	step = feed_next(f->feed, NOW);
+	assert_int_equal(step.kind, FEED_WATCH);
+	assert_int_equal(step.revision, 500);
+}
+
+/* Fails when an answer of an earlier time turns the place back. */
+static void revision_never_goes_back(void **state)
+{
+	fixture_t *f = *state;
+
+	feed_page_read(f->feed, 500, NULL, FALSE);
+	feed_changes_read(f->feed, 520, 0, NOW);
+	feed_changes_read(f->feed, 510, 0, NOW);
+	assert_int_equal(feed_next(f->feed, NOW).revision, 520);
+}
+
+/* Fails when a watch goes on after its history is gone: changes are lost. */
+static void lost_history_lists_again(void **state)
+{
+	fixture_t *f = *state;
+
+	feed_page_read(f->feed, 500, "a", FALSE);
+	feed_history_lost(f->feed);
+	assert_int_equal(feed_next(f->feed, NOW).kind, FEED_LIST);
+	feed_page_read(f->feed, 900, "a", FALSE);
+	assert_int_equal(feed_next(f->feed, NOW).revision, 900);
+}
+
+/* Fails when a list that an outage cut goes on with pages of another time. */
+static void failed_list_starts_again(void **state)
+{
+	fixture_t *f = *state;
+
+	feed_page_read(f->feed, 500, "m", TRUE);
+	feed_failed(f->feed, NOW);
+	assert_null(feed_next(f->feed, NOW + G_TIME_SPAN_SECOND).after);
+}
+
+/*
+ * Fails when a store that has been away for long is found again too late: a
+ * lapsed entry is kept for 2 s after that, and 3 s after the return the
+ * instance counts as in touch.
+ */
+static void store_is_found_again_within_a_second(void **state)
+{
+	fixture_t *f = *state;
+	feed_step_t step;
+	guint i;
+
+	for (i = 0; i < 100; i++) {
+		feed_failed(f->feed, NOW);
+		step = feed_next(f->feed, NOW);
+		assert_int_equal(step.kind, FEED_WAIT);
+		assert_true(step.until - NOW < G_TIME_SPAN_SECOND);
+	}
+}
+
+/* Fails when each of many changes in quick succession costs a call. */
+static void changes_are_collected(void **state)
+{
+	fixture_t *f = *state;
+	feed_step_t step;
+
+	feed_page_read(f->feed, 500, NULL, FALSE);
+	feed_changes_read(f->feed, 501, 1, NOW);
+	step = feed_next(f->feed, NOW);
+	assert_int_equal(step.kind, FEED_WAIT);
+	/* Half of the 2 s in which a change must be known. */
+	assert_true(step.until - NOW <= G_TIME_SPAN_SECOND);
+	assert_int_equal(feed_next(f->feed, step.until).kind, FEED_WATCH);
+	feed_changes_read(f->feed, 502, 0, step.until);
+	assert_int_equal(feed_next(f->feed, step.until).kind, FEED_WATCH);
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		TEST(watch_starts_from_the_first_page),
+		TEST(revision_never_goes_back),
+		TEST(lost_history_lists_again),
+		TEST(failed_list_starts_again),
+		TEST(store_is_found_again_within_a_second),
+		TEST(changes_are_collected),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
