--- a/lib/route/route_deadline.c
+++ b/lib/route/route_deadline.c
@@ -87,10 +87,12 @@
 static double usual_deadline(const usual_t *usual)
 {
 	GTimeSpan sorted[STATED_KEPT];
+	guint rank;
 
 	memcpy(sorted, usual->stated, usual->count * sizeof(*sorted));
 	qsort(sorted, usual->count, sizeof(*sorted), compare_descending);
-	return (double)sorted[usual->count / LONGER_PART];
+	rank = usual->count / LONGER_PART;
+	return (double)sorted[rank];
 }
 
 GTimeSpan route_deadlines_elapsed(route_deadlines_t *deadlines,
--- /dev/null
+++ b/tests/fakes/fake_store.c
@@ -0,0 +1,345 @@
+/*
+ * A stand-in for the users' metadata store: objects by kind and name, pages,
+ * watches, and its faults. POST /fault/MODE sets one of: none, busy (503),
+ * refuse (429), silent (answers what was asked meanwhile when the mode ends),
+ * compact (forgets its history once).
+ *   fake_store --port PORT [--page OBJECTS]
+ */
+#include <argp.h>
+#include <glib-unix.h>
+#include <json-glib/json-glib.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "net/http_server.h"
+#include "net/system_clock.h"
+
+#define OBJECTS_PATH "/-/objects/"
+#define TICK_MS 5
+
+typedef struct object {
+	TAILQ_ENTRY(object) link;
+	char *kind;
+	char *name;
+	char *spec; /* JSON text */
+	guint64 revision;
+	gboolean deleted; /* kept for watches */
+} object_t;
+
+typedef struct watch {
+	TAILQ_ENTRY(watch) link;
+	http_exchange_t *exchange;
+	char *kind;
+	guint64 since;
+	GTimeSpan until;
+} watch_t;
+
+static struct {
+	guint port;
+	guint page;
+	guint64 revision;
+	guint64 forgotten; /* history up to this revision */
+	char *fault;
+	http_server_t *server;
+	TAILQ_HEAD(object_list, object) objects; /* by name */
+	TAILQ_HEAD(watch_list, watch) watches;
+	GPtrArray *held; /* exchanges that came while it is silent */
+} store = { .page = 500, .revision = 100 };
+
+static void reply(http_exchange_t *exchange, guint status, const char *text)
+{
+	GBytes *body = g_bytes_new(text, strlen(text));
+
+	http_exchange_reply(exchange, status,
+			    "Content-Type: application/json\r\n", body);
+	g_bytes_unref(body);
+}
+
+static object_t *find(const char *kind, const char *name)
+{
+	object_t *object;
+
+	TAILQ_FOREACH (object, &store.objects, link)
+		if (strcmp(object->kind, kind) == 0 &&
+		    strcmp(object->name, name) == 0)
+			return object;
+	return NULL;
+}
+
+static object_t *add(const char *kind, const char *name)
+{
+	object_t *object = g_new0(object_t, 1);
+	object_t *next;
+
+	object->kind = g_strdup(kind);
+	object->name = g_strdup(name);
+	TAILQ_FOREACH (next, &store.objects, link)
+		if (strcmp(next->name, name) > 0)
+			break;
+	if (next)
+		TAILQ_INSERT_BEFORE(next, object, link);
+	else
+		TAILQ_INSERT_TAIL(&store.objects, object, link);
+	return object;
+}
+
+static void append_object(GString *text, const object_t *object)
+{
+	g_string_append_printf(text,
+			       "{\"metadata\":{\"name\":\"%s\",\"revision\":"
+			       "%" G_GUINT64_FORMAT "},\"spec\":%s}",
+			       object->name, object->revision, object->spec);
+}
+
+static void list(http_exchange_t *exchange, const char *kind, const char *after)
+{
+	GString *text = g_string_new("{\"items\":[");
+	const object_t *object;
+	guint count = 0;
+
+	TAILQ_FOREACH (object, &store.objects, link) {
+		if (object->deleted || strcmp(object->kind, kind) != 0 ||
+		    (after && strcmp(object->name, after) <= 0))
+			continue;
+		if (count++ == store.page)
+			break;
+		g_string_append(text, count > 1 ? "," : "");
+		append_object(text, object);
+	}
+	g_string_append_printf(text,
+			       "],\"more\":%s,\"as_of\":%" G_GUINT64_FORMAT "}",
+			       object ? "true" : "false", store.revision);
+	reply(exchange, 200, text->str);
+	g_string_free(text, TRUE);
+}
+
+/* FALSE when nothing has changed since then. */
+static gboolean reply_changes(http_exchange_t *exchange, const char *kind,
+			      guint64 since, gboolean even_none)
+{
+	GString *text = g_string_new("{\"events\":[");
+	const object_t *object;
+	guint count = 0;
+
+	TAILQ_FOREACH (object, &store.objects, link) {
+		if (object->revision <= since ||
+		    strcmp(object->kind, kind) != 0)
+			continue;
+		g_string_append(text, count++ ? "," : "");
+		g_string_append_printf(text, "{\"deleted\":%s,\"object\":",
+				       object->deleted ? "true" : "false");
+		append_object(text, object);
+		g_string_append(text, "}");
+	}
+	g_string_append_printf(text, "],\"as_of\":%" G_GUINT64_FORMAT "}",
+			       store.revision);
+	if (count || even_none)
+		reply(exchange, 200, text->str);
+	g_string_free(text, TRUE);
+	return count || even_none;
+}
+
+static void watch_free(watch_t *watch)
+{
+	TAILQ_REMOVE(&store.watches, watch, link);
+	g_free(watch->kind);
+	g_free(watch);
+}
+
+static gboolean on_tick(gpointer data)
+{
+	GTimeSpan now = catk_clock_now(&system_clock);
+	watch_t *watch, *next;
+
+	(void)data;
+	TAILQ_FOREACH_SAFE (watch, &store.watches, link, next)
+		if (reply_changes(watch->exchange, watch->kind, watch->since,
+				  now >= watch->until))
+			watch_free(watch);
+	return G_SOURCE_CONTINUE;
+}
+
+static void start_watch(http_exchange_t *exchange, const char *kind,
+			guint64 since, guint64 wait_ms)
+{
+	watch_t *watch;
+
+	if (since < store.forgotten) {
+		reply(exchange, 410, "{}");
+		return;
+	}
+	watch = g_new0(watch_t, 1);
+	watch->exchange = exchange;
+	watch->kind = g_strdup(kind);
+	watch->since = since;
+	watch->until = catk_clock_now(&system_clock) +
+		       (GTimeSpan)wait_ms * G_TIME_SPAN_MILLISECOND;
+	TAILQ_INSERT_TAIL(&store.watches, watch, link);
+}
+
+static void change(http_exchange_t *exchange, const char *kind,
+		   const char *name)
+{
+	const http_message_t *request = http_exchange_request(exchange);
+	object_t *object = find(kind, name);
+	gsize size;
+	const char *spec = g_bytes_get_data(request->body, &size);
+
+	if (!object)
+		object = add(kind, name);
+	object->deleted = strcmp(request->method, "DELETE") == 0;
+	object->revision = ++store.revision;
+	if (!object->deleted) {
+		g_free(object->spec);
+		object->spec = g_strndup(spec, size);
+	}
+	reply(exchange, 200, "{}");
+}
+
+static void serve_objects(http_exchange_t *exchange, const char *kind,
+			  const char *name, GHashTable *query)
+{
+	const char *since = g_hash_table_lookup(query, "watch");
+	const char *wait = g_hash_table_lookup(query, "wait_ms");
+
+	if (name)
+		change(exchange, kind, name);
+	else if (since)
+		start_watch(exchange, kind, g_ascii_strtoull(since, NULL, 10),
+			    wait ? g_ascii_strtoull(wait, NULL, 10) : 0);
+	else
+		list(exchange, kind, g_hash_table_lookup(query, "after"));
+}
+
+static void serve(http_exchange_t *exchange);
+
+static void set_fault(http_exchange_t *exchange, const char *mode)
+{
+	watch_t *watch, *next;
+
+	g_free(store.fault);
+	store.fault = g_strdup(mode);
+	if (strcmp(mode, "compact") == 0) {
+		store.forgotten = store.revision + 1;
+		store.revision += 10;
+		TAILQ_FOREACH_SAFE (watch, &store.watches, link, next) {
+			reply(watch->exchange, 410, "{}");
+			watch_free(watch);
+		}
+	}
+	reply(exchange, 200, "{}");
+	while (store.held->len && strcmp(mode, "silent") != 0)
+		serve(g_ptr_array_steal_index(store.held, 0));
+}
+
+/* TRUE when the fault has dealt with the request. */
+static gboolean is_faulty(http_exchange_t *exchange)
+{
+	/* The test's own changes always succeed, as the operator's do. */
+	if (strcmp(http_exchange_request(exchange)->method, "GET") != 0)
+		return FALSE;
+	if (g_strcmp0(store.fault, "busy") == 0)
+		reply(exchange, 503, "{}");
+	else if (g_strcmp0(store.fault, "refuse") == 0)
+		reply(exchange, 429, "{}");
+	else if (g_strcmp0(store.fault, "silent") == 0)
+		g_ptr_array_add(store.held, exchange);
+	else
+		return FALSE;
+	return TRUE;
+}
+
+static void serve(http_exchange_t *exchange)
+{
+	const char *target = http_exchange_request(exchange)->target;
+	gchar **parts = g_strsplit(target, "?", 2);
+	gchar **names = NULL;
+	GHashTable *query = parts[1] ? g_uri_parse_params(parts[1], -1, "&",
+							  G_URI_PARAMS_NONE,
+							  NULL) :
+				       g_hash_table_new(NULL, NULL);
+
+	if (g_str_has_prefix(target, "/fault/")) {
+		set_fault(exchange, target + strlen("/fault/"));
+	} else if (!g_str_has_prefix(target, OBJECTS_PATH)) {
+		reply(exchange, 404, "{}");
+	} else if (!is_faulty(exchange)) {
+		names = g_strsplit(parts[0] + strlen(OBJECTS_PATH), "/", 2);
+		serve_objects(exchange, names[0], names[1], query);
+	}
+	g_strfreev(names);
+	g_strfreev(parts);
+	g_hash_table_unref(query);
+}
+
+static void on_request(void *ctx, http_exchange_t *exchange)
+{
+	(void)ctx;
+	serve(exchange);
+}
+
+static void on_gone(void *ctx, http_exchange_t *exchange)
+{
+	watch_t *watch, *next;
+
+	(void)ctx;
+	g_ptr_array_remove(store.held, exchange);
+	TAILQ_FOREACH_SAFE (watch, &store.watches, link, next)
+		if (watch->exchange == exchange)
+			watch_free(watch);
+}
+
+static schema_request_limits_t no_limits(void *ctx)
+{
+	(void)ctx;
+	return (schema_request_limits_t){ 0 };
+}
+
+static const struct argp_option options[] = {
+	{ "port", 'p', "PORT", 0, "Listen on 127.0.0.1:PORT", 0 },
+	{ "page", 'n', "OBJECTS", 0, "Objects in a page, default 500", 0 },
+	{ 0 }
+};
+
+static error_t parse_option(int key, char *argument, struct argp_state *state)
+{
+	(void)state;
+	if (key == 'p')
+		store.port = (guint)strtoul(argument, NULL, 10);
+	else if (key == 'n')
+		store.page = (guint)strtoul(argument, NULL, 10);
+	else
+		return ARGP_ERR_UNKNOWN;
+	return 0;
+}
+
+static gboolean on_term(gpointer loop)
+{
+	g_main_loop_quit(loop);
+	return G_SOURCE_CONTINUE;
+}
+
+int main(int argc, char **argv)
+{
+	const struct argp argp = { .options = options, .parser = parse_option };
+	http_server_events_t events = { .request = on_request,
+					.gone = on_gone,
+					.limits = no_limits };
+	GMainLoop *loop = g_main_loop_new(NULL, FALSE);
+	gchar *address;
+
+	argp_parse(&argp, argc, argv, 0, NULL, NULL);
+	TAILQ_INIT(&store.objects);
+	TAILQ_INIT(&store.watches);
+	store.held = g_ptr_array_new();
+	address = g_strdup_printf("127.0.0.1:%u", store.port);
+	store.server = http_server_new(address, &events, &system_clock, NULL);
+	g_free(address);
+	if (!store.server)
+		return EXIT_FAILURE;
+	g_timeout_add(TICK_MS, on_tick, NULL);
+	g_unix_signal_add(SIGTERM, on_term, loop);
+	g_main_loop_run(loop);
+	return EXIT_SUCCESS;
+}
