--- a/lib/entry/entry_measure.c
+++ b/lib/entry/entry_measure.c
@@ -14,8 +14,8 @@
 /* Service time that a call should have left when it starts, over the usual. */
 #define WORK_MARGIN 1.3
 /* Wait of a call that cannot meet its objective, by the time it has left. */
-#define LATE_WAIT_PART 8
-#define LATE_WAIT_MAX (200 * G_TIME_SPAN_MILLISECOND)
+#define LATE_WAIT_PART 16
+#define LATE_WAIT_MAX (60 * G_TIME_SPAN_MILLISECOND)
 /*
  * Wait for an endpoint of this data centre before others are considered: bytes
  * between data centres are dear, and a slowdown is over soon.
