Read the settings again on SIGHUP

Change: seeds and the limits that may change at once are taken from the new file; a file with errors changes nothing and is logged. A seed is kept once.

--- a/lib/admission/retry_budget.c
+++ b/lib/admission/retry_budget.c
@@ -10,6 +10,12 @@
 	budget->saved_max = RETRY_BUDGET_SAVED_MAX;
 }
 
+void retry_budget_set_percent(retry_budget_t *budget, guint percent)
+{
+	g_assert(percent <= 100);
+	budget->percent = percent;
+}
+
 void retry_budget_set_saved(retry_budget_t *budget, guint retries)
 {
 	budget->saved_max = retries;
--- a/lib/admission/retry_budget.h
+++ b/lib/admission/retry_budget.h
@@ -19,6 +19,9 @@
 /* Starts without credit. percent is 0 to 100. */
 void retry_budget_init(retry_budget_t *budget, guint percent);
 
+/* Changes the percentage, 0 to 100, for first attempts from now on. */
+void retry_budget_set_percent(retry_budget_t *budget, guint percent);
+
 /* Sets the retries that unused credit may add up to. */
 void retry_budget_set_saved(retry_budget_t *budget, guint retries);
 
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -38,6 +38,21 @@
 	return entry;
 }
 
+void entry_reload(entry_t *entry, const entry_limits_t *limits)
+{
+	entry_service_t *service;
+
+	entry->limits.retry_percent = limits->retry_percent;
+	entry->limits.retry_saved = limits->retry_saved;
+	entry->limits.probe_fanout = limits->probe_fanout;
+	entry->limits.resolve_ttl = limits->resolve_ttl;
+	entry->limits.resolve_addresses = limits->resolve_addresses;
+	entry->limits.shutdown_max = limits->shutdown_max;
+	TAILQ_FOREACH (service, &entry->services, link)
+		retry_budget_set_percent(&service->retries,
+					 limits->retry_percent);
+}
+
 static void service_free(entry_t *entry, entry_service_t *service)
 {
 	TAILQ_REMOVE(&entry->services, service, link);
--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -171,6 +171,12 @@
 		   const entry_actions_t *actions, const catk_clock_t *clock,
 		   GRand *random, counters_t *counters);
 
+/*
+ * Takes the limits that may change while the entry runs: retries, probe_fanout,
+ * resolve_ttl, resolve_addresses and shutdown_max.
+ */
+void entry_reload(entry_t *entry, const entry_limits_t *limits);
+
 /* Frees the entry. Calls in flight are dropped without an answer. */
 void entry_free(entry_t *entry);
 
--- a/lib/membership/membership_ping.c
+++ b/lib/membership/membership_ping.c
@@ -109,6 +109,9 @@
 
 	if (strcmp(peer_address, membership->self->peer_address) == 0)
 		return;
+	TAILQ_FOREACH (seed, &membership->seeds, link)
+		if (strcmp(seed->address, peer_address) == 0)
+			return;
 	seed = g_new0(seed_t, 1);
 	g_strlcpy(seed->address, peer_address, sizeof(seed->address));
 	TAILQ_INSERT_TAIL(&membership->seeds, seed, link);
--- a/programs/catkinstalld.c
+++ b/programs/catkinstalld.c
@@ -87,6 +87,11 @@
 	return settings;
 }
 
+static settings_t *read_again(void *ctx)
+{
+	return read_settings(ctx);
+}
+
 int main(int argc, char **argv)
 {
 	const struct argp argp = {
@@ -97,6 +102,7 @@
 	};
 	options_t options = { 0 };
 	int status = EXIT_FAILURE;
+	daemon_reload_t reload = { .read = read_again };
 	settings_t *settings;
 	catk_error_t error;
 
@@ -108,7 +114,8 @@
 #ifdef CATK_CALL_RULE
 	settings->entry.call_rule = &CATK_CALL_RULE;
 #endif
-	if (options.check_only || daemon_run(settings, &error))
+	reload.ctx = (void *)options.settings_path;
+	if (options.check_only || daemon_run(settings, &reload, &error))
 		status = EXIT_SUCCESS;
 	else
 		g_warning("%s", error.message);
--- a/programs/daemon.c
+++ b/programs/daemon.c
@@ -44,6 +44,8 @@
 	platform_t *platform; /* NULL without a metadata store */
 	GSource *timer;
 	GTimeSpan stopped; /* instant of entry_is_stopped(), 0 before */
+	const daemon_reload_t *reload;
+	guint sighup;
 	guint sigterm;
 	guint sigint;
 } daemon_t;
@@ -231,6 +233,30 @@
 	return G_SOURCE_CONTINUE;
 }
 
+static void add_seeds(daemon_t *daemon, const settings_t *settings)
+{
+	guint i;
+
+	for (i = 0; i < settings->seeds->len; i++)
+		entry_add_seed(daemon->entry, settings->seeds->pdata[i]);
+}
+
+static gboolean on_reload(gpointer data)
+{
+	daemon_t *daemon = data;
+	settings_t *settings = daemon->reload->read(daemon->reload->ctx);
+
+	LOG_EVENT(&daemon->log, "settings_read",
+		  LOG_TEXT("outcome", settings ? "applied" : "rejected"));
+	if (!settings)
+		return G_SOURCE_CONTINUE;
+	entry_reload(daemon->entry, &settings->entry);
+	if (daemon->peers)
+		add_seeds(daemon, settings);
+	settings_free(settings);
+	return G_SOURCE_CONTINUE;
+}
+
 /* Rises from start to start of an instance, also within one microsecond. */
 static guint64 new_incarnation(GRand *random)
 {
@@ -302,15 +328,13 @@
 	const char *listen_address = settings->peer_listen ?
 					     settings->peer_listen :
 					     settings->peer_address;
-	guint i;
 
 	if (!settings->peer_address)
 		return TRUE;
 	daemon->peers = peer_link_new(listen_address,
 				      (gsize)settings->body_bytes_max, &events,
 				      &daemon->counters, err);
-	for (i = 0; i < settings->seeds->len; i++)
-		entry_add_seed(daemon->entry, settings->seeds->pdata[i]);
+	add_seeds(daemon, settings);
 	return daemon->peers != NULL;
 }
 
@@ -336,6 +360,7 @@
 		g_source_new(&entry_source_funcs, sizeof(entry_source_t));
 	((entry_source_t *)daemon->timer)->daemon = daemon;
 	g_source_attach(daemon->timer, NULL);
+	daemon->sighup = g_unix_signal_add(SIGHUP, on_reload, daemon);
 	daemon->sigterm = g_unix_signal_add(SIGTERM, on_signal, daemon);
 	daemon->sigint = g_unix_signal_add(SIGINT, on_signal, daemon);
 }
@@ -344,13 +369,15 @@
 {
 	g_source_destroy(daemon->timer);
 	g_source_unref(daemon->timer);
+	g_source_remove(daemon->sighup);
 	g_source_remove(daemon->sigterm);
 	g_source_remove(daemon->sigint);
 }
 
-gboolean daemon_run(const settings_t *settings, catk_error_t *err)
+gboolean daemon_run(const settings_t *settings, const daemon_reload_t *reload,
+		    catk_error_t *err)
 {
-	daemon_t daemon = { .settings = settings };
+	daemon_t daemon = { .settings = settings, .reload = reload };
 	gboolean ok = FALSE;
 
 	daemon.log = log_start_events(&daemon.counters);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -564,6 +564,20 @@
 	g_free(request);
 }
 
+/* Fails when SIGHUP ends the process, or invalid settings do. */
+static void settings_are_read_again(void **state)
+{
+	fixture_t *f = *state;
+
+	process_signal(f->daemon, SIGHUP);
+	run_loop_for(200);
+	assert_int_equal(ask_status(f, "GET", "/safe/1"), 200);
+	g_free(write_file("platform.json", "{\"instance\":5}"));
+	process_signal(f->daemon, SIGHUP);
+	run_loop_for(200);
+	assert_int_equal(ask_status(f, "GET", "/safe/1"), 200);
+}
+
 /* Fails when the metrics lack a counter or the latency histogram. */
 static void metrics_are_served(void **state)
 {
@@ -600,6 +614,7 @@
 		TEST(leaving_endpoint_gets_no_new_work),
 		TEST(directory_names_the_instance),
 		TEST(planned_stop_cuts_nothing),
+		TEST(settings_are_read_again),
 		TEST(metrics_are_served),
 	};
 
