--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -259,6 +259,14 @@
 	entry->resolve_turn++;
 }
 
+static gboolean no_instance(catk_error_t *err)
+{
+	catk_error_set(err, CATK_UNAVAILABLE, OUTCOME_NOT_RUN,
+		       "no live instance is known: ask another instance or "
+		       "try again later");
+	return FALSE;
+}
+
 gboolean entry_resolve(entry_t *entry, resolve_result_t *result,
 		       catk_error_t *err)
 {
@@ -266,12 +274,8 @@
 
 	memset(result, 0, sizeof(*result));
 	fill_addresses(entry, result);
-	if (result->address_count == 0) {
-		catk_error_set(err, CATK_UNAVAILABLE, OUTCOME_NOT_RUN,
-			       "no live instance is known: ask another "
-			       "instance or try again later");
-		return FALSE;
-	}
+	if (result->address_count == 0)
+		return no_instance(err);
 	result->ttl = entry->limits.resolve_ttl;
 	result->config_version = config_version(entry->config);
 	result->has_ids = !entry->leaving;
@@ -305,12 +309,8 @@
 		add_members(entry, result, NULL, MEMBER_LIVE);
 	if (!result->address_count)
 		add_members(entry, result, NULL, MEMBER_SUSPECT);
-	if (!result->address_count) {
-		catk_error_set(err, CATK_UNAVAILABLE, OUTCOME_NOT_RUN,
-			       "no live instance is known: ask another "
-			       "instance or try again later");
-		return FALSE;
-	}
+	if (!result->address_count)
+		return no_instance(err);
 	result->ttl = entry->limits.resolve_ttl;
 	result->config_version = config_version(entry->config);
 	return TRUE;
--- a/lib/entry/entry_calls.c
+++ b/lib/entry/entry_calls.c
@@ -186,32 +186,27 @@
 
 static void call_with_id(entry_t *entry, entry_service_t *service,
 			 const schema_method_t *method,
-			 const call_request_t *request)
+			 const call_request_t *request, const request_id_t *id)
 {
 	const held_answer_t *held = NULL;
 	request_id_state_t state;
-	catk_error_t error;
-	request_id_t id;
 	call_t *call;
 
-	if (!request_id_parse(request->request_id, &id, &error)) {
-		entry_answer_error(entry, request->caller_ref, &error);
+	if (!is_own_id(entry, id)) {
+		call_issuer(entry, request, id, method->deadline);
 		return;
 	}
-	if (!is_own_id(entry, &id)) {
-		call_issuer(entry, request, &id, method->deadline);
-		return;
-	}
-	state = request_ids_begin(entry->ids, id.sequence, fingerprint(request),
-				  entry_now(entry), &held);
+	state = request_ids_begin(entry->ids, id->sequence,
+				  fingerprint(request), entry_now(entry),
+				  &held);
 	if (state != REQUEST_ID_FRESH) {
 		counters_add(entry->counters, COUNTER_CALLS_DUPLICATE, 1);
-		answer_by_id_state(entry, request, id.sequence, state, held);
+		answer_by_id_state(entry, request, id->sequence, state, held);
 		return;
 	}
 	call = new_call(entry, request, method);
 	call->has_id = TRUE;
-	call->sequence = id.sequence;
+	call->sequence = id->sequence;
 	admit(entry, service, call, request->caller_ref);
 }
 
@@ -246,56 +241,53 @@
  * seals the id, or a late copy would run once the method is declared. FALSE when
  * the id does not stand in the way of a refusal.
  */
-static gboolean decided_by_id(entry_t *entry, const call_request_t *request)
+static gboolean decided_by_id(entry_t *entry, const call_request_t *request,
+			      const request_id_t *id)
 {
 	const held_answer_t *held = NULL;
 	request_id_state_t state;
-	request_id_t id;
 
-	if (!request->request_id ||
-	    !request_id_parse(request->request_id, &id, NULL))
-		return FALSE;
-	if (!is_own_id(entry, &id)) {
-		call_issuer(entry, request, &id, 0);
+	if (!is_own_id(entry, id)) {
+		call_issuer(entry, request, id, 0);
 		return TRUE;
 	}
-	state = request_ids_begin(entry->ids, id.sequence, fingerprint(request),
-				  entry_now(entry), &held);
+	state = request_ids_begin(entry->ids, id->sequence,
+				  fingerprint(request), entry_now(entry),
+				  &held);
 	if (state == REQUEST_ID_FRESH) {
-		request_ids_seal(entry->ids, id.sequence);
+		request_ids_seal(entry->ids, id->sequence);
 		return FALSE;
 	}
-	answer_by_id_state(entry, request, id.sequence, state, held);
+	answer_by_id_state(entry, request, id->sequence, state, held);
 	return TRUE;
 }
 
 /* TRUE for a copy of a request that came when its method was not idempotent. */
-static gboolean is_recorded(entry_t *entry, const call_request_t *request)
+static gboolean is_recorded(entry_t *entry, const request_id_t *id)
 {
-	request_id_t id;
-
-	return request->request_id &&
-	       request_id_parse(request->request_id, &id, NULL) &&
-	       is_own_id(entry, &id) &&
-	       request_ids_has_record(entry->ids, id.sequence);
+	return is_own_id(entry, id) &&
+	       request_ids_has_record(entry->ids, id->sequence);
 }
 
 void entry_call(entry_t *entry, const call_request_t *request)
 {
 	const schema_method_t *method;
 	entry_service_t *service;
-	catk_error_t error;
+	catk_error_t error, id_error;
+	request_id_t id;
+	gboolean has_id = request->request_id &&
+			  request_id_parse(request->request_id, &id, &id_error);
 
 	counters_add(entry->counters, COUNTER_CALLS_RECEIVED, 1);
 	method = find_method(entry, request, &error);
 	if (!method) {
-		if (!decided_by_id(entry, request))
+		if (!has_id || !decided_by_id(entry, request, &id))
 			entry_answer_error(entry, request->caller_ref, &error);
 		return;
 	}
 	service = entry_find_service(entry, request->service);
 	if (!entry_call_rule(entry)->keeps_records ||
-	    (method->idempotent && !is_recorded(entry, request))) {
+	    (method->idempotent && !(has_id && is_recorded(entry, &id)))) {
 		admit(entry, service, new_call(entry, request, method),
 		      request->caller_ref);
 		return;
@@ -308,7 +300,10 @@
 		entry_answer_error(entry, request->caller_ref, &error);
 		return;
 	}
-	call_with_id(entry, service, method, request);
+	if (has_id)
+		call_with_id(entry, service, method, request, &id);
+	else
+		entry_answer_error(entry, request->caller_ref, &id_error);
 }
 
 void entry_cancel(entry_t *entry, void *caller_ref)
--- a/lib/request_id/request_id.c
+++ b/lib/request_id/request_id.c
@@ -72,13 +72,6 @@
 	return ok;
 }
 
-void request_id_format(const request_id_t *id, char *text)
-{
-	g_snprintf(text, REQUEST_ID_TEXT_MAX,
-		   "%s.%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT, id->instance,
-		   id->incarnation, id->sequence);
-}
-
 request_ids_t *request_ids_new(const request_ids_limits_t *limits,
 			       counters_t *counters)
 {
--- a/lib/request_id/request_id.h
+++ b/lib/request_id/request_id.h
@@ -30,9 +30,6 @@
 gboolean request_id_parse(const char *text, request_id_t *id,
 			  catk_error_t *err);
 
-/* Writes the text form. text holds REQUEST_ID_TEXT_MAX bytes. */
-void request_id_format(const request_id_t *id, char *text);
-
 typedef struct request_ids request_ids_t;
 
 /* What the issuer knows about an id. */
--- a/lib/schema/schema.c
+++ b/lib/schema/schema.c
@@ -170,8 +170,7 @@
 	return TRUE;
 }
 
-/* An IPv4 address and a port, as processes talk by IP numbers. */
-static gboolean address_is_valid(const char *address)
+gboolean schema_address_is_valid(const char *address)
 {
 	const char *colon = strrchr(address, ':');
 	gchar *host;
@@ -191,7 +190,7 @@
 {
 	schema_endpoint_t *endpoint;
 
-	if (!address_is_valid(address)) {
+	if (!schema_address_is_valid(address)) {
 		catk_error_set(err, CATK_INVALID_ARGUMENT, OUTCOME_NOT_RUN,
 			       "endpoint \"%s\" is not valid: write ip:port "
 			       "with a port from 1 to 65535",
--- a/lib/schema/schema.h
+++ b/lib/schema/schema.h
@@ -165,6 +165,9 @@
 const schema_route_t *schema_match_route(const schema_t *schema,
 					 const char *host, const char *path);
 
+/* TRUE for an IP address and a port, "ip:port": processes use no names. */
+gboolean schema_address_is_valid(const char *address);
+
 /* The service of that name, or NULL. */
 const schema_service_t *schema_find_service(const schema_t *schema,
 					    const char *name);
--- a/lib/upstream/upstream.c
+++ b/lib/upstream/upstream.c
@@ -453,8 +453,3 @@
 {
 	return (GTimeSpan)upstream->latency;
 }
-
-guint upstream_in_flight(const upstream_t *upstream)
-{
-	return upstream->in_flight;
-}
--- a/lib/upstream/upstream.h
+++ b/lib/upstream/upstream.h
@@ -211,9 +211,6 @@
 /* Mean latency of recent answers, 0 when none is known. */
 GTimeSpan upstream_mean_latency(const upstream_t *upstream);
 
-/* Attempts in flight from this entry. */
-guint upstream_in_flight(const upstream_t *upstream);
-
 void upstream_dump(const upstream_t *upstream, const dump_writer_t *writer,
 		   GTimeSpan now);
 
