--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -229,7 +229,8 @@
 		}
 	}
 	reply(exchange, 200, "{}");
-	while (store.held->len && strcmp(mode, "silent") != 0)
+	/* The reply has freed the request, and mode with it. */
+	while (store.held->len && strcmp(store.fault, "silent") != 0)
 		serve(g_ptr_array_steal_index(store.held, 0));
 }
 
