--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -335,19 +335,19 @@
 }
 
 /*
- * Each instance has its part of the credit that all may save. More instances
- * than entries_max share it, too, once they are known.
+ * Each instance has its part of what all may do: connections to an endpoint, and
+ * saved retries. More live instances than entries_max share it, too.
  */
-static void share_retry_credit(const entry_t *entry, entry_service_t *service)
+static void share_limits(const entry_t *entry, entry_service_t *service)
 {
-	guint live = entry_count_live(entry);
+	guint instances =
+		MAX(entry_count_live(entry), entry->limits.entries_max);
 
+	upstream_share_among(service->upstream, instances);
 	if (entry->limits.retry_saved)
 		retry_budget_set_saved(
 			&service->retries,
-			MAX(entry->limits.retry_saved /
-				    MAX(live, entry->limits.entries_max),
-			    1));
+			MAX(entry->limits.retry_saved / instances, 1));
 }
 
 static void housekeeping(entry_t *entry)
@@ -358,7 +358,7 @@
 		entry_now(entry) + ENTRY_HOUSEKEEPING_INTERVAL;
 	request_ids_expire(entry->ids, entry_now(entry));
 	TAILQ_FOREACH (service, &entry->services, link) {
-		share_retry_credit(entry, service);
+		share_limits(entry, service);
 		if (service->declared)
 			send_probes(entry, service);
 	}
--- a/lib/upstream/routing_expected_latency.c
+++ b/lib/upstream/routing_expected_latency.c
@@ -14,7 +14,7 @@
 
 /* Service time when neither the call nor the upstream knows one. */
 #define WORK_UNKNOWN (100 * G_TIME_SPAN_MILLISECOND)
-/* Slowdowns of neighbours last about this long (docs/platform.md). */
+/* Slowdowns by neighbours last about this long (docs/decisions/placing.md). */
 #define SLOWDOWN_MEMORY (150 * G_TIME_SPAN_MILLISECOND)
 /* Usual slowdown before any report, in percent. */
 #define SLOWDOWN_USUAL 150.0
--- a/lib/upstream/upstream.c
+++ b/lib/upstream/upstream.c
@@ -77,6 +77,7 @@
 	upstream->counters = counters;
 	upstream->slots = 1;
 	upstream->connections = 1;
+	upstream->sharing = limits->entries_max;
 	upstream->routing = new_routing(upstream);
 	upstream->open = g_ptr_array_new();
 	upstream->reserve = g_ptr_array_new();
@@ -343,9 +344,15 @@
 	return earliest;
 }
 
+void upstream_share_among(upstream_t *upstream, guint entries)
+{
+	g_assert(entries >= 1);
+	upstream->sharing = entries;
+}
+
 guint upstream_connection_share(const upstream_t *upstream)
 {
-	return MAX(upstream->connections / upstream->limits.entries_max, 1);
+	return MAX(upstream->connections / upstream->sharing, 1);
 }
 
 void upstream_attempt_started(upstream_t *upstream, const char *id,
--- a/lib/upstream/upstream.h
+++ b/lib/upstream/upstream.h
@@ -143,8 +143,9 @@
 			   const char **ids, guint max, GTimeSpan now);
 
 /*
- * Learns from an answer how much a full endpoint slows work down. pace is the
- * service time, less the reported slowdown, over the call's usual one.
+ * Learns from an answer of the endpoint of that id how fast it works, and how
+ * much a full endpoint slows work down. pace is the service time, less the
+ * slowdown at its start, over the call's usual one.
  */
 void upstream_learn_pace(upstream_t *upstream, const char *id,
 			 const load_report_t *report, double pace,
@@ -183,6 +184,12 @@
 /* The address of an endpoint, NULL when the id is not known. */
 const char *upstream_address_of(const upstream_t *upstream, const char *id);
 
+/*
+ * Divides the connections of an endpoint by this number of entries, at least 1,
+ * in place of entries_max.
+ */
+void upstream_share_among(upstream_t *upstream, guint entries);
+
 /* Connections that this entry may hold to one endpoint, at least 1. */
 guint upstream_connection_share(const upstream_t *upstream);
 
--- a/lib/upstream/upstream_internal.h
+++ b/lib/upstream/upstream_internal.h
@@ -84,6 +84,7 @@
 	counters_t *counters;
 	guint slots;
 	guint connections;
+	guint sharing; /* entries that share them */
 	double probes_per_second;
 	guint endpoint_count;
 	guint in_flight;
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -12,6 +12,11 @@
 #define IDLE_DEFAULT (4 * G_TIME_SPAN_SECOND)
 /* Taken off the time that the peer states: it closes while a request travels. */
 #define IDLE_MARGIN (1 * G_TIME_SPAN_SECOND)
+/*
+ * Idle connections kept to one peer. An endpoint resets connections beyond a
+ * bound for all instances together, and mostly one or two are in use.
+ */
+#define IDLE_CONNECTIONS_MAX 2
 #define TICK_INTERVAL_MS 20
 
 typedef struct peer peer_t;
@@ -98,6 +103,25 @@
 	return MAX(time - IDLE_MARGIN, time / 2);
 }
 
+static void keep_idle(client_connection_t *connection,
+		      const http_message_t *answer)
+{
+	peer_t *peer = connection->peer;
+	client_connection_t *oldest;
+	guint count = 0;
+
+	g_hash_table_remove(peer->client->by_id, &connection->id);
+	TAILQ_REMOVE(&peer->busy, connection, link);
+	connection->id = 0;
+	connection->idle_since = client_now(peer->client);
+	connection->idle_max = stated_idle_time(answer);
+	TAILQ_INSERT_HEAD(&peer->idle, connection, link);
+	TAILQ_FOREACH (oldest, &peer->idle, link)
+		count++;
+	if (count > IDLE_CONNECTIONS_MAX)
+		connection_free(TAILQ_LAST(&peer->idle, idle_list));
+}
+
 /* Keeps or closes the connection, then hands the answer over. */
 static void finish(client_connection_t *connection, gboolean clean)
 {
@@ -110,16 +134,10 @@
 
 	/* A request that is still being written is due at the endpoint. */
 	if (clean && answer->keeps_connection &&
-	    !stream_bytes_waiting(connection->stream)) {
-		g_hash_table_remove(client->by_id, &connection->id);
-		TAILQ_REMOVE(&connection->peer->busy, connection, link);
-		connection->id = 0;
-		connection->idle_since = client_now(client);
-		connection->idle_max = stated_idle_time(answer);
-		TAILQ_INSERT_HEAD(&connection->peer->idle, connection, link);
-	} else {
+	    !stream_bytes_waiting(connection->stream))
+		keep_idle(connection, answer);
+	else
 		connection_free(connection);
-	}
 	client->events.ended(client->events.ctx, id, &result);
 	http_message_free(answer);
 }
--- /dev/null
+++ b/tests/test_http_client.c
@@ -0,0 +1,219 @@
+/*
+ * Guards what the HTTP client reports of a request: whether a byte of it left,
+ * and that it repeats nothing by itself.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <string.h>
+
+#include "net/address.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/system_clock.h"
+#include "tests/support.h"
+
+enum { SERVER_PORT = 720, CLOSED_PORT = 721 };
+
+#define REQUESTS_MAX 8
+
+typedef struct {
+	http_server_t *server;
+	http_client_t *client;
+	guint served;
+	gboolean holds; /* the server answers nothing */
+	http_exchange_t *held[REQUESTS_MAX];
+	guint gone;
+	guint ended;
+	http_client_end_t ends[REQUESTS_MAX]; /* by request id */
+	gboolean reused[REQUESTS_MAX];
+} fixture_t;
+
+static void on_request(void *ctx, http_exchange_t *exchange)
+{
+	fixture_t *f = ctx;
+
+	f->held[f->served++] = exchange;
+	if (!f->holds)
+		http_exchange_reply(exchange, 200, "", NULL);
+}
+
+static void on_gone(void *ctx, http_exchange_t *exchange)
+{
+	fixture_t *f = ctx;
+
+	(void)exchange;
+	f->gone++;
+}
+
+static schema_request_limits_t no_limits(void *ctx)
+{
+	(void)ctx;
+	return (schema_request_limits_t){ 0 };
+}
+
+static void on_ended(void *ctx, guint64 id, const http_client_result_t *result)
+{
+	fixture_t *f = ctx;
+
+	f->ended++;
+	f->ends[id] = result->end;
+	f->reused[id] = result->reused;
+}
+
+static gboolean on_belongs(void *ctx, guint64 id, const http_message_t *answer)
+{
+	(void)ctx;
+	(void)id;
+	(void)answer;
+	return TRUE;
+}
+
+static gchar *address_of(guint offset)
+{
+	return g_strdup_printf("127.0.0.1:%u", support_port(offset));
+}
+
+static int set_up(void **state)
+{
+	fixture_t *f = g_new0(fixture_t, 1);
+	http_server_events_t server_events = { .request = on_request,
+					       .gone = on_gone,
+					       .limits = no_limits,
+					       .ctx = f };
+	http_client_events_t client_events = { .ended = on_ended,
+					       .belongs = on_belongs,
+					       .ctx = f };
+	gchar *address = address_of(SERVER_PORT);
+
+	f->server =
+		http_server_new(address, &server_events, &system_clock, NULL);
+	assert_non_null(f->server);
+	f->client = http_client_new(&client_events, &system_clock);
+	g_free(address);
+	*state = f;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	fixture_t *f = *state;
+
+	http_client_free(f->client);
+	http_server_free(f->server);
+	g_free(f);
+	return 0;
+}
+
+static void send_request(fixture_t *f, guint64 id, guint port,
+			 GTimeSpan timeout, GTimeSpan idle_max)
+{
+	gchar *address = address_of(port);
+	http_client_request_t request = {
+		.id = id,
+		.address = address,
+		.message = g_string_new("PUT /x HTTP/1.1\r\nHost: a\r\n\r\n"),
+		.timeout = timeout,
+		.idle_max = idle_max,
+	};
+
+	http_client_send(f->client, &request);
+	g_string_free(request.message, TRUE);
+	g_free(address);
+}
+
+static void run_until_ended(const fixture_t *f, guint count)
+{
+	gint64 limit = g_get_monotonic_time() + 5 * G_TIME_SPAN_SECOND;
+
+	while (f->ended < count && g_get_monotonic_time() < limit)
+		g_main_context_iteration(NULL, FALSE);
+	assert_int_equal(f->ended, count);
+}
+
+/* Fails when a refused connection looks like a request that may have run. */
+static void refused_connection_is_not_sent(void **state)
+{
+	fixture_t *f = *state;
+
+	send_request(f, 1, CLOSED_PORT, 0, 0);
+	run_until_ended(f, 1);
+	assert_int_equal(f->ends[1], HTTP_CLIENT_NOT_SENT);
+}
+
+/* Fails when a kept connection is used although it was to be a new one. */
+static void kept_connection_is_used_when_allowed(void **state)
+{
+	fixture_t *f = *state;
+
+	send_request(f, 1, SERVER_PORT, 0, G_TIME_SPAN_SECOND);
+	run_until_ended(f, 1);
+	send_request(f, 2, SERVER_PORT, 0, G_TIME_SPAN_SECOND);
+	run_until_ended(f, 2);
+	send_request(f, 3, SERVER_PORT, 0, 0);
+	run_until_ended(f, 3);
+	assert_false(f->reused[1]);
+	assert_true(f->reused[2]);
+	assert_false(f->reused[3]);
+}
+
+/* Fails when a request whose server went away is sent again or looks unsent. */
+static void closed_connection_fails_once(void **state)
+{
+	fixture_t *f = *state;
+
+	f->holds = TRUE;
+	send_request(f, 1, SERVER_PORT, 0, 0);
+	while (!f->served)
+		g_main_context_iteration(NULL, FALSE);
+	http_server_free(f->server);
+	f->server = NULL;
+	run_until_ended(f, 1);
+	assert_int_equal(f->ends[1], HTTP_CLIENT_FAILED);
+	assert_int_equal(f->served, 1);
+}
+
+/* Fails when a server that answers nothing holds a request for ever. */
+static void silent_server_times_out(void **state)
+{
+	fixture_t *f = *state;
+
+	f->holds = TRUE;
+	send_request(f, 1, SERVER_PORT, 100 * G_TIME_SPAN_MILLISECOND, 0);
+	run_until_ended(f, 1);
+	assert_int_equal(f->ends[1], HTTP_CLIENT_TIMED_OUT);
+	run_loop_for(100);
+	assert_int_equal(f->gone, 1);
+}
+
+/* Fails when a cancelled request leaves its connection open. */
+static void cancelled_request_closes_its_connection(void **state)
+{
+	fixture_t *f = *state;
+
+	f->holds = TRUE;
+	send_request(f, 1, SERVER_PORT, 0, 0);
+	while (!f->served)
+		g_main_context_iteration(NULL, FALSE);
+	http_client_cancel(f->client, 1);
+	run_loop_for(100);
+	assert_int_equal(f->gone, 1);
+	assert_int_equal(f->ended, 0);
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		TEST(refused_connection_is_not_sent),
+		TEST(kept_connection_is_used_when_allowed),
+		TEST(closed_connection_fails_once),
+		TEST(silent_server_times_out),
+		TEST(cancelled_request_closes_its_connection),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_probe_budget.c
+++ b/tests/test_probe_budget.c
@@ -65,9 +65,27 @@
 			 0);
 }
 
+/* Fails when a burst adds more than its probes to the bound of an entry. */
+static void burst_is_bounded(void **state)
+{
+	probe_budget_t budget;
+	guint count = 0;
+
+	(void)state;
+	probe_budget_init(&budget, BUDGET, ENTRIES, START);
+	probe_budget_set_burst(&budget, 5);
+	while (probe_budget_take(&budget, START + budget.interval))
+		count++;
+	assert_in_range(count, 1, 5);
+	while (probe_budget_take(&budget, START + 1000 * budget.interval))
+		count++;
+	assert_in_range(count, 5, 10);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(burst_is_bounded),
 		cmocka_unit_test(shares_stay_within_budget),
 		cmocka_unit_test(pause_and_restart_save_nothing),
 		cmocka_unit_test(zero_turns_probing_off),
