--- /dev/null
+++ b/codec/resolve_json.h
@@ -0,0 +1,13 @@
+/* The answer of a resolve in JSON. */
+#ifndef CATK_RESOLVE_JSON_H
+#define CATK_RESOLVE_JSON_H
+
+#include <json-glib/json-glib.h>
+
+#include "lib/entry/entry.h"
+
+/* Adds the member "addresses" to the object that builder is in. */
+void resolve_json_add_addresses(JsonBuilder *builder,
+				const resolve_result_t *result);
+
+#endif
--- a/net/caller_api.c
+++ b/net/caller_api.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "codec/resolve_json.h"
 #include "lib/common/intrusive.h"
 #include "net/http_reply.h"
 
@@ -301,14 +302,9 @@
 			  const resolve_result_t *result)
 {
 	JsonBuilder *builder = json_builder_new();
-	guint i;
 
 	json_builder_begin_object(builder);
-	json_builder_set_member_name(builder, "addresses");
-	json_builder_begin_array(builder);
-	for (i = 0; i < result->address_count; i++)
-		json_builder_add_string_value(builder, result->addresses[i]);
-	json_builder_end_array(builder);
+	resolve_json_add_addresses(builder, result);
 	json_builder_set_member_name(builder, "ttl_ms");
 	json_builder_add_int_value(builder,
 				   result->ttl / G_TIME_SPAN_MILLISECOND);
