--- a/lib/upstream/routing_expected_latency.c
+++ b/lib/upstream/routing_expected_latency.c
@@ -32,7 +32,10 @@
 #define TIE_FACTOR 1.1
 /* An endpoint just started takes about twice as long. */
 #define COLD_FACTOR 2.0
-/* Slowdown of a full endpoint before any is learnt. */
+/*
+ * Slowdown of a full endpoint before any is learnt, and its bound; a trial
+ * measured 1.5 for the last of three slots.
+ */
 #define LAST_SLOT_FACTOR 1.3
 #define LAST_SLOT_WEIGHT 0.02
 #define LAST_SLOT_MAX 4.0
--- a/lib/upstream/upstream.h
+++ b/lib/upstream/upstream.h
@@ -93,7 +93,7 @@
 	const char *avoid; /* id to use only when there is no other, or NULL */
 	GTimeSpan work; /* usual service time, 0 for unknown */
 	GTimeSpan objective; /* time left to the objective, 0 for none */
-	gboolean far_allowed; /* to another data centre, when it is in time */
+	gboolean far_allowed; /* other data centres may be asked for reports */
 	gboolean blind_allowed; /* to an endpoint without a recent report */
 } upstream_need_t;
 
