--- a/lib/catalogue/catalogue.c
+++ b/lib/catalogue/catalogue.c
@@ -212,8 +212,3 @@
 			earliest = MIN(earliest, item->removal);
 	return earliest;
 }
-
-guint catalogue_size(const catalogue_t *catalogue)
-{
-	return catalogue->count;
-}
--- a/lib/catalogue/catalogue.h
+++ b/lib/catalogue/catalogue.h
@@ -69,7 +69,4 @@
 /* Instant of the next removal, CATK_NEVER for none. */
 GTimeSpan catalogue_next_wakeup(const catalogue_t *catalogue);
 
-/* Endpoints of all services. */
-guint catalogue_size(const catalogue_t *catalogue);
-
 #endif
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -62,9 +62,6 @@
 /* Starts waiting calls for which an endpoint has room. */
 void entry_dispatch(entry_t *entry, entry_service_t *service);
 
-/* Queues a call, new or to be retried, and starts it when there is room. */
-void entry_queue_call(entry_t *entry, entry_service_t *service, call_t *call);
-
 /*
  * Asks endpoints for their load, then queues the call. A call that is not
  * routed is queued at once.
@@ -101,9 +98,6 @@
 GTimeSpan entry_return_time(entry_t *entry, const entry_service_t *service,
 			    const call_t *call, gboolean soon);
 
-/* Refuses a routed call that finds no room in time. */
-void entry_refuse_for_room(entry_t *entry, call_t *call);
-
 /* A report has come, or none will. */
 void entry_measure_take(entry_t *entry, entry_service_t *service,
 			const char *endpoint);
--- a/lib/entry/entry_measure.c
+++ b/lib/entry/entry_measure.c
@@ -83,7 +83,8 @@
 	return (GTimeSpan)(part * (double)(call->deadline - now));
 }
 
-void entry_refuse_for_room(entry_t *entry, call_t *call)
+/* Refuses a routed call that finds no room in time. */
+static void refuse_for_room(entry_t *entry, call_t *call)
 {
 	catk_error_t error;
 
@@ -115,7 +116,8 @@
 	entry_dispatch(entry, service);
 }
 
-void entry_queue_call(entry_t *entry, entry_service_t *service, call_t *call)
+/* Queues a call, new or to be retried, and starts it when there is room. */
+static void queue_call(entry_t *entry, entry_service_t *service, call_t *call)
 {
 	if (!call->attempts_made && !call->unsent) {
 		offer_call(entry, service, call);
@@ -174,7 +176,7 @@
 	      ask(entry, service, call, SCOPE_NEAR)) ||
 	     (need.far_allowed && ask(entry, service, call, SCOPE_FAR))))
 		return;
-	entry_queue_call(entry, service, call);
+	queue_call(entry, service, call);
 }
 
 /*
@@ -211,7 +213,7 @@
 	if (call->routed)
 		go_on(entry, service, call);
 	else
-		entry_queue_call(entry, service, call);
+		queue_call(entry, service, call);
 }
 
 static void remove_pending(call_measure_t *measure, const char *endpoint)
@@ -293,7 +295,7 @@
 		if (call->queue.lane && call->queue.latest_start &&
 		    now >= call->queue.latest_start &&
 		    strcmp(call->service, name) == 0)
-			entry_refuse_for_room(entry, call);
+			refuse_for_room(entry, call);
 }
 
 void entry_measure_tick(entry_t *entry, entry_service_t *service)
--- a/lib/upstream/routing_expected_latency.c
+++ b/lib/upstream/routing_expected_latency.c
@@ -77,6 +77,16 @@
 	return usual + weight * (endpoint->report.slowdown_percent - usual);
 }
 
+/* The pace learnt from answers; it fades to that of the others. */
+static double aged_pace(const endpoint_t *endpoint, GTimeSpan now)
+{
+	double age = (double)(now - endpoint->pace_at);
+
+	if (endpoint->pace <= 0)
+		return 1;
+	return 1 + (endpoint->pace - 1) * exp(-age / PACE_MEMORY);
+}
+
 /*
  * How much slower than the others the endpoint is beyond what it reports: by
  * its answers, and by the age of the oldest request that it has not answered.
@@ -85,11 +95,8 @@
 		      GTimeSpan now)
 {
 	const flight_t *oldest = TAILQ_FIRST(&endpoint->flights);
-	double age = (double)(now - endpoint->pace_at);
-	double pace = 1;
+	double pace = aged_pace(endpoint, now);
 
-	if (endpoint->pace > 0)
-		pace += (endpoint->pace - 1) * exp(-age / PACE_MEMORY);
 	if (oldest && need->work > 0)
 		pace = MAX(pace, (double)(now - oldest->started) /
 					 (double)need->work / LATE_FACTOR);
@@ -369,11 +376,8 @@
 static void learn_endpoint_pace(endpoint_t *endpoint, double pace,
 				GTimeSpan now)
 {
-	double age = (double)(now - endpoint->pace_at);
-	double known = 1;
+	double known = aged_pace(endpoint, now);
 
-	if (endpoint->pace > 0)
-		known += (endpoint->pace - 1) * exp(-age / PACE_MEMORY);
 	endpoint->pace = known + PACE_WEIGHT * (pace - known);
 	endpoint->pace_at = now;
 }
