Ping the issuer of a forwarded call at once

Cause: only pings show that a connection is silent, and a member has its turn once in (members - 1) periods, 1.6 s with 5 members. An instance that forwards a call to a member that hangs notices after up to 1.6 s + 2 s + 0.25 s; the test pauses the issuer for 2.9 s.

Ruled out: a reset of the time by the check after a pause (the instance that counts is not paused); a longer pause in the test, which would only hide the late detection.

Change: a forwarded call pings the issuer out of turn, at most once a period.

--- a/lib/entry/entry_peers.c
+++ b/lib/entry/entry_peers.c
@@ -198,6 +198,7 @@
 	message.u.call.remaining = remaining;
 	message.u.call.body = request->body;
 	send_to_peer(entry, forward->address, &message);
+	membership_check(entry->membership, issuer->name, entry_now(entry));
 	return TRUE;
 }
 
--- a/lib/membership/membership.h
+++ b/lib/membership/membership.h
@@ -112,6 +112,14 @@
 /* Records the version in force here and tells others at once. */
 void membership_set_config_version(membership_t *membership, guint64 version);
 
+/*
+ * Pings a member out of turn, at most once in MEMBERSHIP_PERIOD: what was just
+ * sent to it waits on a connection that may be silent, and only the missing
+ * answer to a ping shows that. An unknown name is ignored.
+ */
+void membership_check(membership_t *membership, const char *name,
+		      GTimeSpan now);
+
 /* Takes a message; connection is for the answer. */
 void membership_receive(membership_t *membership, guint64 connection,
 			const membership_message_t *message, GTimeSpan now);
--- a/lib/membership/membership_internal.h
+++ b/lib/membership/membership_internal.h
@@ -10,6 +10,7 @@
 	TAILQ_ENTRY(node) to_spread; /* linked while transmissions_left > 0 */
 	guint transmissions_left;
 	GTimeSpan since; /* last change of state */
+	GTimeSpan next_check; /* instant from which membership_check() pings */
 } node_t;
 
 typedef struct seed {
--- a/lib/membership/membership_ping.c
+++ b/lib/membership/membership_ping.c
@@ -78,6 +78,16 @@
 	return node;
 }
 
+void membership_check(membership_t *membership, const char *name, GTimeSpan now)
+{
+	node_t *node = membership_find_node(membership, name);
+
+	if (!node || &node->info == membership->self || now < node->next_check)
+		return;
+	node->next_check = now + MEMBERSHIP_PERIOD;
+	send_ping(membership, node->info.peer_address, node);
+}
+
 static void tell_at_once(membership_t *membership)
 {
 	const node_t *node;
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -327,6 +327,41 @@
 			sent * MEMBERSHIP_UPDATES_MAX);
 }
 
+static guint packets_to(guint index)
+{
+	const packet_t *packet;
+	guint count = 0;
+
+	TAILQ_FOREACH (packet, &net.packets, link)
+		count += packet->to == index;
+	return count;
+}
+
+/*
+ * Fails when a member to which a call was forwarded waits for its turn to be
+ * pinged, or when each of many calls sends a ping.
+ */
+static void checked_member_is_pinged_at_once(void **state)
+{
+	membership_t *membership;
+	guint before;
+
+	(void)state;
+	start_net(18);
+	membership = net.nodes[2].membership;
+	before = packets_to(7);
+	membership_check(membership, "n7", net.now);
+	assert_int_equal(packets_to(7), before + 1);
+	membership_check(membership, "n7", net.now + STEP);
+	assert_int_equal(packets_to(7), before + 1);
+	membership_check(membership, "n7", net.now + MEMBERSHIP_PERIOD);
+	assert_int_equal(packets_to(7), before + 2);
+	before = packets_to(2);
+	membership_check(membership, "n2", net.now);
+	membership_check(membership, "unknown", net.now);
+	assert_int_equal(packets_to(2), before);
+}
+
 #define TEST(name) cmocka_unit_test_teardown(name, stop_net)
 
 int main(void)
@@ -340,6 +375,7 @@
 		TEST(broken_path_is_bridged),
 		TEST(halves_join_again),
 		TEST(load_does_not_grow_with_members),
+		TEST(checked_member_is_pinged_at_once),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
