Divide the probe budget among the instances that live

Cause: the share of an instance was budget / entries_max with entries_max 20, while 94 to 118 instances run; and a burst of 20 probes was given to each instance for each endpoint at once. docs/proof.md had the first as not proved.

Ruled out: a higher entries_max, which would leave too few probes to the small sites.

Change: the share follows the highest count of live instances of the last five minutes; four fifths of an endpoint's budget belong to the instances of its data centre; unused budget adds up to 2 s; buckets start empty.

test_upstream/probes_of_a_large_fleet_stay_within_budget plays 94 instances that ask all the time.

--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -335,19 +335,31 @@
 }
 
 /*
- * Each instance has its part of what all may do: connections to an endpoint, and
- * saved retries. More live instances than entries_max share it, too.
+ * Each instance has its part of what all may do: connections to an endpoint,
+ * probes, and saved retries. More instances than entries_max share it, too.
+ * Before others are known, the data centre counts as having entries_max.
  */
-static void share_limits(const entry_t *entry, entry_service_t *service)
+static void share_limits(entry_t *entry)
 {
-	guint instances =
-		MAX(entry_count_live(entry), entry->limits.entries_max);
-
-	upstream_share_among(service->upstream, instances);
-	if (entry->limits.retry_saved)
-		retry_budget_set_saved(
-			&service->retries,
-			MAX(entry->limits.retry_saved / instances, 1));
+	const member_t *self = membership_self(entry->membership);
+	GTimeSpan now = entry_now(entry);
+	guint live = fleet_size_take(&entry->fleet,
+				     entry_count_live(entry, NULL), now);
+	guint near = fleet_size_take(&entry->fleet_near,
+				     entry_count_live(entry, self->data_centre),
+				     now);
+	guint instances = MAX(live, entry->limits.entries_max);
+	entry_service_t *service;
+
+	near = (near * instances + live - 1) / MAX(live, 1);
+	TAILQ_FOREACH (service, &entry->services, link) {
+		upstream_share_among(service->upstream, instances, MAX(near, 1),
+				     now);
+		if (entry->limits.retry_saved)
+			retry_budget_set_saved(
+				&service->retries,
+				MAX(entry->limits.retry_saved / instances, 1));
+	}
 }
 
 static void housekeeping(entry_t *entry)
@@ -357,8 +369,8 @@
 	entry->next_housekeeping =
 		entry_now(entry) + ENTRY_HOUSEKEEPING_INTERVAL;
 	request_ids_expire(entry->ids, entry_now(entry));
+	share_limits(entry);
 	TAILQ_FOREACH (service, &entry->services, link) {
-		share_limits(entry, service);
 		if (service->declared)
 			send_probes(entry, service);
 	}
--- a/lib/entry/entry_config.c
+++ b/lib/entry/entry_config.c
@@ -35,14 +35,16 @@
 	return before < ENTRY_CONFIG_WATCHERS;
 }
 
-guint entry_count_live(const entry_t *entry)
+guint entry_count_live(const entry_t *entry, const char *data_centre)
 {
 	const member_t *member;
 	guint live = 0;
 
 	for (member = membership_first(entry->membership); member;
 	     member = membership_next(member))
-		live += member->state == MEMBER_LIVE;
+		live += member->state == MEMBER_LIVE &&
+			(!data_centre ||
+			 strcmp(member->data_centre, data_centre) == 0);
 	return live;
 }
 
@@ -62,7 +64,8 @@
 GTimeSpan entry_list_interval(const entry_t *entry, GTimeSpan shortest,
 			      guint reads_per_second)
 {
-	gint64 reads = (gint64)count_lists(entry) * entry_count_live(entry);
+	gint64 reads =
+		(gint64)count_lists(entry) * entry_count_live(entry, NULL);
 
 	return MAX(shortest, reads * G_TIME_SPAN_SECOND / reads_per_second);
 }
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -5,6 +5,7 @@
 #include "lib/admission/retry_budget.h"
 #include "lib/call/call.h"
 #include "lib/entry/entry.h"
+#include "lib/membership/fleet_size.h"
 #include "lib/route/route_deadline.h"
 #include "lib/route/route_split.h"
 
@@ -46,6 +47,8 @@
 	route_splits_t *splits;
 	route_deadlines_t *deadlines;
 
+	fleet_size_t fleet; /* instances */
+	fleet_size_t fleet_near; /* instances of this data centre */
 	GTimeSpan next_housekeeping;
 	gboolean leaving;
 	GTimeSpan left; /* instant of entry_shutdown() */
@@ -88,8 +91,11 @@
 void entry_log_endpoints(const entry_t *entry, const entry_service_t *service,
 			 const endpoint_info_t *infos, gsize count);
 
-/* Instances that are live, this one included. */
-guint entry_count_live(const entry_t *entry);
+/*
+ * Instances that are live, this one included; those of one data centre unless
+ * it is NULL.
+ */
+guint entry_count_live(const entry_t *entry, const char *data_centre);
 
 /*
  * When the caller of a refused routed call should come back. soon tells that
--- a/lib/probe/probe_budget.c
+++ b/lib/probe/probe_budget.c
@@ -1,35 +1,49 @@
 #include "lib/probe/probe_budget.h"
 
+static void set_rate(probe_budget_t *budget, double probes_per_second)
+{
+	budget->interval = CATK_NEVER;
+	if (probes_per_second > 0)
+		budget->interval =
+			(GTimeSpan)(G_TIME_SPAN_SECOND / probes_per_second);
+}
+
+static void refill(probe_budget_t *budget, GTimeSpan now)
+{
+	GTimeSpan time = MAX(now - budget->refilled, 0);
+
+	budget->refilled = MAX(now, budget->refilled);
+	if (budget->interval == CATK_NEVER)
+		return;
+	budget->saved += (double)time / (double)budget->interval;
+	budget->saved = MIN(budget->saved, budget->burst);
+}
+
 void probe_budget_init(probe_budget_t *budget, double probes_per_second,
 		       guint entries_max, GTimeSpan now)
 {
 	g_assert(entries_max >= 1);
 	budget->burst = 1;
-	if (probes_per_second <= 0) {
-		budget->interval = CATK_NEVER;
-		budget->next = CATK_NEVER;
-		return;
-	}
-	budget->interval = (GTimeSpan)(G_TIME_SPAN_SECOND * entries_max /
-				       probes_per_second);
-	budget->next = now + budget->interval;
+	budget->saved = 0;
+	budget->refilled = now;
+	set_rate(budget, probes_per_second / entries_max);
 }
 
 gboolean probe_budget_take(probe_budget_t *budget, GTimeSpan now)
 {
-	GTimeSpan saved;
-
-	if (budget->next == CATK_NEVER)
-		return FALSE;
-	saved = budget->interval * (budget->burst - 1);
-	if (now < budget->next - saved)
+	refill(budget, now);
+	if (budget->interval == CATK_NEVER || budget->saved < 1)
 		return FALSE;
-	budget->next = MAX(budget->next, now) + budget->interval;
+	budget->saved -= 1;
 	return TRUE;
 }
 
-void probe_budget_set_burst(probe_budget_t *budget, guint burst)
+void probe_budget_resize(probe_budget_t *budget, double probes_per_second,
+			 guint burst, GTimeSpan now)
 {
 	g_assert(burst >= 1);
+	refill(budget, now);
 	budget->burst = burst;
+	budget->saved = MIN(budget->saved, burst);
+	set_rate(budget, probes_per_second);
 }
--- a/lib/probe/probe_budget.h
+++ b/lib/probe/probe_budget.h
@@ -1,11 +1,11 @@
 /*
  * One entry's share of the probe budget of one endpoint.
  *
- * The share is the budget divided by the configured maximum number of entries.
- * Over any time T the fleet sends at most budget * T + entries probes, also
- * while instance lists disagree. A bucket starts empty and holds one probe,
- * so that neither a restart nor a pause saves up probes; a burst of more than
- * one adds that many to the bound of each entry.
+ * The share is the budget divided by the number of entries. Over any time T the
+ * fleet sends at most budget * T + entries probes while no entry takes the
+ * number for lower than it is. A bucket starts empty and holds one probe, so
+ * that neither a restart nor a pause saves up probes; a burst of more than one
+ * adds that many to the bound of each entry.
  */
 #ifndef CATK_PROBE_BUDGET_H
 #define CATK_PROBE_BUDGET_H
@@ -13,8 +13,9 @@
 #include "lib/common/clock.h"
 
 typedef struct {
-	GTimeSpan interval; /* CATK_NEVER when probing is off */
-	GTimeSpan next; /* instant from which one probe is allowed */
+	GTimeSpan interval; /* of one probe; CATK_NEVER when probing is off */
+	GTimeSpan refilled; /* instant up to which saved counts */
+	double saved; /* probes allowed now */
 	guint burst; /* probes that unused budget may add up to */
 } probe_budget_t;
 
@@ -25,8 +26,12 @@
 void probe_budget_init(probe_budget_t *budget, double probes_per_second,
 		       guint entries_max, GTimeSpan now);
 
-/* Lets unused budget add up to burst probes, at least 1. */
-void probe_budget_set_burst(probe_budget_t *budget, guint burst);
+/*
+ * Changes this entry's share to that many probes a second, and lets unused
+ * budget add up to burst probes, at least 1.
+ */
+void probe_budget_resize(probe_budget_t *budget, double probes_per_second,
+			 guint burst, GTimeSpan now);
 
 /* Takes the allowed probe. FALSE when none is allowed yet. */
 gboolean probe_budget_take(probe_budget_t *budget, GTimeSpan now);
--- a/lib/upstream/routing_expected_latency.c
+++ b/lib/upstream/routing_expected_latency.c
@@ -52,12 +52,6 @@
 /* An endpoint that leaves this many probes unanswered is probed last. */
 #define PROBES_UNANSWERED_MAX 2
 
-static gboolean is_near(const upstream_t *upstream, const endpoint_t *endpoint)
-{
-	return g_strcmp0(endpoint->info.data_centre,
-			 upstream->limits.data_centre) == 0;
-}
-
 static guint slots_of(const upstream_t *upstream, const endpoint_t *endpoint)
 {
 	if (!endpoint->report.slots && endpoint->info.slots)
@@ -194,7 +188,7 @@
 		endpoint_t *endpoint = candidates->items[i];
 		double cost;
 
-		if (is_near(upstream, endpoint) != near ||
+		if (upstream_is_near(upstream, endpoint) != near ||
 		    !has_room(upstream, endpoint, need, now))
 			continue;
 		cost = cost_of(upstream, endpoint, need, now);
@@ -218,7 +212,8 @@
 	const endpoint_t *endpoint;
 
 	TAILQ_FOREACH (endpoint, &upstream->endpoints, link)
-		if (is_near(upstream, endpoint) && health_takes_work(endpoint))
+		if (upstream_is_near(upstream, endpoint) &&
+		    health_takes_work(endpoint))
 			return TRUE;
 	return FALSE;
 }
@@ -247,7 +242,7 @@
 	if (!upstream->routing.trusts_reports)
 		return TRUE;
 	endpoint = upstream_choose_for(upstream, need, now);
-	return endpoint && is_near(upstream, endpoint) &&
+	return endpoint && upstream_is_near(upstream, endpoint) &&
 	       meets_objective(upstream, endpoint, need, now);
 }
 
@@ -255,7 +250,7 @@
 			    const endpoint_t *endpoint, upstream_scope_t scope,
 			    GTimeSpan now)
 {
-	return is_near(upstream, endpoint) == (scope == SCOPE_NEAR) &&
+	return upstream_is_near(upstream, endpoint) == (scope == SCOPE_NEAR) &&
 	       health_takes_work(endpoint) &&
 	       !health_is_blocked(endpoint, now) &&
 	       now >= endpoint->full_until &&
--- a/lib/upstream/upstream.c
+++ b/lib/upstream/upstream.c
@@ -78,6 +78,7 @@
 	upstream->slots = 1;
 	upstream->connections = 1;
 	upstream->sharing = limits->entries_max;
+	upstream->near_sharing = limits->entries_max;
 	upstream->routing = new_routing(upstream);
 	upstream->open = g_ptr_array_new();
 	upstream->reserve = g_ptr_array_new();
@@ -138,6 +139,43 @@
 	return endpoint ? endpoint->info.address : NULL;
 }
 
+/*
+ * Part of an endpoint's probe budget for the entries of its own data centre,
+ * which ask it first. The others share the rest: asked from far away, a probe
+ * costs bytes between data centres.
+ */
+#define PROBES_NEAR_PART 0.8
+/* Probes that unused budget may add up to, in time: calls come in bursts. */
+#define PROBE_BURST_TIME (2 * G_TIME_SPAN_SECOND)
+
+gboolean upstream_is_near(const upstream_t *upstream,
+			  const endpoint_t *endpoint)
+{
+	return g_strcmp0(endpoint->info.data_centre,
+			 upstream->limits.data_centre) == 0;
+}
+
+/* Probes a second that this entry may send to the endpoint. */
+static double probe_share(const upstream_t *upstream,
+			  const endpoint_t *endpoint)
+{
+	double budget = upstream->probes_per_second;
+
+	if (!upstream->routing.trusts_reports)
+		return budget / upstream->sharing;
+	if (upstream_is_near(upstream, endpoint))
+		return budget * PROBES_NEAR_PART / upstream->near_sharing;
+	return budget * (1 - PROBES_NEAR_PART) / upstream->sharing;
+}
+
+static guint probe_burst(const upstream_t *upstream, double share)
+{
+	guint burst =
+		(guint)(share * PROBE_BURST_TIME / (double)G_TIME_SPAN_SECOND);
+
+	return CLAMP(burst, 1, MAX(upstream->limits.probe_burst, 1));
+}
+
 /*
  * The first probe is due after one to two intervals: entries that start at the
  * same time must not probe at the same time.
@@ -145,17 +183,15 @@
 static void start_probe_budget(const upstream_t *upstream, endpoint_t *endpoint,
 			       GTimeSpan now)
 {
+	double share = probe_share(upstream, endpoint);
 	GTimeSpan delay = 0;
 
-	if (upstream->probes_per_second > 0)
+	if (share > 0)
 		delay = (GTimeSpan)(g_rand_double(upstream->random) *
-				    upstream->limits.entries_max *
-				    G_TIME_SPAN_SECOND /
-				    upstream->probes_per_second);
-	probe_budget_init(&endpoint->probes, upstream->probes_per_second,
-			  upstream->limits.entries_max, now + delay);
-	probe_budget_set_burst(&endpoint->probes,
-			       MAX(upstream->limits.probe_burst, 1));
+				    G_TIME_SPAN_SECOND / share);
+	probe_budget_init(&endpoint->probes, share, 1, now + delay);
+	probe_budget_resize(&endpoint->probes, share,
+			    probe_burst(upstream, share), now + delay);
 }
 
 void upstream_configure(upstream_t *upstream, const schema_service_t *service,
@@ -344,10 +380,23 @@
 	return earliest;
 }
 
-void upstream_share_among(upstream_t *upstream, guint entries)
+void upstream_share_among(upstream_t *upstream, guint entries,
+			  guint near_entries, GTimeSpan now)
 {
-	g_assert(entries >= 1);
+	endpoint_t *endpoint;
+
+	g_assert(entries >= 1 && near_entries >= 1);
+	if (upstream->sharing == entries &&
+	    upstream->near_sharing == near_entries)
+		return;
 	upstream->sharing = entries;
+	upstream->near_sharing = near_entries;
+	TAILQ_FOREACH (endpoint, &upstream->endpoints, link) {
+		double share = probe_share(upstream, endpoint);
+
+		probe_budget_resize(&endpoint->probes, share,
+				    probe_burst(upstream, share), now);
+	}
 }
 
 guint upstream_connection_share(const upstream_t *upstream)
--- a/lib/upstream/upstream.h
+++ b/lib/upstream/upstream.h
@@ -185,10 +185,12 @@
 const char *upstream_address_of(const upstream_t *upstream, const char *id);
 
 /*
- * Divides the connections of an endpoint by this number of entries, at least 1,
- * in place of entries_max.
+ * Divides the connections and the probes of an endpoint by this number of
+ * entries, at least 1, in place of entries_max. near_entries of them, at least
+ * 1, are in this entry's data centre. Neither may be lower than the truth.
  */
-void upstream_share_among(upstream_t *upstream, guint entries);
+void upstream_share_among(upstream_t *upstream, guint entries,
+			  guint near_entries, GTimeSpan now);
 
 /* Connections that this entry may hold to one endpoint, at least 1. */
 guint upstream_connection_share(const upstream_t *upstream);
--- a/lib/upstream/upstream_internal.h
+++ b/lib/upstream/upstream_internal.h
@@ -85,6 +85,7 @@
 	guint slots;
 	guint connections;
 	guint sharing; /* entries that share them */
+	guint near_sharing; /* of these, in this entry's data centre */
 	double probes_per_second;
 	guint endpoint_count;
 	guint in_flight;
@@ -115,6 +116,10 @@
 /* The endpoint of that id, or NULL. */
 endpoint_t *upstream_find(const upstream_t *upstream, const char *id);
 
+/* TRUE when the endpoint is in this entry's data centre. */
+gboolean upstream_is_near(const upstream_t *upstream,
+			  const endpoint_t *endpoint);
+
 /* A random candidate. */
 endpoint_t *candidates_pick(const candidates_t *candidates, GRand *random);
 
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -17,6 +17,7 @@
 	GRand *random;
 	upstream_t *upstream;
 	endpoint_info_t infos[ENDPOINTS];
+	const char *data_centre; /* of the entry, NULL for none */
 	GTimeSpan now;
 	guint chosen[ENDPOINTS];
 } fixture_t;
@@ -28,6 +29,8 @@
 	upstream_limits_t limits = { .policy = policy,
 				     .entries_max = entries,
 				     .report_stale_after = 100 * MS,
+				     .probe_burst = 20,
+				     .data_centre = f->data_centre,
 				     .instance = "entry-1" };
 	schema_service_t service = { .slots = 2,
 				     .connections = 200,
@@ -386,6 +389,50 @@
 	assert_int_equal(count, 1);
 }
 
+/* Probes that one of the entries of a fleet sends when it asks all the time. */
+static guint probes_in(fixture_t *f, guint entries, guint near_entries,
+		       GTimeSpan time)
+{
+	const GTimeSpan step = 20 * MS;
+	const GTimeSpan end = f->now + time;
+	const char *ids[ENDPOINTS];
+	guint count = 0;
+
+	use_policy(f, ROUTING_EXPECTED_LATENCY, 20);
+	upstream_share_among(f->upstream, entries, near_entries, f->now);
+	for (; f->now < end; f->now += step) {
+		count += upstream_plan_probes(f->upstream, SCOPE_NEAR, ids,
+					      ENDPOINTS, f->now);
+		count += upstream_plan_probes(f->upstream, SCOPE_FAR, ids,
+					      ENDPOINTS, f->now);
+	}
+	return count;
+}
+
+/*
+ * Fails when more instances than the setting names send more probes than the
+ * budget: 94 instances that all ask for reports sent 110 probes a second to an
+ * endpoint whose budget was 42.
+ */
+static void probes_of_a_large_fleet_stay_within_budget(void **state)
+{
+	const guint entries = 94, near_entries = 24, seconds = 40;
+	const guint budget = 10 * seconds; /* of use_policy(), an endpoint */
+	fixture_t *f = *state;
+	guint near, far, i;
+
+	for (i = 0; i < ENDPOINTS; i++)
+		g_strlcpy(f->infos[i].data_centre, "east",
+			  sizeof(f->infos[i].data_centre));
+	f->data_centre = "east";
+	near = probes_in(f, entries, near_entries,
+			 seconds * G_TIME_SPAN_SECOND);
+	f->data_centre = "west";
+	far = probes_in(f, entries, near_entries, seconds * G_TIME_SPAN_SECOND);
+	assert_in_range(near * near_entries + far * (entries - near_entries),
+			ENDPOINTS * budget / 2, ENDPOINTS * budget);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
@@ -407,6 +454,7 @@
 		TEST(subset_replaces_a_blocked_endpoint),
 		TEST(limit_is_learnt),
 		TEST(probe_goes_only_where_it_is_of_use),
+		TEST(probes_of_a_large_fleet_stay_within_budget),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
