--- a/codec/peer_codec.c
+++ b/codec/peer_codec.c
@@ -165,6 +165,67 @@
 	return pack(&envelope, message);
 }
 
+static GByteArray *encode_subscribe(const peer_message_t *message)
+{
+	Catk__Envelope envelope = CATK__ENVELOPE__INIT;
+	Catk__Subscribe wire = CATK__SUBSCRIBE__INIT;
+
+	wire.incarnation = message->u.subscribe.position.incarnation;
+	wire.change = message->u.subscribe.position.change;
+	wire.own_only = message->u.subscribe.own_only;
+	envelope.body_case = CATK__ENVELOPE__BODY_SUBSCRIBE;
+	envelope.subscribe = &wire;
+	return pack(&envelope, message);
+}
+
+static void statement_to_wire(const catalogue_statement_t *statement,
+			      Catk__Endpoint *wire)
+{
+	const catalogue_entry_t *entry = &statement->entry;
+
+	catk__endpoint__init(wire);
+	wire->state = statement->state;
+	wire->id = (char *)entry->info.id;
+	wire->address = (char *)entry->info.address;
+	wire->data_centre = (char *)entry->info.data_centre;
+	wire->service = (char *)entry->service;
+	wire->leaving = entry->info.leaving;
+	wire->slots = entry->info.slots;
+	wire->cold_for_us = (guint64)MAX(entry->info.cold_for, 0);
+	wire->born = entry->born;
+	wire->sequence = entry->sequence;
+	wire->revision = entry->revision;
+}
+
+static GByteArray *encode_endpoints(const peer_message_t *message)
+{
+	const peer_endpoints_t *endpoints = &message->u.endpoints;
+	Catk__Envelope envelope = CATK__ENVELOPE__INIT;
+	Catk__Endpoints wire = CATK__ENDPOINTS__INIT;
+	Catk__Endpoint *items = g_new(Catk__Endpoint, endpoints->count);
+	Catk__Endpoint **pointers = g_new(Catk__Endpoint *, endpoints->count);
+	GByteArray *bytes;
+	guint i;
+
+	for (i = 0; i < endpoints->count; i++) {
+		statement_to_wire(&endpoints->statements[i], &items[i]);
+		pointers[i] = &items[i];
+	}
+	wire.name = (char *)endpoints->update.name;
+	wire.incarnation = endpoints->update.incarnation;
+	wire.from_change = endpoints->update.from;
+	wire.to_change = endpoints->update.to;
+	wire.in_contact = endpoints->update.in_contact;
+	wire.endpoints = pointers;
+	wire.n_endpoints = endpoints->count;
+	envelope.body_case = CATK__ENVELOPE__BODY_ENDPOINTS;
+	envelope.endpoints = &wire;
+	bytes = pack(&envelope, message);
+	g_free(pointers);
+	g_free(items);
+	return bytes;
+}
+
 GByteArray *peer_codec_encode(const peer_message_t *message)
 {
 	Catk__Envelope envelope = CATK__ENVELOPE__INIT;
@@ -195,6 +256,10 @@
 		envelope.body_case = CATK__ENVELOPE__BODY_FORWARD_CANCEL;
 		envelope.forward_cancel = &cancel;
 		break;
+	case PEER_SUBSCRIBE:
+		return encode_subscribe(message);
+	case PEER_ENDPOINTS:
+		return encode_endpoints(message);
 	}
 	return pack(&envelope, message);
 }
@@ -284,6 +349,61 @@
 	return TRUE;
 }
 
+static gboolean statement_from_wire(const Catk__Endpoint *wire,
+				    catalogue_statement_t *statement)
+{
+	catalogue_entry_t *entry = &statement->entry;
+	endpoint_info_t *info = &entry->info;
+
+	memset(statement, 0, sizeof(*statement));
+	if (!wire->id[0] || wire->state > CATALOGUE_REMOVED ||
+	    wire->cold_for_us > G_TIME_SPAN_DAY)
+		return FALSE;
+	statement->state = (catalogue_state_t)wire->state;
+	info->leaving = wire->leaving;
+	info->slots = wire->slots;
+	info->cold_for = (GTimeSpan)wire->cold_for_us;
+	entry->born = wire->born;
+	entry->sequence = wire->sequence;
+	entry->revision = wire->revision;
+	return copy_text(info->id, sizeof(info->id), wire->id) &&
+	       copy_text(info->address, sizeof(info->address), wire->address) &&
+	       copy_text(info->data_centre, sizeof(info->data_centre),
+			 wire->data_centre) &&
+	       copy_text(entry->service, sizeof(entry->service), wire->service);
+}
+
+/* Allocates the statements, also when it returns FALSE. */
+static gboolean decode_endpoints(const Catk__Endpoints *wire,
+				 peer_endpoints_t *endpoints)
+{
+	catalogue_statement_t *statements;
+	guint i;
+
+	if (wire->n_endpoints > PEER_ENDPOINTS_MAX)
+		return FALSE;
+	statements = g_new(catalogue_statement_t, wire->n_endpoints);
+	endpoints->statements = statements;
+	endpoints->count = (guint)wire->n_endpoints;
+	endpoints->update.name = wire->name;
+	endpoints->update.incarnation = wire->incarnation;
+	endpoints->update.from = wire->from_change;
+	endpoints->update.to = wire->to_change;
+	endpoints->update.in_contact = wire->in_contact;
+	for (i = 0; i < endpoints->count; i++)
+		if (!statement_from_wire(wire->endpoints[i], &statements[i]))
+			return FALSE;
+	return TRUE;
+}
+
+static void decode_subscribe(const Catk__Subscribe *wire,
+			     peer_subscribe_t *subscribe)
+{
+	subscribe->position.incarnation = wire->incarnation;
+	subscribe->position.change = wire->change;
+	subscribe->own_only = wire->own_only;
+}
+
 static gboolean decode_body(const Catk__Envelope *wire, peer_message_t *message)
 {
 	message->config_version = wire->config_version;
@@ -316,6 +436,13 @@
 		message->kind = PEER_FORWARD_CANCEL;
 		message->u.cancelled = wire->forward_cancel->number;
 		return TRUE;
+	case CATK__ENVELOPE__BODY_SUBSCRIBE:
+		message->kind = PEER_SUBSCRIBE;
+		decode_subscribe(wire->subscribe, &message->u.subscribe);
+		return TRUE;
+	case CATK__ENVELOPE__BODY_ENDPOINTS:
+		message->kind = PEER_ENDPOINTS;
+		return decode_endpoints(wire->endpoints, &message->u.endpoints);
 	default:
 		return FALSE;
 	}
@@ -336,6 +463,9 @@
 	case PEER_FORWARD_ANSWER:
 		g_clear_pointer(&message->u.answer.body, g_bytes_unref);
 		break;
+	case PEER_ENDPOINTS:
+		g_free((gpointer)message->u.endpoints.statements);
+		break;
 	default:
 		break;
 	}
--- a/codec/settings_json.c
+++ b/codec/settings_json.c
@@ -82,8 +82,8 @@
 	  FIELD_INT64, 0, 1000, 10, "probes/s",
 	  "probe budget of an endpoint that the metadata store names, over "
 	  "all instances" },
-	{ "change_bound_ms", offsetof(settings_t, change_bound_ms), FIELD_INT64,
-	  300, 60000, 2000, "ms",
+	{ "change_bound_ms", ENTRY_FIELD(change_bound), FIELD_MILLISECONDS, 300,
+	  60000, 2000, "ms",
 	  "time in which a change in the metadata store must be known; a third "
 	  "of it passes between two watches that bring changes" },
 	{ "retry_saved", ENTRY_FIELD(retry_saved), FIELD_UINT, 0, 100000, 0,
--- a/codec/settings_json.h
+++ b/codec/settings_json.h
@@ -24,7 +24,6 @@
 	char *ready_address; /* for readiness checks */
 	char *metadata_store; /* of configuration and endpoints */
 	gint64 probes_per_second; /* of an endpoint there, by all instances */
-	gint64 change_bound_ms; /* in which a change there must be known */
 	GPtrArray *seeds; /* of char *, peer addresses to join through */
 	gint64 body_bytes_max; /* of a caller's request or an answer */
 	gint64 object_api_poll_ms; /* between two fallback reads */
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -24,6 +24,7 @@
 	entry->counters = counters;
 	entry->config = config_new(counters);
 	entry_peers_init(entry, self);
+	entry_subscription_init(entry);
 	entry->ids = request_ids_new(&limits->request_ids, counters);
 	TAILQ_INIT(&entry->services);
 	TAILQ_INIT(&entry->calls);
@@ -75,6 +76,7 @@
 	route_deadlines_free(entry->deadlines);
 	request_ids_free(entry->ids);
 	entry_peers_free(entry);
+	entry_subscription_free(entry);
 	config_free(entry->config);
 	g_free(entry);
 }
@@ -167,6 +169,9 @@
 	if (result == CONFIG_IN_FORCE) {
 		configure_services(entry);
 		entry_log_config(entry);
+		catalogue_report_all(entry->catalogue);
+		subscription_tell_all(entry->subscription);
+		entry_endpoints_changed(entry);
 	}
 	return result;
 }
@@ -370,6 +375,7 @@
 		entry_now(entry) + ENTRY_HOUSEKEEPING_INTERVAL;
 	request_ids_expire(entry->ids, entry_now(entry));
 	share_limits(entry);
+	entry_subscription_tick(entry);
 	TAILQ_FOREACH (service, &entry->services, link) {
 		if (service->declared)
 			send_probes(entry, service);
--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -12,6 +12,7 @@
 #define CATK_ENTRY_H
 
 #include "lib/admission/admission.h"
+#include "lib/catalogue/catalogue.h"
 #include "lib/common/clock.h"
 #include "lib/common/counters.h"
 #include "lib/common/dump.h"
@@ -25,7 +26,8 @@
 
 #define ENTRY_RESOLVE_ADDRESSES_MAX 64
 
-/* Two, so that a change is seen at once while one is paused or lost. */
+/* In a data centre; two, so that a change is seen at once while one is paused or
+ * lost. */
 #define ENTRY_CONFIG_WATCHERS 2
 
 typedef struct entry entry_t;
@@ -42,6 +44,7 @@
 	GTimeSpan resolve_ttl; /* how long a caller keeps addresses */
 	guint resolve_addresses; /* 1 to ENTRY_RESOLVE_ADDRESSES_MAX */
 	GTimeSpan shutdown_max; /* bound of a graceful shutdown */
+	GTimeSpan change_bound; /* on learning a change of the store */
 	guint concurrency_max; /* attempts at a service, 0 to learn it */
 	guint probe_fanout; /* endpoints probed per call, 0 for none */
 	/* What follows a failed attempt; NULL for call_rule_by_proof. */
@@ -194,6 +197,25 @@
 gboolean entry_set_endpoints(entry_t *entry, const char *service,
 			     const endpoint_info_t *infos, gsize count);
 
+/*
+ * The endpoints as the store tells of them, for the reader of the store. After
+ * changes, call entry_endpoints_changed().
+ */
+catalogue_t *entry_catalogue(entry_t *entry);
+
+/* Reports changes of the catalogue to services and subscribers. */
+void entry_endpoints_changed(entry_t *entry);
+
+/*
+ * TRUE when this instance should read the store. In a large fleet the sources
+ * read it, and the others only while no source serves them. Whoever begins
+ * again to read starts with a list.
+ */
+gboolean entry_reads_store(const entry_t *entry);
+
+/* A call of this instance to the store was answered or failed. */
+void entry_store_called(entry_t *entry, gboolean answered);
+
 /* Notes that a stored version of the configuration is not valid. */
 void entry_reject_config(entry_t *entry, guint64 version);
 
--- a/lib/entry/entry_config.c
+++ b/lib/entry/entry_config.c
@@ -14,27 +14,33 @@
 	return XXH3_64bits(member->name, strlen(member->name));
 }
 
-static gboolean ranks_before(const member_t *member, const member_t *self)
+static gboolean ranks_before(const member_t *member, const member_t *other)
 {
-	return member != self && member->state == MEMBER_LIVE &&
-	       strcmp(member->data_centre, self->data_centre) == 0 &&
-	       rank_of(member) > rank_of(self);
+	return member != other && member->state == MEMBER_LIVE &&
+	       strcmp(member->data_centre, other->data_centre) == 0 &&
+	       rank_of(member) > rank_of(other);
 }
 
-gboolean entry_is_config_watcher(const entry_t *entry)
+gboolean entry_is_watcher(const entry_t *entry, const member_t *member)
 {
-	const member_t *self = membership_self(entry->membership);
-	const member_t *member;
+	const member_t *other;
 	guint before = 0;
 
-	if (self->state != MEMBER_LIVE)
+	if (!member)
+		member = membership_self(entry->membership);
+	if (member->state != MEMBER_LIVE)
 		return FALSE;
-	for (member = membership_first(entry->membership); member;
-	     member = membership_next(member))
-		before += ranks_before(member, self);
+	for (other = membership_first(entry->membership); other;
+	     other = membership_next(other))
+		before += ranks_before(other, member);
 	return before < ENTRY_CONFIG_WATCHERS;
 }
 
+gboolean entry_is_config_watcher(const entry_t *entry)
+{
+	return entry_is_watcher(entry, NULL);
+}
+
 guint entry_count_live(const entry_t *entry, const char *data_centre)
 {
 	const member_t *member;
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -44,6 +44,10 @@
 	GHashTable *calls_by_attempt; /* attempt id -> call_t */
 	GHashTable *calls_by_ref; /* caller_ref -> call_t */
 	guint64 next_attempt;
+	catalogue_t *catalogue;
+	subscription_t *subscription;
+	GTimeSpan next_sources; /* of the choice of sources */
+	gboolean store_answers; /* the last call of this instance to the store */
 	route_splits_t *splits;
 	route_deadlines_t *deadlines;
 
@@ -59,6 +63,24 @@
 	return catk_clock_now(entry->clock);
 }
 
+/* Sends to the peer at the address, or on a connection. Fills in the version.
+ */
+void entry_send_to_peer(entry_t *entry, const char *address,
+			peer_message_t *message);
+void entry_reply_to_peer(entry_t *entry, guint64 connection,
+			 peer_message_t *message);
+
+void entry_subscription_init(entry_t *entry);
+void entry_subscription_free(entry_t *entry);
+
+/* Renews subscriptions and reports changes of endpoints. */
+void entry_subscription_tick(entry_t *entry);
+
+/* Messages of subscribers and sources. */
+void entry_take_subscribe(entry_t *entry, guint64 connection,
+			  const peer_subscribe_t *subscribe);
+void entry_take_endpoints(entry_t *entry, const peer_endpoints_t *endpoints);
+
 /* The service of that name, or NULL. */
 entry_service_t *entry_find_service(entry_t *entry, const char *name);
 
@@ -91,6 +113,12 @@
 void entry_log_endpoints(const entry_t *entry, const entry_service_t *service,
 			 const endpoint_info_t *infos, gsize count);
 
+/*
+ * TRUE for one of ENTRY_CONFIG_WATCHERS live instances of its data centre that
+ * rank first by a hash of their names. NULL stands for this instance.
+ */
+gboolean entry_is_watcher(const entry_t *entry, const member_t *member);
+
 /*
  * Instances that are live, this one included; those of one data centre unless
  * it is NULL.
--- a/lib/entry/entry_peers.c
+++ b/lib/entry/entry_peers.c
@@ -43,15 +43,15 @@
 	guint64 told_version; /* known to the membership */
 };
 
-static void send_to_peer(entry_t *entry, const char *address,
-			 peer_message_t *message)
+void entry_send_to_peer(entry_t *entry, const char *address,
+			peer_message_t *message)
 {
 	message->config_version = config_version(entry->config);
 	entry->actions.send_peer(entry->actions.ctx, address, message);
 }
 
-static void reply_to_peer(entry_t *entry, guint64 connection,
-			  peer_message_t *message)
+void entry_reply_to_peer(entry_t *entry, guint64 connection,
+			 peer_message_t *message)
 {
 	message->config_version = config_version(entry->config);
 	entry->actions.reply_peer(entry->actions.ctx, connection, message);
@@ -63,7 +63,7 @@
 	peer_message_t message = { .kind = PEER_MEMBERSHIP };
 
 	message.u.membership = *membership;
-	send_to_peer(ctx, address, &message);
+	entry_send_to_peer(ctx, address, &message);
 }
 
 static void on_membership_reply(void *ctx, guint64 connection,
@@ -72,7 +72,7 @@
 	peer_message_t message = { .kind = PEER_MEMBERSHIP };
 
 	message.u.membership = *membership;
-	reply_to_peer(ctx, connection, &message);
+	entry_reply_to_peer(ctx, connection, &message);
 }
 
 void entry_peers_init(entry_t *entry, const member_t *self)
@@ -197,7 +197,7 @@
 	message.u.call.caller = request->caller;
 	message.u.call.remaining = remaining;
 	message.u.call.body = request->body;
-	send_to_peer(entry, forward->address, &message);
+	entry_send_to_peer(entry, forward->address, &message);
 	membership_check(entry->membership, issuer->name, entry_now(entry));
 	return TRUE;
 }
@@ -233,7 +233,7 @@
 	if (!forward)
 		return FALSE;
 	message.u.cancelled = forward->number;
-	send_to_peer(entry, forward->address, &message);
+	entry_send_to_peer(entry, forward->address, &message);
 	forward_free(peers, forward);
 	return TRUE;
 }
@@ -252,7 +252,7 @@
 	message.u.answer.error = answer->error;
 	message.u.answer.status = answer->status;
 	message.u.answer.body = answer->body;
-	reply_to_peer(entry, remote->connection, &message);
+	entry_reply_to_peer(entry, remote->connection, &message);
 	remote_free(entry->peers, remote);
 }
 
@@ -323,7 +323,7 @@
 		return;
 	peers->pulled_version = version;
 	peers->pull_again_at = now + PULL_TIMEOUT;
-	reply_to_peer(entry, connection, &message);
+	entry_reply_to_peer(entry, connection, &message);
 }
 
 static void send_config(entry_t *entry, guint64 connection)
@@ -334,7 +334,7 @@
 		return;
 	message.u.config.version = config_version(entry->config);
 	message.u.config.document = config_document(entry->config);
-	reply_to_peer(entry, connection, &message);
+	entry_reply_to_peer(entry, connection, &message);
 }
 
 static void take_config(entry_t *entry, guint64 version, GBytes *document)
@@ -375,6 +375,12 @@
 	case PEER_FORWARD_CANCEL:
 		take_forward_cancel(entry, connection, message->u.cancelled);
 		break;
+	case PEER_SUBSCRIBE:
+		entry_take_subscribe(entry, connection, &message->u.subscribe);
+		break;
+	case PEER_ENDPOINTS:
+		entry_take_endpoints(entry, &message->u.endpoints);
+		break;
 	}
 	pull_config(entry, connection, message->config_version);
 }
@@ -386,6 +392,7 @@
 	TAILQ_FOREACH_SAFE (remote, &entry->peers->remotes, link, next)
 		if (remote->connection == connection)
 			cancel_remote(entry, remote);
+	subscription_closed(entry->subscription, connection);
 }
 
 void entry_peer_lost(entry_t *entry, const char *address)
--- /dev/null
+++ b/lib/entry/entry_subscription.c
@@ -0,0 +1,180 @@
+/*
+ * What the store says of endpoints: read by this instance, or learnt from the
+ * sources of the fleet, and passed on to subscribers.
+ */
+#include "lib/entry/entry_internal.h"
+
+#include <string.h>
+
+/* Small against the time after which a silent source is missed. */
+#define SOURCES_INTERVAL (250 * G_TIME_SPAN_MILLISECOND)
+
+static void on_endpoints_changed(void *ctx, const char *service,
+				 const endpoint_info_t *infos, gsize count)
+{
+	/* A service that is not declared yet is reported with its version. */
+	entry_set_endpoints(ctx, service, infos, count);
+}
+
+void entry_subscription_init(entry_t *entry)
+{
+	entry->catalogue = catalogue_new(on_endpoints_changed, entry);
+	entry->subscription = subscription_new(entry->limits.change_bound,
+					       entry->random, entry_now(entry));
+}
+
+void entry_subscription_free(entry_t *entry)
+{
+	subscription_free(entry->subscription);
+	catalogue_free(entry->catalogue);
+}
+
+catalogue_t *entry_catalogue(entry_t *entry)
+{
+	return entry->catalogue;
+}
+
+static gboolean has_sources(const entry_t *entry)
+{
+	return entry->fleet.highest >= SUBSCRIPTION_FLEET_MIN;
+}
+
+gboolean entry_reads_store(const entry_t *entry)
+{
+	GTimeSpan now = entry_now(entry);
+
+	if (has_sources(entry) && entry_is_watcher(entry, NULL))
+		return TRUE;
+	if (subscription_is_starting(entry->subscription, now))
+		return FALSE;
+	return !has_sources(entry) ||
+	       subscription_reads_store(entry->subscription, now);
+}
+
+void entry_store_called(entry_t *entry, gboolean answered)
+{
+	entry->store_answers = answered;
+	subscription_store_called(entry->subscription, answered,
+				  entry_now(entry));
+}
+
+/* Each source hears the others, each other instance those near it. */
+static void choose_sources(entry_t *entry)
+{
+	const member_t *self = membership_self(entry->membership);
+	gboolean is_source = entry_is_watcher(entry, self);
+	const member_t *member;
+
+	subscription_begin_sources(entry->subscription);
+	for (member = membership_first(entry->membership); member;
+	     member = membership_next(member)) {
+		gboolean near =
+			strcmp(member->data_centre, self->data_centre) == 0;
+
+		if (has_sources(entry) && member != self &&
+		    (near || is_source) && entry_is_watcher(entry, member))
+			subscription_add_source(entry->subscription,
+						member->name,
+						member->peer_address);
+	}
+	subscription_end_sources(entry->subscription);
+}
+
+static void renew(entry_t *entry)
+{
+	peer_message_t message = { .kind = PEER_SUBSCRIBE };
+	subscription_renewal_t renewal;
+
+	message.u.subscribe.own_only = entry_is_watcher(entry, NULL);
+	while (subscription_next_renewal(entry->subscription, &renewal,
+					 entry_now(entry))) {
+		message.u.subscribe.position = renewal.position;
+		entry_send_to_peer(entry, renewal.address, &message);
+	}
+}
+
+static void tell(entry_t *entry, subscriber_t *subscriber)
+{
+	const member_t *self = membership_self(entry->membership);
+	GTimeSpan now = entry_now(entry);
+	GArray *statements = catalogue_changes_since(entry->catalogue,
+						     subscriber->change,
+						     subscriber->own_only, now);
+	peer_message_t message = { .kind = PEER_ENDPOINTS };
+	peer_endpoints_t *endpoints = &message.u.endpoints;
+
+	endpoints->update.name = self->name;
+	endpoints->update.incarnation = self->incarnation;
+	endpoints->update.from = subscriber->change;
+	endpoints->update.to = catalogue_last_change(entry->catalogue);
+	/* Sources that name each other would seem to be in contact for ever. */
+	endpoints->update.in_contact =
+		entry->store_answers ||
+		(!subscriber->own_only &&
+		 subscription_is_served(entry->subscription, now));
+	endpoints->statements = (const catalogue_statement_t *)statements->data;
+	endpoints->count = statements->len;
+	subscriber->change = endpoints->update.to;
+	entry_reply_to_peer(entry, subscriber->connection, &message);
+	g_array_unref(statements);
+}
+
+static void tell_those_behind(entry_t *entry)
+{
+	subscriber_t *subscriber;
+
+	while ((subscriber = subscription_next_behind(
+			entry->subscription,
+			catalogue_last_change(entry->catalogue),
+			entry_now(entry))))
+		tell(entry, subscriber);
+}
+
+void entry_endpoints_changed(entry_t *entry)
+{
+	catalogue_tick(entry->catalogue, entry_now(entry));
+	tell_those_behind(entry);
+}
+
+void entry_take_subscribe(entry_t *entry, guint64 connection,
+			  const peer_subscribe_t *subscribe)
+{
+	const subscription_position_t *position = &subscribe->position;
+	guint64 incarnation = membership_self(entry->membership)->incarnation;
+	GTimeSpan now = entry_now(entry);
+	guint64 change = position->change;
+
+	if (!entry_is_watcher(entry, NULL))
+		return;
+	if (position->incarnation != incarnation)
+		change = catalogue_recent_from(entry->catalogue, now);
+	tell(entry, subscription_renewed(entry->subscription, connection,
+					 change, subscribe->own_only, now));
+}
+
+void entry_take_endpoints(entry_t *entry, const peer_endpoints_t *endpoints)
+{
+	GTimeSpan now = entry_now(entry);
+	guint i;
+
+	for (i = 0; i < endpoints->count; i++)
+		catalogue_merge(entry->catalogue, &endpoints->statements[i],
+				now);
+	subscription_heard(entry->subscription, &endpoints->update, now);
+	if (!entry_is_watcher(entry, NULL) &&
+	    subscription_is_served(entry->subscription, now))
+		catalogue_contact_by_others(entry->catalogue);
+	entry_endpoints_changed(entry);
+}
+
+void entry_subscription_tick(entry_t *entry)
+{
+	GTimeSpan now = entry_now(entry);
+
+	if (now >= entry->next_sources) {
+		entry->next_sources = now + SOURCES_INTERVAL;
+		choose_sources(entry);
+	}
+	renew(entry);
+	entry_endpoints_changed(entry);
+}
--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -94,6 +94,16 @@
 	start_list(feed);
 }
 
+void feed_restart(feed_t *feed)
+{
+	start_list(feed);
+}
+
+guint64 feed_revision(const feed_t *feed)
+{
+	return feed->revision;
+}
+
 void feed_failed(feed_t *feed, GTimeSpan now)
 {
 	guint doublings = MIN(feed->failures, BACKOFF_DOUBLINGS);
--- a/lib/feed/feed.h
+++ b/lib/feed/feed.h
@@ -57,6 +57,12 @@
 /* The store no longer has the history since the revision. */
 void feed_history_lost(feed_t *feed);
 
+/* The changes since the last answer were not followed: starts with a list. */
+void feed_restart(feed_t *feed);
+
+/* Revision from which the next watch starts. */
+guint64 feed_revision(const feed_t *feed);
+
 /* A call failed: the next one waits, longer after each failure in a row. */
 void feed_failed(feed_t *feed, GTimeSpan now);
 
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -457,6 +457,141 @@
   assert(message->base.descriptor == &catk__forward_cancel__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   catk__subscribe__init
+                     (Catk__Subscribe         *message)
+{
+  static const Catk__Subscribe init_value = CATK__SUBSCRIBE__INIT;
+  *message = init_value;
+}
+size_t catk__subscribe__get_packed_size
+                     (const Catk__Subscribe *message)
+{
+  assert(message->base.descriptor == &catk__subscribe__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t catk__subscribe__pack
+                     (const Catk__Subscribe *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &catk__subscribe__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t catk__subscribe__pack_to_buffer
+                     (const Catk__Subscribe *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &catk__subscribe__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Catk__Subscribe *
+       catk__subscribe__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Catk__Subscribe *)
+     protobuf_c_message_unpack (&catk__subscribe__descriptor,
+                                allocator, len, data);
+}
+void   catk__subscribe__free_unpacked
+                     (Catk__Subscribe *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &catk__subscribe__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   catk__endpoint__init
+                     (Catk__Endpoint         *message)
+{
+  static const Catk__Endpoint init_value = CATK__ENDPOINT__INIT;
+  *message = init_value;
+}
+size_t catk__endpoint__get_packed_size
+                     (const Catk__Endpoint *message)
+{
+  assert(message->base.descriptor == &catk__endpoint__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t catk__endpoint__pack
+                     (const Catk__Endpoint *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &catk__endpoint__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t catk__endpoint__pack_to_buffer
+                     (const Catk__Endpoint *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &catk__endpoint__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Catk__Endpoint *
+       catk__endpoint__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Catk__Endpoint *)
+     protobuf_c_message_unpack (&catk__endpoint__descriptor,
+                                allocator, len, data);
+}
+void   catk__endpoint__free_unpacked
+                     (Catk__Endpoint *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &catk__endpoint__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   catk__endpoints__init
+                     (Catk__Endpoints         *message)
+{
+  static const Catk__Endpoints init_value = CATK__ENDPOINTS__INIT;
+  *message = init_value;
+}
+size_t catk__endpoints__get_packed_size
+                     (const Catk__Endpoints *message)
+{
+  assert(message->base.descriptor == &catk__endpoints__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t catk__endpoints__pack
+                     (const Catk__Endpoints *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &catk__endpoints__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t catk__endpoints__pack_to_buffer
+                     (const Catk__Endpoints *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &catk__endpoints__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Catk__Endpoints *
+       catk__endpoints__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Catk__Endpoints *)
+     protobuf_c_message_unpack (&catk__endpoints__descriptor,
+                                allocator, len, data);
+}
+void   catk__endpoints__free_unpacked
+                     (Catk__Endpoints *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &catk__endpoints__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   catk__envelope__init
                      (Catk__Envelope         *message)
 {
@@ -1226,7 +1361,342 @@
   (ProtobufCMessageInit) catk__forward_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor catk__envelope__field_descriptors[10] =
+static const ProtobufCFieldDescriptor catk__subscribe__field_descriptors[3] =
+{
+  {
+    "incarnation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Catk__Subscribe, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "change",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Catk__Subscribe, change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "own_only",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Catk__Subscribe, own_only),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned catk__subscribe__field_indices_by_name[] = {
+  1,   /* field[1] = change */
+  0,   /* field[0] = incarnation */
+  2,   /* field[2] = own_only */
+};
+static const ProtobufCIntRange catk__subscribe__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor catk__subscribe__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "catk.Subscribe",
+  "Subscribe",
+  "Catk__Subscribe",
+  "catk",
+  sizeof(Catk__Subscribe),
+  3,
+  catk__subscribe__field_descriptors,
+  catk__subscribe__field_indices_by_name,
+  1,  catk__subscribe__number_ranges,
+  (ProtobufCMessageInit) catk__subscribe__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor catk__endpoint__field_descriptors[11] =
+{
+  {
+    "state",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Catk__Endpoint, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Catk__Endpoint, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Catk__Endpoint, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Catk__Endpoint, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Catk__Endpoint, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Catk__Endpoint, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Catk__Endpoint, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_for_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Catk__Endpoint, cold_for_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Catk__Endpoint, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Catk__Endpoint, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Catk__Endpoint, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned catk__endpoint__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  8,   /* field[8] = born */
+  7,   /* field[7] = cold_for_us */
+  3,   /* field[3] = data_centre */
+  1,   /* field[1] = id */
+  5,   /* field[5] = leaving */
+  10,   /* field[10] = revision */
+  9,   /* field[9] = sequence */
+  4,   /* field[4] = service */
+  6,   /* field[6] = slots */
+  0,   /* field[0] = state */
+};
+static const ProtobufCIntRange catk__endpoint__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor catk__endpoint__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "catk.Endpoint",
+  "Endpoint",
+  "Catk__Endpoint",
+  "catk",
+  sizeof(Catk__Endpoint),
+  11,
+  catk__endpoint__field_descriptors,
+  catk__endpoint__field_indices_by_name,
+  1,  catk__endpoint__number_ranges,
+  (ProtobufCMessageInit) catk__endpoint__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor catk__endpoints__field_descriptors[6] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Catk__Endpoints, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Catk__Endpoints, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from_change",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Catk__Endpoints, from_change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to_change",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Catk__Endpoints, to_change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_contact",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Catk__Endpoints, in_contact),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoints",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Catk__Endpoints, n_endpoints),
+    offsetof(Catk__Endpoints, endpoints),
+    &catk__endpoint__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned catk__endpoints__field_indices_by_name[] = {
+  5,   /* field[5] = endpoints */
+  2,   /* field[2] = from_change */
+  4,   /* field[4] = in_contact */
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = name */
+  3,   /* field[3] = to_change */
+};
+static const ProtobufCIntRange catk__endpoints__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor catk__endpoints__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "catk.Endpoints",
+  "Endpoints",
+  "Catk__Endpoints",
+  "catk",
+  sizeof(Catk__Endpoints),
+  6,
+  catk__endpoints__field_descriptors,
+  catk__endpoints__field_indices_by_name,
+  1,  catk__endpoints__number_ranges,
+  (ProtobufCMessageInit) catk__endpoints__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor catk__envelope__field_descriptors[12] =
 {
   {
     "config_version",
@@ -1348,23 +1818,49 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "subscribe",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Catk__Envelope, body_case),
+    offsetof(Catk__Envelope, subscribe),
+    &catk__subscribe__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoints",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Catk__Envelope, body_case),
+    offsetof(Catk__Envelope, endpoints),
+    &catk__endpoints__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned catk__envelope__field_indices_by_name[] = {
   4,   /* field[4] = ack */
   6,   /* field[6] = config_document */
   5,   /* field[5] = config_pull */
   0,   /* field[0] = config_version */
+  11,   /* field[11] = endpoints */
   8,   /* field[8] = forward_answer */
   7,   /* field[7] = forward_call */
   9,   /* field[9] = forward_cancel */
   1,   /* field[1] = hello */
   2,   /* field[2] = ping */
   3,   /* field[3] = ping_request */
+  10,   /* field[10] = subscribe */
 };
 static const ProtobufCIntRange catk__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor catk__envelope__descriptor =
 {
@@ -1374,7 +1870,7 @@
   "Catk__Envelope",
   "catk",
   sizeof(Catk__Envelope),
-  10,
+  12,
   catk__envelope__field_descriptors,
   catk__envelope__field_indices_by_name,
   1,  catk__envelope__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -25,6 +25,9 @@
 typedef struct Catk__ForwardCall Catk__ForwardCall;
 typedef struct Catk__ForwardAnswer Catk__ForwardAnswer;
 typedef struct Catk__ForwardCancel Catk__ForwardCancel;
+typedef struct Catk__Subscribe Catk__Subscribe;
+typedef struct Catk__Endpoint Catk__Endpoint;
+typedef struct Catk__Endpoints Catk__Endpoints;
 typedef struct Catk__Envelope Catk__Envelope;
 
 
@@ -175,6 +178,75 @@
     , 0 }
 
 
+/*
+ * Asks for the changes of endpoints behind one of the receiver's changes.
+ */
+struct  Catk__Subscribe
+{
+  ProtobufCMessage base;
+  /*
+   * of the receiver, 0 when nothing of it is known
+   */
+  uint64_t incarnation;
+  uint64_t change;
+  /*
+   * only what the receiver learnt from the store
+   */
+  protobuf_c_boolean own_only;
+};
+#define CATK__SUBSCRIBE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&catk__subscribe__descriptor) \
+    , 0, 0, 0 }
+
+
+struct  Catk__Endpoint
+{
+  ProtobufCMessage base;
+  /*
+   * 0 present, 1 doubtful, 2 removed
+   */
+  uint32_t state;
+  char *id;
+  char *address;
+  char *data_centre;
+  char *service;
+  protobuf_c_boolean leaving;
+  uint32_t slots;
+  uint64_t cold_for_us;
+  int64_t born;
+  uint64_t sequence;
+  uint64_t revision;
+};
+#define CATK__ENDPOINT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&catk__endpoint__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * The changes of endpoints behind one change up to another, maybe none.
+ */
+struct  Catk__Endpoints
+{
+  ProtobufCMessage base;
+  /*
+   * of the sender
+   */
+  char *name;
+  uint64_t incarnation;
+  uint64_t from_change;
+  uint64_t to_change;
+  /*
+   * the sender knows what the store says now
+   */
+  protobuf_c_boolean in_contact;
+  size_t n_endpoints;
+  Catk__Endpoint **endpoints;
+};
+#define CATK__ENDPOINTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&catk__endpoints__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
+
+
 typedef enum {
   CATK__ENVELOPE__BODY__NOT_SET = 0,
   CATK__ENVELOPE__BODY_HELLO = 2,
@@ -185,7 +257,9 @@
   CATK__ENVELOPE__BODY_CONFIG_DOCUMENT = 7,
   CATK__ENVELOPE__BODY_FORWARD_CALL = 8,
   CATK__ENVELOPE__BODY_FORWARD_ANSWER = 9,
-  CATK__ENVELOPE__BODY_FORWARD_CANCEL = 10
+  CATK__ENVELOPE__BODY_FORWARD_CANCEL = 10,
+  CATK__ENVELOPE__BODY_SUBSCRIBE = 11,
+  CATK__ENVELOPE__BODY_ENDPOINTS = 12
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CATK__ENVELOPE__BODY__CASE)
 } Catk__Envelope__BodyCase;
 
@@ -207,6 +281,8 @@
     Catk__ForwardCall *forward_call;
     Catk__ForwardAnswer *forward_answer;
     Catk__ForwardCancel *forward_cancel;
+    Catk__Subscribe *subscribe;
+    Catk__Endpoints *endpoints;
   };
 };
 #define CATK__ENVELOPE__INIT \
@@ -404,6 +480,63 @@
 void   catk__forward_cancel__free_unpacked
                      (Catk__ForwardCancel *message,
                       ProtobufCAllocator *allocator);
+/* Catk__Subscribe methods */
+void   catk__subscribe__init
+                     (Catk__Subscribe         *message);
+size_t catk__subscribe__get_packed_size
+                     (const Catk__Subscribe   *message);
+size_t catk__subscribe__pack
+                     (const Catk__Subscribe   *message,
+                      uint8_t             *out);
+size_t catk__subscribe__pack_to_buffer
+                     (const Catk__Subscribe   *message,
+                      ProtobufCBuffer     *buffer);
+Catk__Subscribe *
+       catk__subscribe__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   catk__subscribe__free_unpacked
+                     (Catk__Subscribe *message,
+                      ProtobufCAllocator *allocator);
+/* Catk__Endpoint methods */
+void   catk__endpoint__init
+                     (Catk__Endpoint         *message);
+size_t catk__endpoint__get_packed_size
+                     (const Catk__Endpoint   *message);
+size_t catk__endpoint__pack
+                     (const Catk__Endpoint   *message,
+                      uint8_t             *out);
+size_t catk__endpoint__pack_to_buffer
+                     (const Catk__Endpoint   *message,
+                      ProtobufCBuffer     *buffer);
+Catk__Endpoint *
+       catk__endpoint__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   catk__endpoint__free_unpacked
+                     (Catk__Endpoint *message,
+                      ProtobufCAllocator *allocator);
+/* Catk__Endpoints methods */
+void   catk__endpoints__init
+                     (Catk__Endpoints         *message);
+size_t catk__endpoints__get_packed_size
+                     (const Catk__Endpoints   *message);
+size_t catk__endpoints__pack
+                     (const Catk__Endpoints   *message,
+                      uint8_t             *out);
+size_t catk__endpoints__pack_to_buffer
+                     (const Catk__Endpoints   *message,
+                      ProtobufCBuffer     *buffer);
+Catk__Endpoints *
+       catk__endpoints__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   catk__endpoints__free_unpacked
+                     (Catk__Endpoints *message,
+                      ProtobufCAllocator *allocator);
 /* Catk__Envelope methods */
 void   catk__envelope__init
                      (Catk__Envelope         *message);
@@ -455,6 +588,15 @@
 typedef void (*Catk__ForwardCancel_Closure)
                  (const Catk__ForwardCancel *message,
                   void *closure_data);
+typedef void (*Catk__Subscribe_Closure)
+                 (const Catk__Subscribe *message,
+                  void *closure_data);
+typedef void (*Catk__Endpoint_Closure)
+                 (const Catk__Endpoint *message,
+                  void *closure_data);
+typedef void (*Catk__Endpoints_Closure)
+                 (const Catk__Endpoints *message,
+                  void *closure_data);
 typedef void (*Catk__Envelope_Closure)
                  (const Catk__Envelope *message,
                   void *closure_data);
@@ -474,6 +616,9 @@
 extern const ProtobufCMessageDescriptor catk__forward_call__descriptor;
 extern const ProtobufCMessageDescriptor catk__forward_answer__descriptor;
 extern const ProtobufCMessageDescriptor catk__forward_cancel__descriptor;
+extern const ProtobufCMessageDescriptor catk__subscribe__descriptor;
+extern const ProtobufCMessageDescriptor catk__endpoint__descriptor;
+extern const ProtobufCMessageDescriptor catk__endpoints__descriptor;
 extern const ProtobufCMessageDescriptor catk__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/test_catalogue.c
+++ b/tests/test_catalogue.c
@@ -9,6 +9,7 @@
 #include "lib/catalogue/catalogue.h"
 
 #define NOW (100 * G_TIME_SPAN_SECOND)
+#define AS_OF 1000 /* revision of the store, after all entries */
 
 typedef struct {
 	catalogue_t *catalogue;
@@ -112,7 +113,7 @@
 	catalogue_contact_regained(f->catalogue, NOW);
 	catalogue_begin_list(f->catalogue);
 	put(f, "i-2", 10, 2, FALSE);
-	catalogue_end_list(f->catalogue, NOW);
+	catalogue_end_list(f->catalogue, AS_OF, NOW);
 	catalogue_tick(f->catalogue, NOW);
 	assert_int_equal(f->count, 2);
 	assert_true(f->infos[0].doubtful);
@@ -153,6 +154,141 @@
 	assert_int_equal(f->count, 0);
 }
 
+/* A statement about an endpoint of service "s". */
+static gboolean merge(fixture_t *f, const char *id, catalogue_state_t state,
+		      guint64 revision)
+{
+	catalogue_statement_t statement = {
+		.state = state,
+		.entry = { .service = "s", .born = 10, .revision = revision }
+	};
+
+	g_strlcpy(statement.entry.info.id, id, sizeof(statement.entry.info.id));
+	return catalogue_merge(f->catalogue, &statement, NOW);
+}
+
+static void put_revision(fixture_t *f, const char *id, guint64 revision)
+{
+	catalogue_entry_t entry = { .service = "s",
+				    .born = 10,
+				    .revision = revision };
+
+	g_strlcpy(entry.info.id, id, sizeof(entry.info.id));
+	catalogue_put(f->catalogue, &entry, NOW);
+}
+
+static gsize known(fixture_t *f)
+{
+	catalogue_tick(f->catalogue, NOW);
+	return f->count;
+}
+
+/* Fails when a source that lags revives an endpoint that is gone. */
+static void late_statement_does_not_revive(void **state)
+{
+	fixture_t *f = *state;
+
+	put_revision(f, "i-1", 5);
+	assert_true(merge(f, "i-1", CATALOGUE_REMOVED, 6));
+	assert_int_equal(known(f), 0);
+	assert_false(merge(f, "i-1", CATALOGUE_PRESENT, 5));
+	assert_int_equal(known(f), 0);
+	assert_true(merge(f, "i-1", CATALOGUE_PRESENT, 8));
+	assert_int_equal(known(f), 1);
+}
+
+/*
+ * Fails when a removal is ignored because the receiver read the same entry with
+ * a later sequence: the sequence rises without a change in the store.
+ */
+static void removal_is_ordered_by_revision(void **state)
+{
+	fixture_t *f = *state;
+	catalogue_entry_t entry = {
+		.service = "s", .born = 10, .sequence = 900, .revision = 5
+	};
+
+	g_strlcpy(entry.info.id, "i-1", sizeof(entry.info.id));
+	catalogue_put(f->catalogue, &entry, NOW);
+	assert_true(merge(f, "i-1", CATALOGUE_REMOVED, 6));
+	assert_int_equal(known(f), 0);
+}
+
+/* Fails when a removal of an earlier registration takes out a newer one. */
+static void older_removal_changes_nothing(void **state)
+{
+	fixture_t *f = *state;
+
+	put_revision(f, "i-1", 9);
+	assert_false(merge(f, "i-1", CATALOGUE_REMOVED, 6));
+	assert_int_equal(known(f), 1);
+}
+
+/* Fails when a list removes what others told of after the list began. */
+static void list_keeps_what_is_newer(void **state)
+{
+	fixture_t *f = *state;
+
+	catalogue_begin_list(f->catalogue);
+	merge(f, "i-2", CATALOGUE_PRESENT, 60);
+	merge(f, "i-3", CATALOGUE_PRESENT, 40);
+	catalogue_end_list(f->catalogue, 50, NOW);
+	assert_int_equal(known(f), 1);
+	assert_string_equal(f->infos[0].id, "i-2");
+}
+
+/* Fails when a doubtful endpoint of a source is used like the others. */
+static void doubt_is_passed_on(void **state)
+{
+	fixture_t *f = *state;
+
+	put_revision(f, "i-1", 5);
+	assert_true(merge(f, "i-1", CATALOGUE_DOUBTFUL, 5));
+	assert_int_equal(known(f), 1);
+	assert_true(f->infos[0].doubtful);
+	catalogue_tick(f->catalogue, NOW + CATALOGUE_RETURN_TIME);
+	assert_int_equal(f->count, 0);
+}
+
+static guint changes(const fixture_t *f, guint64 since, gboolean own_only)
+{
+	GArray *statements =
+		catalogue_changes_since(f->catalogue, since, own_only, NOW);
+	guint count = statements->len;
+
+	g_array_unref(statements);
+	return count;
+}
+
+/*
+ * Fails when a subscriber is told of what its own list has, misses a change, or
+ * when sources tell each other what they heard from each other.
+ */
+static void changes_are_numbered(void **state)
+{
+	fixture_t *f = *state;
+	guint64 first;
+
+	catalogue_begin_list(f->catalogue);
+	put_revision(f, "i-1", 1);
+	put_revision(f, "i-2", 2);
+	catalogue_end_list(f->catalogue, 3, NOW);
+	assert_int_equal(catalogue_last_change(f->catalogue), 0);
+	put_revision(f, "i-3", 4);
+	first = catalogue_last_change(f->catalogue);
+	catalogue_remove(f->catalogue, "i-1", NOW);
+	merge(f, "i-4", CATALOGUE_PRESENT, 7);
+	assert_int_equal(changes(f, 0, FALSE), 3);
+	assert_int_equal(changes(f, first, FALSE), 2);
+	assert_int_equal(changes(f, first, TRUE), 1);
+	put_revision(f, "i-3", 4);
+	assert_int_equal(changes(f, 0, FALSE), 3);
+	assert_int_equal(catalogue_recent_from(f->catalogue, NOW), 0);
+	assert_int_equal(catalogue_recent_from(f->catalogue,
+					       NOW + CATALOGUE_RECENT + 1),
+			 catalogue_last_change(f->catalogue));
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
@@ -164,6 +300,12 @@
 		TEST(lapse_is_doubtful_then_gone),
 		TEST(returned_entry_is_trusted),
 		TEST(service_may_change),
+		TEST(late_statement_does_not_revive),
+		TEST(removal_is_ordered_by_revision),
+		TEST(older_removal_changes_nothing),
+		TEST(list_keeps_what_is_newer),
+		TEST(doubt_is_passed_on),
+		TEST(changes_are_numbered),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- /dev/null
+++ b/tests/test_entry_subscription.c
@@ -0,0 +1,379 @@
+/* A fleet of entries in which few read the store, on a simulated network. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "codec/peer_codec.h"
+#include "lib/entry/entry.h"
+
+#define ENTRIES 30
+#define CENTRES 3
+#define STEP (20 * G_TIME_SPAN_MILLISECOND) /* also the latency of a message */
+#define JOIN_TIME (20 * G_TIME_SPAN_SECOND)
+#define BOUND (2 * G_TIME_SPAN_SECOND) /* on learning a change */
+#define STORE_PAUSE (BOUND / 3) /* between two looks of a reader */
+#define STORE_ENTRIES_MAX 8
+
+/* Connections are named by sender and receiver, so answers find their way. */
+#define CONNECTION_OF(from, to) ((guint64)(from)*ENTRIES + (to) + 1)
+
+typedef struct packet {
+	TAILQ_ENTRY(packet) link;
+	guint to;
+	guint64 connection;
+	GByteArray *bytes;
+} packet_t;
+
+typedef struct {
+	entry_t *entry;
+	GTimeSpan next_look; /* at the store */
+	guint64 looked_at; /* revision of the store at the last look */
+	guint looks;
+	gboolean dead;
+	gboolean cut; /* from the store */
+} node_t;
+
+typedef struct {
+	guint64 revision; /* 0 when it is not in the store */
+} stored_t;
+
+static struct {
+	node_t nodes[ENTRIES];
+	stored_t store[STORE_ENTRIES_MAX];
+	guint64 revision;
+	gboolean store_down;
+	GTimeSpan now;
+	catk_clock_t clock;
+	GRand *random;
+	counters_t counters;
+	TAILQ_HEAD(packet_list, packet) packets;
+} net;
+
+static GTimeSpan read_clock(void *ctx)
+{
+	(void)ctx;
+	return net.now;
+}
+
+static void post(guint to, guint64 connection, const peer_message_t *message)
+{
+	packet_t *packet = g_new0(packet_t, 1);
+
+	packet->to = to;
+	packet->connection = connection;
+	packet->bytes = peer_codec_encode(message);
+	TAILQ_INSERT_TAIL(&net.packets, packet, link);
+}
+
+static void on_send(void *ctx, const char *address,
+		    const peer_message_t *message)
+{
+	guint from = (guint)((node_t *)ctx - net.nodes);
+	guint to = (guint)atoi(address);
+
+	post(to, CONNECTION_OF(from, to), message);
+}
+
+static void on_reply(void *ctx, guint64 connection,
+		     const peer_message_t *message)
+{
+	guint self = (guint)((node_t *)ctx - net.nodes);
+	guint to = (guint)((connection - 1) / ENTRIES);
+
+	if (to == self)
+		to = (guint)((connection - 1) % ENTRIES);
+	post(to, connection, message);
+}
+
+static void start_node(guint index)
+{
+	node_t *node = &net.nodes[index];
+	const entry_limits_t limits = {
+		.request_ids = { .block_size = 1,
+				 .lifetime = 1,
+				 .retention = 1,
+				 .answer_bytes_max = 1 },
+		.admission = { .queue_max = 50, .caller_share_percent = 100 },
+		.entries_max = ENTRIES,
+		.attempts_max = 2,
+		.resolve_addresses = 8,
+		.change_bound = BOUND,
+	};
+	entry_actions_t actions = { .send_peer = on_send,
+				    .reply_peer = on_reply,
+				    .ctx = node };
+	member_t self = { .incarnation = 1 };
+
+	memset(node, 0, sizeof(*node));
+	g_snprintf(self.name, sizeof(self.name), "e%u", index);
+	g_snprintf(self.data_centre, sizeof(self.data_centre), "k%u",
+		   index % CENTRES);
+	g_snprintf(self.peer_address, sizeof(self.peer_address), "%u", index);
+	node->entry = entry_new(&self, &limits, &actions, &net.clock,
+				net.random, &net.counters);
+	entry_add_seed(node->entry, "0");
+}
+
+static void put_known(node_t *node, guint id)
+{
+	catalogue_entry_t entry = { .service = "s",
+				    .revision = net.store[id].revision };
+
+	g_snprintf(entry.info.id, sizeof(entry.info.id), "i-%u", id);
+	catalogue_put(entry_catalogue(node->entry), &entry, net.now);
+}
+
+/* What platform/discovery does, with a list at each look. */
+static void look_at_store(node_t *node)
+{
+	catalogue_t *catalogue = entry_catalogue(node->entry);
+	guint id;
+
+	node->next_look = net.now + STORE_PAUSE;
+	node->looks++;
+	if (node->cut || net.store_down) {
+		entry_store_called(node->entry, FALSE);
+		catalogue_contact_lost(catalogue);
+		return;
+	}
+	entry_store_called(node->entry, TRUE);
+	catalogue_contact_regained(catalogue, net.now);
+	catalogue_begin_list(catalogue);
+	for (id = 0; id < STORE_ENTRIES_MAX; id++)
+		if (net.store[id].revision)
+			put_known(node, id);
+	catalogue_end_list(catalogue, net.revision, net.now);
+	entry_endpoints_changed(node->entry);
+}
+
+static void deliver_to(void *ctx, const peer_message_t *message)
+{
+	const packet_t *packet = ctx;
+
+	entry_peer_message(net.nodes[packet->to].entry, packet->connection,
+			   message);
+}
+
+static void deliver(packet_t *packet)
+{
+	TAILQ_REMOVE(&net.packets, packet, link);
+	if (!net.nodes[packet->to].dead)
+		assert_true(peer_codec_decode(packet->bytes->data,
+					      packet->bytes->len, deliver_to,
+					      packet));
+	g_byte_array_unref(packet->bytes);
+	g_free(packet);
+}
+
+static void step(void)
+{
+	const packet_t *last = TAILQ_LAST(&net.packets, packet_list);
+	packet_t *packet = TAILQ_FIRST(&net.packets), *next;
+	gboolean more = packet != NULL;
+	guint i;
+
+	net.now += STEP;
+	while (more) {
+		next = TAILQ_NEXT(packet, link);
+		more = packet != last;
+		deliver(packet);
+		packet = next;
+	}
+	for (i = 0; i < ENTRIES; i++) {
+		node_t *node = &net.nodes[i];
+
+		if (node->dead)
+			continue;
+		entry_tick(node->entry);
+		if (net.now >= node->next_look &&
+		    entry_reads_store(node->entry))
+			look_at_store(node);
+	}
+}
+
+static void run_for(GTimeSpan time)
+{
+	GTimeSpan end = net.now + time;
+
+	while (net.now < end)
+		step();
+}
+
+/* Adds an endpoint to the store, or removes it. */
+static void change_store(guint id, gboolean listed)
+{
+	net.revision++;
+	net.store[id].revision = listed ? net.revision : 0;
+}
+
+static gboolean knows(node_t *node, guint id)
+{
+	GArray *known = catalogue_changes_since(entry_catalogue(node->entry), 0,
+						FALSE, net.now);
+	gboolean found = FALSE;
+	gchar *name = g_strdup_printf("i-%u", id);
+	guint i;
+
+	for (i = 0; i < known->len; i++) {
+		const catalogue_statement_t *statement =
+			&g_array_index(known, catalogue_statement_t, i);
+
+		found |= statement->state == CATALOGUE_PRESENT &&
+			 strcmp(statement->entry.info.id, name) == 0;
+	}
+	g_free(name);
+	g_array_unref(known);
+	return found;
+}
+
+/* Live instances that know the endpoint. */
+static guint count_knowing(guint id)
+{
+	guint count = 0;
+	guint i;
+
+	for (i = 0; i < ENTRIES; i++)
+		count += !net.nodes[i].dead && knows(&net.nodes[i], id);
+	return count;
+}
+
+static guint looks_of_fleet(void)
+{
+	guint looks = 0;
+	guint i;
+
+	for (i = 0; i < ENTRIES; i++)
+		looks += net.nodes[i].looks;
+	return looks;
+}
+
+static gboolean is_source(guint index)
+{
+	return entry_is_config_watcher(net.nodes[index].entry);
+}
+
+static int set_up(void **state)
+{
+	guint i;
+
+	(void)state;
+	memset(&net, 0, sizeof(net));
+	TAILQ_INIT(&net.packets);
+	net.clock = (catk_clock_t){ .now = read_clock };
+	net.random = g_rand_new_with_seed(5);
+	net.now = 100 * G_TIME_SPAN_SECOND;
+	net.revision = 10;
+	for (i = 0; i < ENTRIES; i++) {
+		start_node(i);
+		look_at_store(&net.nodes[i]);
+	}
+	run_for(JOIN_TIME);
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	guint i;
+
+	(void)state;
+	for (i = 0; i < ENTRIES; i++)
+		net.nodes[i].dead = TRUE;
+	while (!TAILQ_EMPTY(&net.packets))
+		deliver(TAILQ_FIRST(&net.packets));
+	for (i = 0; i < ENTRIES; i++)
+		entry_free(net.nodes[i].entry);
+	g_rand_free(net.random);
+	return 0;
+}
+
+/*
+ * Fails when a change does not reach every instance within the bound, or when
+ * more instances than the sources ask the store.
+ */
+static void few_read_and_all_learn(void **state)
+{
+	const guint sources = CENTRES * ENTRY_CONFIG_WATCHERS;
+	guint before = looks_of_fleet();
+
+	(void)state;
+	change_store(1, TRUE);
+	run_for(BOUND);
+	assert_int_equal(count_knowing(1), ENTRIES);
+	change_store(1, FALSE);
+	run_for(BOUND);
+	assert_int_equal(count_knowing(1), 0);
+	assert_in_range(looks_of_fleet() - before, 1,
+			sources * (guint)(2 * BOUND / STORE_PAUSE + 2));
+}
+
+/* Fails when the death of all sources of a data centre hides a change. */
+static void dead_sources_hide_nothing(void **state)
+{
+	guint i, live = ENTRIES;
+
+	(void)state;
+	for (i = 0; i < ENTRIES; i += CENTRES)
+		if (is_source(i)) {
+			net.nodes[i].dead = TRUE;
+			live--;
+		}
+	assert_int_equal(live, ENTRIES - ENTRY_CONFIG_WATCHERS);
+	change_store(2, TRUE);
+	run_for(BOUND);
+	assert_int_equal(count_knowing(2), live);
+}
+
+/*
+ * Fails when sources that the store turns away hide a change from instances
+ * that it would serve.
+ */
+static void sources_without_store_hear_the_others(void **state)
+{
+	guint i;
+
+	(void)state;
+	for (i = 0; i < ENTRIES; i += CENTRES)
+		net.nodes[i].cut = is_source(i);
+	change_store(3, TRUE);
+	run_for(BOUND);
+	assert_int_equal(count_knowing(3), ENTRIES);
+}
+
+/* Fails when an outage makes the whole fleet ask the store all the time. */
+static void outage_is_met_by_the_sources(void **state)
+{
+	const guint sources = CENTRES * ENTRY_CONFIG_WATCHERS;
+	const guint seconds = 8;
+	guint before = looks_of_fleet();
+
+	(void)state;
+	net.store_down = TRUE;
+	run_for(seconds * G_TIME_SPAN_SECOND);
+	assert_in_range(
+		looks_of_fleet() - before, sources,
+		sources * (guint)(seconds * G_TIME_SPAN_SECOND / STORE_PAUSE +
+				  2) +
+			(ENTRIES - sources) * seconds / 2);
+	net.store_down = FALSE;
+	change_store(4, TRUE);
+	run_for(BOUND);
+	assert_int_equal(count_knowing(4), ENTRIES);
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		TEST(few_read_and_all_learn),
+		TEST(dead_sources_hide_nothing),
+		TEST(sources_without_store_hear_the_others),
+		TEST(outage_is_met_by_the_sources),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_peer_codec.c
+++ b/tests/test_peer_codec.c
@@ -160,6 +160,49 @@
 	assert_refused(&message);
 }
 
+/* Fails when what a source tells of endpoints is lost or changed on the way. */
+static void endpoints_survive(void **state)
+{
+	catalogue_statement_t statements[2] = {
+		{ .state = CATALOGUE_REMOVED,
+		  .entry = { .info = { .id = "i-1",
+				       .address = "127.0.0.1:1",
+				       .data_centre = "k1",
+				       .leaving = TRUE,
+				       .slots = 3,
+				       .cold_for = 7 },
+			     .service = "s",
+			     .born = -1,
+			     .sequence = 8,
+			     .revision = G_MAXUINT64 } },
+		{ .entry = { .info = { .id = "i-2" } } },
+	};
+	peer_message_t message = { .kind = PEER_ENDPOINTS };
+	peer_message_t subscribe = { .kind = PEER_SUBSCRIBE };
+
+	(void)state;
+	message.u.endpoints = (peer_endpoints_t){
+		.update = { .name = "entry-1",
+			    .incarnation = 5,
+			    .from = 6,
+			    .to = 7,
+			    .in_contact = TRUE },
+		.statements = statements,
+		.count = 2,
+	};
+	assert_survives(&message);
+	statements[1].state = CATALOGUE_REMOVED + 1;
+	assert_refused(&message);
+	statements[1].state = CATALOGUE_PRESENT;
+	statements[1].entry.info.id[0] = '\0';
+	assert_refused(&message);
+	subscribe.u.subscribe = (peer_subscribe_t){
+		.position = { .incarnation = 5, .change = 9 },
+		.own_only = TRUE,
+	};
+	assert_survives(&subscribe);
+}
+
 /* Fails when damaged bytes crash the decoder; make asan sees more. */
 static void damaged_bytes_are_harmless(void **state)
 {
@@ -194,6 +237,7 @@
 		cmocka_unit_test(refusal_keeps_its_outcome),
 		cmocka_unit_test(full_ping_is_small),
 		cmocka_unit_test(bad_members_are_refused),
+		cmocka_unit_test(endpoints_survive),
 		cmocka_unit_test(damaged_bytes_are_harmless),
 	};
 
