Let urgent calls cross data centres at once and retry first

Change: the most urgent priority asks other data centres as soon as no near endpoint is expected to meet the objective; others wait as before. Retries of other priorities leave half of a retry in the budget. An endpoint that reports a free slot with its refusal is not left alone like a full one. Two far endpoints are asked for a call and one in each later look, in place of three. Lists of members after the first come from near.

Who reads the store is logged (store_reading) and dumped.

--- a/lib/admission/retry_budget.c
+++ b/lib/admission/retry_budget.c
@@ -1,13 +1,15 @@
 #include "lib/admission/retry_budget.h"
 
 #define CREDIT_OF_RETRY 100
+/* Kept for the most urgent calls. */
+#define CREDIT_RESERVED (CREDIT_OF_RETRY / 2)
 
 void retry_budget_init(retry_budget_t *budget, guint percent)
 {
 	g_assert(percent <= 100);
 	budget->percent = percent;
 	budget->credit = 0;
-	budget->saved_max = RETRY_BUDGET_SAVED_MAX;
+	budget->credit_max = RETRY_BUDGET_SAVED_MAX * CREDIT_OF_RETRY;
 }
 
 void retry_budget_set_percent(retry_budget_t *budget, guint percent)
@@ -16,16 +18,16 @@
 	budget->percent = percent;
 }
 
-void retry_budget_set_saved(retry_budget_t *budget, guint retries)
+void retry_budget_set_saved(retry_budget_t *budget, guint hundredths)
 {
-	budget->saved_max = retries;
-	budget->credit = MIN(budget->credit, retries * CREDIT_OF_RETRY);
+	budget->credit_max = MAX(hundredths, CREDIT_OF_RETRY);
+	budget->credit = MIN(budget->credit, budget->credit_max);
 }
 
 void retry_budget_earn(retry_budget_t *budget)
 {
-	budget->credit = MIN(budget->credit + budget->percent,
-			     budget->saved_max * CREDIT_OF_RETRY);
+	budget->credit =
+		MIN(budget->credit + budget->percent, budget->credit_max);
 }
 
 gboolean retry_budget_has_room(const retry_budget_t *budget)
@@ -33,6 +35,14 @@
 	return budget->credit >= CREDIT_OF_RETRY;
 }
 
+gboolean retry_budget_has_spare_room(const retry_budget_t *budget)
+{
+	guint reserved =
+		MIN(CREDIT_RESERVED, budget->credit_max - CREDIT_OF_RETRY);
+
+	return budget->credit >= CREDIT_OF_RETRY + reserved;
+}
+
 void retry_budget_spend(retry_budget_t *budget)
 {
 	g_assert(retry_budget_has_room(budget));
--- a/lib/call/call.h
+++ b/lib/call/call.h
@@ -56,6 +56,7 @@
 	gboolean routed; /* came over a route: sent as the caller wrote it */
 	GTimeSpan objective; /* instant, 0 for none */
 	GTimeSpan far_after; /* instant from which any data centre will do */
+	GTimeSpan blind_after; /* from which an old report will do */
 	double slowdown_at_start; /* of the last attempt, in percent; 0: unknown */
 	gboolean returning; /* the caller was refused before */
 	guint attempts_max; /* 0 for the entry's own limit */
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -361,9 +361,9 @@
 		upstream_share_among(service->upstream, instances, MAX(near, 1),
 				     now);
 		if (entry->limits.retry_saved)
-			retry_budget_set_saved(
-				&service->retries,
-				MAX(entry->limits.retry_saved / instances, 1));
+			retry_budget_set_saved(&service->retries,
+					       entry->limits.retry_saved * 100 /
+						       instances);
 	}
 }
 
--- a/lib/entry/entry_attempts.c
+++ b/lib/entry/entry_attempts.c
@@ -49,8 +49,11 @@
 	/* Too late to cancel: the outcome would most likely be unknown. */
 	if (call->deadline - now <= cancel_margin(call))
 		return FALSE;
-	return call->attempts_made < attempts_max(entry, call) &&
-	       retry_budget_has_room(&service->retries);
+	if (call->attempts_made >= attempts_max(entry, call))
+		return FALSE;
+	return call->queue.priority == 0 ?
+		       retry_budget_has_room(&service->retries) :
+		       retry_budget_has_spare_room(&service->retries);
 }
 
 /*
--- a/lib/entry/entry_dump.c
+++ b/lib/entry/entry_dump.c
@@ -15,6 +15,17 @@
 		   g_hash_table_size(entry->calls_by_ref));
 }
 
+static void dump_subscription(const entry_t *entry, const dump_writer_t *w)
+{
+	w->begin_object(w->ctx, "store");
+	w->boolean(w->ctx, "reads", entry_reads_store(entry));
+	w->integer(w->ctx, "subscribers",
+		   subscription_count(entry->subscription));
+	w->integer(w->ctx, "last_change",
+		   (gint64)catalogue_last_change(entry->catalogue));
+	w->end_object(w->ctx);
+}
+
 static void dump_request_ids(entry_t *entry, const dump_writer_t *w)
 {
 	request_ids_stats_t stats = request_ids_stats(entry->ids);
@@ -63,6 +74,7 @@
 	w->begin_object(w->ctx, NULL);
 	dump_self(entry, w);
 	membership_dump(entry->membership, w);
+	dump_subscription(entry, w);
 	w->begin_array(w->ctx, "upstreams");
 	TAILQ_FOREACH (service, &entry->services, link)
 		upstream_dump(service->upstream, w, entry_now(entry));
--- a/lib/entry/entry_measure.c
+++ b/lib/entry/entry_measure.c
@@ -10,6 +10,13 @@
 #define MEASURE_WAIT (10 * G_TIME_SPAN_MILLISECOND)
 /* Time between two looks for room while calls wait. */
 #define REFRESH_INTERVAL (20 * G_TIME_SPAN_MILLISECOND)
+/*
+ * Endpoints of other data centres that are asked at once, for a call and in one
+ * look: two choices are enough there, and each probe costs bytes between data
+ * centres.
+ */
+#define FAR_PROBES_OF_CALL 2
+#define FAR_PROBES_OF_LOOK 1
 #define WORK_WEIGHT 0.05
 /* Service time that a call should have left when it starts, over the usual. */
 #define WORK_MARGIN 1.3
@@ -18,7 +25,8 @@
 #define LATE_WAIT_MAX (60 * G_TIME_SPAN_MILLISECOND)
 /*
  * Wait for an endpoint of this data centre before others are considered: bytes
- * between data centres are dear, and a slowdown is over soon.
+ * between data centres are dear, and a slowdown is over soon. The most urgent
+ * calls do not wait.
  */
 #define NEAR_WAIT_PART 2
 #define NEAR_WAIT_MAX (150 * G_TIME_SPAN_MILLISECOND)
@@ -42,7 +50,7 @@
 				 NULL,
 		.work = (GTimeSpan)service->work[call->queue.priority],
 		.far_allowed = now >= call->far_after,
-		.blind_allowed = now >= call->far_after,
+		.blind_allowed = now >= call->blind_after,
 	};
 
 	if (call->objective)
@@ -135,6 +143,14 @@
 	TAILQ_REMOVE(&service->measuring, call, measure.link);
 }
 
+static guint probes_max(const entry_t *entry, upstream_scope_t scope,
+			guint far_max)
+{
+	guint max = MIN(entry->limits.probe_fanout, CALL_PROBES_MAX);
+
+	return scope == SCOPE_FAR ? MIN(max, far_max) : max;
+}
+
 /* Sends probes for the call. FALSE when none is needed or allowed. */
 static gboolean ask(entry_t *entry, entry_service_t *service, call_t *call,
 		    upstream_scope_t scope)
@@ -142,7 +158,7 @@
 	const char *ids[CALL_PROBES_MAX];
 	GTimeSpan now = entry_now(entry);
 	call_measure_t *measure = &call->measure;
-	guint max = MIN(entry->limits.probe_fanout, CALL_PROBES_MAX);
+	guint max = probes_max(entry, scope, FAR_PROBES_OF_CALL);
 	guint count =
 		upstream_plan_probes(service->upstream, scope, ids, max, now);
 	guint i;
@@ -197,15 +213,21 @@
 	return MIN(latest, now + remaining / WAIT_PART);
 }
 
+static GTimeSpan near_wait(const call_t *call, GTimeSpan now)
+{
+	return MIN((call->queue.latest_start - now) / NEAR_WAIT_PART,
+		   NEAR_WAIT_MAX);
+}
+
 void entry_measure(entry_t *entry, entry_service_t *service, call_t *call)
 {
 	GTimeSpan now = entry_now(entry);
 
 	if (call->routed && !call->queue.latest_start) {
 		call->queue.latest_start = latest_start(service, call, now);
-		call->far_after = now + MIN((call->queue.latest_start - now) /
-						    NEAR_WAIT_PART,
-					    NEAR_WAIT_MAX);
+		call->blind_after = now + near_wait(call, now);
+		call->far_after = call->queue.priority == 0 ? now :
+							      call->blind_after;
 	}
 	call->measure.scope = SCOPE_NEAR;
 	if (call->routed && ask(entry, service, call, SCOPE_NEAR))
@@ -266,14 +288,14 @@
 static void refresh(entry_t *entry, entry_service_t *service, GTimeSpan now)
 {
 	const char *ids[CALL_PROBES_MAX];
-	guint max = MIN(entry->limits.probe_fanout, CALL_PROBES_MAX);
 	upstream_scope_t scope;
-	guint count, i;
+	guint count, max, i;
 
 	service->next_refresh = now + REFRESH_INTERVAL;
 	for (scope = SCOPE_NEAR; scope <= SCOPE_FAR; scope++) {
 		if (scope == SCOPE_FAR && !wants_far(entry, service, now))
 			break;
+		max = probes_max(entry, scope, FAR_PROBES_OF_LOOK);
 		count = upstream_plan_probes(service->upstream, scope, ids, max,
 					     now);
 		counters_add(entry->counters, COUNTER_PROBES_SENT, count);
--- a/lib/entry/entry_subscription.c
+++ b/lib/entry/entry_subscription.c
@@ -53,6 +53,7 @@
 
 void entry_store_called(entry_t *entry, gboolean answered)
 {
+	entry->store_called = TRUE;
 	entry->store_answers = answered;
 	subscription_store_called(entry->subscription, answered,
 				  entry_now(entry));
@@ -167,6 +168,26 @@
 	entry_endpoints_changed(entry);
 }
 
+/* Who this instance learns from is what explains an old belief. */
+static void log_role(entry_t *entry)
+{
+	GTimeSpan now = entry_now(entry);
+	gboolean reads = entry_reads_store(entry);
+
+	if (reads == entry->logged_reading || !entry->store_called)
+		return;
+	entry->logged_reading = reads;
+	LOG_EVENT(&entry->actions.log, "store_reading",
+		  LOG_NUMBER("reads", reads),
+		  LOG_NUMBER("is_source",
+			     has_sources(entry) &&
+				     entry_is_watcher(entry, NULL)),
+		  LOG_NUMBER("served_by_source",
+			     subscription_is_served(entry->subscription, now)),
+		  LOG_NUMBER("store_answers", entry->store_answers),
+		  LOG_NUMBER("fleet", entry->fleet.highest));
+}
+
 void entry_subscription_tick(entry_t *entry)
 {
 	GTimeSpan now = entry_now(entry);
@@ -176,5 +197,6 @@
 		choose_sources(entry);
 	}
 	renew(entry);
+	log_role(entry);
 	entry_endpoints_changed(entry);
 }
--- a/lib/membership/membership_ping.c
+++ b/lib/membership/membership_ping.c
@@ -348,12 +348,32 @@
 	send_ping(membership, choice, about);
 }
 
+/* A member of this data centre, or any one where there is none. */
+static const node_t *random_near_node(const membership_t *membership)
+{
+	const node_t *chosen = NULL;
+	const node_t *node;
+	gint32 seen = 0;
+
+	TAILQ_FOREACH (node, &membership->turns, by_turn)
+		if (strcmp(node->info.data_centre,
+			   membership->self->data_centre) == 0 &&
+		    g_rand_int_range(membership->random, 0, ++seen) == 0)
+			chosen = node;
+	return chosen ? chosen : random_node(membership);
+}
+
+/*
+ * The seeds learn of all instances first, so the first list is theirs. Later
+ * ones come from near: a list is long, and bytes between data centres are dear.
+ */
 static void ask_for_all(membership_t *membership, GTimeSpan now)
 {
 	const seed_t *seed = TAILQ_FIRST(&membership->seeds);
-	const node_t *node = random_node(membership);
+	const node_t *node = random_near_node(membership);
+	gboolean first = membership->full_list_wait == FULL_LIST_FIRST;
 
-	if (seed && g_rand_boolean(membership->random))
+	if (seed && (first || !node))
 		send_ping_for(membership, seed->address, NULL, TRUE);
 	else if (node)
 		send_ping_for(membership, node->info.peer_address, node, TRUE);
--- a/lib/upstream/health.c
+++ b/lib/upstream/health.c
@@ -263,11 +263,15 @@
 	health_start_ramp(endpoint, now);
 }
 
+/* An endpoint that reports a free slot with its refusal is not full. */
 static void pause_after_refusal(const upstream_t *upstream,
 				endpoint_t *endpoint, GTimeSpan now)
 {
 	GTimeSpan pause = (GTimeSpan)upstream->latency;
 
+	if (upstream->routing.trusts_reports && endpoint->reported == now &&
+	    endpoint->report.in_flight < endpoint->report.slots)
+		return;
 	endpoint->full_until =
 		now + CLAMP(pause, FULL_PAUSE_MIN, FULL_PAUSE_MAX);
 }
--- a/lib/upstream/upstream.c
+++ b/lib/upstream/upstream.c
@@ -447,10 +447,10 @@
 	endpoint_remove_flight(endpoint, now - latency);
 	upstream->in_flight--;
 	refresh_median(upstream, now);
-	health_attempt_ended(upstream, endpoint, end, latency, now);
 	if (report)
 		endpoint_take_report(upstream, endpoint, report, now - latency,
 				     now);
+	health_attempt_ended(upstream, endpoint, end, latency, now);
 	if (routing->attempt_ended)
 		routing->attempt_ended(routing->ctx, endpoint, end, latency,
 				       now);
--- a/tests/test_retry_budget.c
+++ b/tests/test_retry_budget.c
@@ -48,6 +48,35 @@
 	assert_int_equal(spend_all(&budget), RETRY_BUDGET_SAVED_MAX);
 }
 
+/* Fails when retries of less urgent calls leave none to the most urgent ones. */
+static void urgent_retries_go_first(void **state)
+{
+	retry_budget_t budget;
+	guint i, urgent = 0, other = 0;
+
+	(void)state;
+	retry_budget_init(&budget, 20);
+	retry_budget_set_saved(&budget, 168);
+	/* Each call wants a retry; one in ten is urgent. */
+	for (i = 0; i < 1000; i++) {
+		retry_budget_earn(&budget);
+		if (i % 10 == 0 && retry_budget_has_room(&budget)) {
+			retry_budget_spend(&budget);
+			urgent++;
+		} else if (i % 10 && retry_budget_has_spare_room(&budget)) {
+			retry_budget_spend(&budget);
+			other++;
+		}
+	}
+	assert_true(urgent >= 95);
+	assert_in_range(urgent + other, 190, 200);
+	/* Where one retry is all that may add up, all have the same chance. */
+	retry_budget_set_saved(&budget, 100);
+	for (i = 0; i < 5; i++)
+		retry_budget_earn(&budget);
+	assert_true(retry_budget_has_spare_room(&budget));
+}
+
 /* An endpoint that refused an attempt gets no other for at most this time. */
 #define REFUSAL_PAUSE (100 * G_TIME_SPAN_MILLISECOND)
 
@@ -161,6 +190,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(retries_stay_within_percentage),
 		cmocka_unit_test(saved_credit_is_bounded),
+		cmocka_unit_test(urgent_retries_go_first),
 		cmocka_unit_test(callers_retry_is_not_retried),
 	};
 
