--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -564,6 +564,18 @@
 	g_free(request);
 }
 
+/* Fails when a killed instance does not serve again soon after its start. */
+static void restarted_instance_serves(void **state)
+{
+	const guint recovery_ms = 2000; /* of the 15 s that the users allow */
+	fixture_t *f = *state;
+
+	process_free(f->daemon);
+	start_daemon(f);
+	assert_true(wait_until(is_ready, NULL, recovery_ms));
+	assert_true(wait_until(is_served, f, recovery_ms));
+}
+
 /* Fails when SIGHUP ends the process, or invalid settings do. */
 static void settings_are_read_again(void **state)
 {
@@ -614,6 +626,7 @@
 		TEST(leaving_endpoint_gets_no_new_work),
 		TEST(directory_names_the_instance),
 		TEST(planned_stop_cuts_nothing),
+		TEST(restarted_instance_serves),
 		TEST(settings_are_read_again),
 		TEST(metrics_are_served),
 	};
--- a/tests/test_retry_budget.c
+++ b/tests/test_retry_budget.c
@@ -77,6 +77,36 @@
 	assert_true(retry_budget_has_spare_room(&budget));
 }
 
+/*
+ * Fails when the instances of a fleet together repeat more than the percentage
+ * and the retries saved for all of them, in whatever order requests come.
+ */
+static void fleet_stays_within_the_budget(void **state)
+{
+	const guint instances = 94, saved = 158, percent = 20, requests = 9400;
+	GRand *random = g_rand_new_with_seed(3);
+	retry_budget_t budgets[94];
+	guint i, retries = 0;
+
+	(void)state;
+	for (i = 0; i < instances; i++) {
+		retry_budget_init(&budgets[i], percent);
+		retry_budget_set_saved(&budgets[i], saved * 100 / instances);
+	}
+	for (i = 0; i < requests; i++) {
+		retry_budget_t *budget =
+			&budgets[g_rand_int_range(random, 0, (gint32)instances)];
+
+		retry_budget_earn(budget);
+		/* Failures come in bursts, after quiet times. */
+		if (i / 1000 % 2)
+			retries += spend_all(budget);
+	}
+	assert_in_range(retries, requests * percent / 100 / 4,
+			requests * percent / 100 + saved);
+	g_rand_free(random);
+}
+
 /* An endpoint that refused an attempt gets no other for at most this time. */
 #define REFUSAL_PAUSE (100 * G_TIME_SPAN_MILLISECOND)
 
@@ -191,6 +221,7 @@
 		cmocka_unit_test(retries_stay_within_percentage),
 		cmocka_unit_test(saved_credit_is_bounded),
 		cmocka_unit_test(urgent_retries_go_first),
+		cmocka_unit_test(fleet_stays_within_the_budget),
 		cmocka_unit_test(callers_retry_is_not_retried),
 	};
 
--- a/tests/test_routed_calls.c
+++ b/tests/test_routed_calls.c
@@ -31,6 +31,7 @@
 	guint started; /* attempts */
 	guint cancelled; /* attempts */
 	guint64 attempt_id; /* the last one */
+	GTimeSpan remaining; /* handed on with it */
 	char endpoint[UPSTREAM_ID_MAX + 1]; /* of the last attempt */
 	char probes[PROBES_MAX][UPSTREAM_ID_MAX + 1]; /* not answered yet */
 	guint probe_count;
@@ -57,6 +58,7 @@
 
 	f->started++;
 	f->attempt_id = request->attempt_id;
+	f->remaining = request->remaining;
 	g_strlcpy(f->endpoint, request->endpoint, sizeof(f->endpoint));
 }
 
@@ -129,7 +131,8 @@
 	assert_true(entry_set_endpoints(f->entry, "s", infos, near + 1));
 }
 
-static int set_up(void **state)
+/* An entry without configuration. */
+static entry_t *new_entry(fixture_t *f)
 {
 	static const member_t self = { .name = "e1",
 				       .data_centre = "here",
@@ -151,19 +154,25 @@
 		.resolve_addresses = 8,
 		.shutdown_max = G_TIME_SPAN_SECOND,
 	};
-	fixture_t *f = g_new0(fixture_t, 1);
 	entry_actions_t actions = { .answer = on_answer,
 				    .start_attempt = on_start,
 				    .cancel_attempt = on_cancel,
 				    .send_probe = on_probe,
 				    .ctx = f };
+
+	return entry_new(&self, &limits, &actions, &f->clock, f->random,
+			 &f->counters);
+}
+
+static int set_up(void **state)
+{
+	fixture_t *f = g_new0(fixture_t, 1);
 	GBytes *document = g_bytes_new_static("{}", 2);
 
 	f->now = 100 * G_TIME_SPAN_SECOND;
 	f->clock = (catk_clock_t){ .now = read_clock, .ctx = &f->now };
 	f->random = g_rand_new_with_seed(1);
-	f->entry = entry_new(&self, &limits, &actions, &f->clock, f->random,
-			     &f->counters);
+	f->entry = new_entry(f);
 	entry_offer_config(f->entry, 1, new_schema(), document);
 	list_endpoints(f, 2);
 	/* The probe budget starts empty. */
@@ -388,6 +397,34 @@
 	g_bytes_unref(body);
 }
 
+/* Fails when an instance without configuration denies what it does not know. */
+static void without_configuration_nothing_is_denied(void **state)
+{
+	fixture_t *f = *state;
+
+	entry_free(f->entry);
+	f->entry = new_entry(f);
+	request(f, 1, "/once/");
+	expect(f, 1, CATK_UNAVAILABLE, OUTCOME_NOT_RUN);
+}
+
+/* Fails when an attempt is handed more time than the call has left. */
+static void attempt_gets_the_time_that_is_left(void **state)
+{
+	fixture_t *f = *state;
+
+	request(f, 1, "/safe/");
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->remaining, DEADLINE);
+	advance(f, 600 * MS);
+	end_attempt(f, ATTEMPT_FAILED, 0);
+	answer_probes(f, "", 0, 0, 100);
+	advance(f, 20 * MS);
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->started, 2);
+	assert_in_range(f->remaining, 1, DEADLINE - 600 * MS);
+}
+
 /*
  * Fails when an entry that is freed cancels attempts: the front end's clients
  * are gone by then (soak seed 34: an instance that stopped while a request of a
@@ -571,6 +608,8 @@
 		TEST(far_endpoint_takes_what_finds_no_room),
 		TEST(urgent_request_crosses_at_once),
 		TEST(refusal_with_a_free_slot_is_no_pause),
+		TEST(without_configuration_nothing_is_denied),
+		TEST(attempt_gets_the_time_that_is_left),
 		TEST(freed_entry_takes_no_action),
 		TEST(no_room_is_refused_early),
 		TEST(repeats_only_on_proof),
