Name all instances of a large data centre to callers in turn

Cause: an answer of the directory holds 64 addresses and named the first 64 members of the data centre each time; at 300 machines in four data centres 11 of 75 would never get a caller while they say that they are ready.

Change: where there are more members than places, each answer starts behind the last one, as the product's own resolve does.

test_entry_subscription/directory_names_all_in_turn failed before (2 answers of 8 named 8 of 10 instances).

--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -292,17 +292,42 @@
 	return TRUE;
 }
 
+static gboolean is_in(const member_t *member, const char *data_centre,
+		      member_state_t state)
+{
+	return member->state == state && member->caller_address[0] &&
+	       (!data_centre || strcmp(member->data_centre, data_centre) == 0);
+}
+
+/*
+ * Adds members of a data centre, or of all. Where there are more than an answer
+ * holds, each answer starts behind the last one, so that all get callers.
+ */
 static void add_members(entry_t *entry, resolve_result_t *result,
 			const char *data_centre, member_state_t state)
 {
-	const member_t *member = membership_first(entry->membership);
+	const member_t *first = membership_first(entry->membership);
+	guint max = entry->limits.resolve_addresses;
+	const member_t *member;
+	guint count = 0, start = 0, place = 0;
 
-	for (; member; member = membership_next(member))
-		if (member->state == state && member->caller_address[0] &&
-		    (!data_centre ||
-		     strcmp(member->data_centre, data_centre) == 0) &&
-		    result->address_count < entry->limits.resolve_addresses)
+	for (member = first; member; member = membership_next(member))
+		count += is_in(member, data_centre, state);
+	if (count > max) {
+		start = entry->resolve_turn % count;
+		entry->resolve_turn += max;
+	}
+	for (member = first; place < start + count;
+	     member = membership_next(member)) {
+		if (!member)
+			member = first;
+		if (!is_in(member, data_centre, state))
+			continue;
+		if (result->address_count == max)
+			return;
+		if (place++ >= start)
 			add_address(result, member);
+	}
 }
 
 gboolean entry_resolve_near(entry_t *entry, const char *data_centre,
--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -26,8 +26,7 @@
 
 #define ENTRY_RESOLVE_ADDRESSES_MAX 64
 
-/* In a data centre; two, so that a change is seen at once while one is paused or
- * lost. */
+/* Of a data centre: a change is seen at once while one is paused or lost. */
 #define ENTRY_CONFIG_WATCHERS 2
 
 typedef struct entry entry_t;
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -66,8 +66,7 @@
 	return catk_clock_now(entry->clock);
 }
 
-/* Sends to the peer at the address, or on a connection. Fills in the version.
- */
+/* Sends to the peer at the address, or on a connection; sets the version. */
 void entry_send_to_peer(entry_t *entry, const char *address,
 			peer_message_t *message);
 void entry_reply_to_peer(entry_t *entry, guint64 connection,
--- a/tests/test_entry_subscription.c
+++ b/tests/test_entry_subscription.c
@@ -1,4 +1,7 @@
-/* A fleet of entries in which few read the store, on a simulated network. */
+/*
+ * A fleet of entries on a simulated network: few of them read the store, and all
+ * are named to callers.
+ */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -12,6 +15,7 @@
 
 #define ENTRIES 30
 #define CENTRES 3
+#define ADDRESSES_MAX 8 /* of an answer, fewer than a data centre has */
 #define STEP (20 * G_TIME_SPAN_MILLISECOND) /* also the latency of a message */
 #define JOIN_TIME (20 * G_TIME_SPAN_SECOND)
 #define BOUND (2 * G_TIME_SPAN_SECOND) /* on learning a change */
@@ -100,7 +104,7 @@
 		.admission = { .queue_max = 50, .caller_share_percent = 100 },
 		.entries_max = ENTRIES,
 		.attempts_max = 2,
-		.resolve_addresses = 8,
+		.resolve_addresses = ADDRESSES_MAX,
 		.change_bound = BOUND,
 	};
 	entry_actions_t actions = { .send_peer = on_send,
@@ -113,6 +117,8 @@
 	g_snprintf(self.data_centre, sizeof(self.data_centre), "k%u",
 		   index % CENTRES);
 	g_snprintf(self.peer_address, sizeof(self.peer_address), "%u", index);
+	g_snprintf(self.caller_address, sizeof(self.caller_address), "c%u",
+		   index);
 	node->entry = entry_new(&self, &limits, &actions, &net.clock,
 				net.random, &net.counters);
 	entry_add_seed(node->entry, "0");
@@ -364,6 +370,34 @@
 	assert_int_equal(count_knowing(4), ENTRIES);
 }
 
+/* Instances that some of a number of answers name. */
+static guint named_in(const char *data_centre, guint answers)
+{
+	GHashTable *named =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	resolve_result_t result;
+	guint i, count;
+
+	for (; answers; answers--) {
+		assert_true(entry_resolve_near(net.nodes[0].entry, data_centre,
+					       &result, NULL));
+		assert_int_equal(result.address_count, ADDRESSES_MAX);
+		for (i = 0; i < result.address_count; i++)
+			g_hash_table_add(named, g_strdup(result.addresses[i]));
+	}
+	count = g_hash_table_size(named);
+	g_hash_table_unref(named);
+	return count;
+}
+
+/* Fails when instances beyond what an answer holds never get callers. */
+static void directory_names_all_in_turn(void **state)
+{
+	(void)state;
+	assert_int_equal(named_in("k1", 2), ENTRIES / CENTRES);
+	assert_int_equal(named_in(NULL, 2 * ENTRIES / ADDRESSES_MAX), ENTRIES);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
@@ -373,6 +407,7 @@
 		TEST(dead_sources_hide_nothing),
 		TEST(sources_without_store_hear_the_others),
 		TEST(outage_is_met_by_the_sources),
+		TEST(directory_names_all_in_turn),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
