--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -113,7 +113,7 @@
 void fleet_stop(soak_t *soak);
 /* Restarts what is due, ends endpoints that have left, checks planned stops. */
 void fleet_tick(soak_t *soak);
-void fleet_kill(soak_t *soak, instance_t *instance, GTimeSpan down);
+void fleet_kill(instance_t *instance, GTimeSpan down);
 void fleet_terminate(instance_t *instance);
 void fleet_pause(instance_t *instance, gboolean paused);
 endpoint_t *fleet_add_endpoint(soak_t *soak);
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -10,6 +10,8 @@
 #define LENGTH_MIN_MS 200
 #define LENGTH_MAX_MS 3000
 #define DELAY_MAX_MS 400
+#define DOWN_MAX_MS 1500 /* of a killed instance */
+#define CALM_CHANGE_MS 3500 /* between changes that come in any case */
 /* Live endpoints that drains and crashes leave over. */
 #define ENDPOINTS_LEFT 3
 /* Chance of a time without new faults, in which the rules for calm hold. */
@@ -161,8 +163,8 @@
 	instance_t *instance = draw_instance(soak);
 
 	soak_note("kill e%u", instance->index);
-	fleet_kill(soak, instance,
-		   draw(soak, 0, 1500) * G_TIME_SPAN_MILLISECOND);
+	fleet_kill(instance,
+		   draw(soak, 0, DOWN_MAX_MS) * G_TIME_SPAN_MILLISECOND);
 }
 
 static void terminate_instance(soak_t *soak)
@@ -271,8 +273,8 @@
 	return G_SOURCE_REMOVE;
 }
 
-/* Changes in calm times: what the bounds on drain and configuration need. */
-static gboolean on_calm_change(gpointer data)
+/* Rare faults alone would leave the bounds on drain and configuration untried. */
+static gboolean on_regular_change(gpointer data)
 {
 	soak_t *soak = data;
 
@@ -285,12 +287,10 @@
 
 void faults_start(soak_t *soak)
 {
-	const guint calm_change_ms = 3500;
-
 	soak->faults_end = soak_now() + soak->options.seconds *
 						(GTimeSpan)G_TIME_SPAN_SECOND;
 	g_timeout_add(GAP_MAX_MS, on_next, soak);
-	g_timeout_add(calm_change_ms, on_calm_change, soak);
+	g_timeout_add(CALM_CHANGE_MS, on_regular_change, soak);
 }
 
 void faults_wait(void)
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -389,9 +389,8 @@
 	instance->restart_at = soak_now() + down;
 }
 
-void fleet_kill(soak_t *soak, instance_t *instance, GTimeSpan down)
+void fleet_kill(instance_t *instance, GTimeSpan down)
 {
-	(void)soak;
 	if (!instance->process)
 		return;
 	disturb_begin(instance->disturbances);
