Ask upstream_is_near() in the belief that is logged

The same comparison of data centres stood twice; behaviour is unchanged. test_upstream, test_routed_calls, test_entry and test_platform pass.

--- a/lib/upstream/endpoint.c
+++ b/lib/upstream/endpoint.c
@@ -139,7 +139,6 @@
 			(gint64)(100 * endpoint_load(upstream, endpoint, now) /
 				 endpoint_slots(upstream, endpoint)),
 		.slowdown_percent = endpoint->report.slowdown_percent,
-		.near = g_strcmp0(endpoint->info.data_centre,
-				  upstream->limits.data_centre) == 0,
+		.near = upstream_is_near(upstream, endpoint),
 	};
 }
