Build the programs without the packages of the tests

With only the listed packages nothing compiled:

Package cmocka was not found in the pkg-config search path. ./lib/common/counters.h:8:10: fatal error: glib.h: No such file

Cause: one list of pkg-config packages served programs and tests. When one of them is missing, pkg-config prints no flags for the others either, and make goes on with empty flags.

The flags of the programs ask for the packages of the programs, those of tests add cmocka. When pkg-config fails, make stops and names the packages to install. gio-unix-2.0 is no longer asked for, since no source includes it.

--- a/Makefile
+++ b/Makefile
@@ -10,22 +10,27 @@
 CC = gcc
 CFLAGS = -O2 -g
 BUILD = build
-PACKAGES = glib-2.0 gio-2.0 gio-unix-2.0 libsoup-3.0 json-glib-1.0 \
-	libprotobuf-c cmocka libxxhash gsl
-DEBIAN_PACKAGES = libglib2.0-dev libsoup-3.0-dev libjson-glib-dev \
-	libprotobuf-c-dev protobuf-c-compiler libcmocka-dev libxxhash-dev \
-	libgsl-dev libhttp-parser-dev spin pkg-config
+# What the programs need, and what tests, benchmarks and the linter add.
+PACKAGES = glib-2.0 gio-2.0 libsoup-3.0 json-glib-1.0 libprotobuf-c libxxhash gsl
+TEST_PACKAGES = cmocka
+DEBIAN_PACKAGES = $(shell sed -n 's/^packages = \[\(.*\)\]/\1/p' \
+	deploy/system.toml | tr -d '",')
+DEBIAN_TEST_PACKAGES = libcmocka-dev protobuf-c-compiler spin strace git \
+	clang-format clang-tidy
 
 ALL_CFLAGS = -std=gnu11 -D_GNU_SOURCE -I. -Wall -Wextra -Wshadow \
 	-Wstrict-prototypes -Wmissing-prototypes -Werror $(CFLAGS)
+# A package that pkg-config does not find would leave its flags empty, and the
+# compiler would report a missing header in their place.
+pkg_config = $(shell pkg-config $(1))$(if $(filter 0,$(.SHELLSTATUS)),,$(error \
+	pkg-config $(1) failed: install $(DEBIAN_PACKAGES)$(2), or run make deps))
 # The decisions see GLib and xxHash only: an include of anything else fails.
-LIB_FLAGS = $(shell pkg-config --cflags glib-2.0 libxxhash)
-ALL_FLAGS = $(shell pkg-config --cflags $(PACKAGES))
-LIBS = $(shell pkg-config --libs glib-2.0 gio-2.0 libsoup-3.0 json-glib-1.0 \
-	libprotobuf-c libxxhash gsl) -lhttp_parser -lm
-LIB_ONLY = $(shell pkg-config --libs glib-2.0 libxxhash) -lm
-TEST_LIBS = $(shell pkg-config --libs cmocka)
-BENCH_LIBS = $(shell pkg-config --libs gsl)
+LIB_FLAGS = $(call pkg_config,--cflags glib-2.0 libxxhash)
+ALL_FLAGS = $(call pkg_config,--cflags $(PACKAGES))
+TEST_FLAGS = $(call pkg_config,--cflags $(TEST_PACKAGES), $(DEBIAN_TEST_PACKAGES))
+LIBS = $(call pkg_config,--libs $(PACKAGES)) -lhttp_parser -lm
+LIB_ONLY = $(call pkg_config,--libs glib-2.0 libxxhash) -lm
+TEST_LIBS = $(call pkg_config,--libs $(TEST_PACKAGES), $(DEBIAN_TEST_PACKAGES))
 
 LIB_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard lib/*/*.c))
 NET_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard codec/*.c net/*.c platform/*.c \
@@ -43,9 +48,10 @@
 all: $(PROGRAMS)
 
 deps:
-	@pkg-config --exists $(PACKAGES) && command -v spin protoc-c >/dev/null || \
+	@pkg-config --exists $(PACKAGES) $(TEST_PACKAGES) && \
+	command -v spin protoc-c >/dev/null || \
 	{ apt-get update && apt-get install -y --no-install-recommends \
-	$(DEBIAN_PACKAGES); }
+	$(DEBIAN_PACKAGES) $(DEBIAN_TEST_PACKAGES); }
 
 $(BUILD)/lib/%.o: lib/%.c
 	@mkdir -p $(@D)
@@ -58,6 +64,8 @@
 	@echo "CC $<"
 	@$(CC) -std=gnu11 -I. $(CFLAGS) $(ALL_FLAGS) -MMD -MP -c $< -o $@
 
+$(BUILD)/tests/%.o: ALL_CFLAGS += $(TEST_FLAGS)
+
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
 	@echo "CC $<"
@@ -104,7 +112,7 @@
 
 $(BENCHES): $(BUILD)/%: $(BUILD)/bench/%.o $(TEST_SUPPORT) $(LINK_ALL)
 	@echo "LD $@"
-	@$(CC) -o $@ $^ $(LIBS) $(BENCH_LIBS) -lm
+	@$(CC) -o $@ $^ $(LIBS)
 
 # Proves that the decisions link without sockets, HTTP or protobuf-c.
 $(BUILD)/lib_links_alone: $(BUILD)/libcatkinstall.a
@@ -155,7 +163,7 @@
 	@clang-format --dry-run -Werror $(SOURCES)
 	@printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P 8 -n 4 \
 	sh -c 'clang-tidy --quiet "$$@" -- -std=gnu11 -D_GNU_SOURCE -I. \
-	$(ALL_FLAGS) 2>/dev/null' sh
+	$(ALL_FLAGS) $(TEST_FLAGS) 2>/dev/null' sh
 
 format:
 	@clang-format -i $(SOURCES)
