Install whatever package is missing in make deps

Cause: it asked pkg-config, which does not know libraries without a .pc file, and "command -v spin protoc-c", which looks for the first name only.

build_check/deps_install_each_missing_package fails before (apt-get is not called) and passes now.

--- a/Makefile
+++ b/Makefile
@@ -48,8 +48,7 @@
 all: $(PROGRAMS)
 
 deps:
-	@pkg-config --exists $(PACKAGES) $(TEST_PACKAGES) && \
-	command -v spin protoc-c >/dev/null || \
+	@dpkg -s $(DEBIAN_PACKAGES) $(DEBIAN_TEST_PACKAGES) >/dev/null 2>&1 || \
 	{ apt-get update && apt-get install -y --no-install-recommends \
 	$(DEBIAN_PACKAGES) $(DEBIAN_TEST_PACKAGES); }
 
