Ask for short watches while the store does not answer

Cause: the store was away from second 21 on. Every instance that reads it saw its watch fail and asked for the next one at once, with a wait of 20 s. The store never answered these, also when it was back at second 26.5: their connections lived, so nothing replaced them for 21 s. The first three instances to learn version 9 were three that had just been restarted (27.28, 27.60 and 27.81 s) and had listed; the others learnt it from peers, the last after 30.5 s.

Ruled out: slow spreading by peers alone.

A watch that is asked for after a failure waits 1 s now, until the store has answered, so that an unanswered one is replaced within the 3 s in which an instance is not yet in touch. The waits move to lib/feed, which decides what to ask.

test_platform/watch_swallowed_in_an_outage_is_replaced fails before (the new route is still 404 after 5 s) and passes now, like test_feed/watch_of_an_outage_is_short.

Watches that are swallowed while the store never fails are still replaced after 21 s when no peer has read more.

--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -9,6 +9,18 @@
 #define BACKOFF_MAX (400 * G_TIME_SPAN_MILLISECOND)
 #define BACKOFF_DOUBLINGS 3
 
+/*
+ * A watch is a priced call and is answered at once when something changes, so
+ * it waits long. Keep-alive probes find a connection that has gone silent.
+ */
+#define WATCH_WAIT (20 * G_TIME_SPAN_SECOND)
+/*
+ * A watch that is asked for during an outage may never be answered, while its
+ * connection lives. It is missed within the 3 s in which an instance is not yet
+ * in touch after the outage: its wait, 1 s of slack and the longest backoff.
+ */
+#define WATCH_WAIT_IN_OUTAGE (1 * G_TIME_SPAN_SECOND)
+
 struct feed {
 	GTimeSpan changes_pause;
 	GRand *random;
@@ -42,7 +54,9 @@
 {
 	feed_step_t step = { .kind = feed->listing ? FEED_LIST : FEED_WATCH,
 			     .after = feed->after,
-			     .revision = feed->revision };
+			     .revision = feed->revision,
+			     .wait = feed->failures ? WATCH_WAIT_IN_OUTAGE :
+						      WATCH_WAIT };
 
 	if (now < feed->retry_at) {
 		step.kind = FEED_WAIT;
--- a/lib/feed/feed.h
+++ b/lib/feed/feed.h
@@ -11,7 +11,7 @@
 typedef enum {
 	FEED_WAIT, /* ask again at the instant until */
 	FEED_LIST, /* ask for a page; after names the last object, or NULL */
-	FEED_WATCH /* ask for changes since revision */
+	FEED_WATCH /* ask for changes since revision, for the time wait */
 } feed_step_kind_t;
 
 typedef struct {
@@ -19,6 +19,7 @@
 	GTimeSpan until;
 	const char *after;
 	guint64 revision;
+	GTimeSpan wait; /* longest time to the answer of a watch */
 } feed_step_t;
 
 typedef struct feed feed_t;
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -2,7 +2,8 @@
  * A stand-in for the users' metadata store: objects by kind and name, pages,
  * watches, and its faults. POST /fault/MODE sets one of: none, busy (503),
  * refuse (429), silent (answers what was asked meanwhile when the mode ends),
- * compact (forgets its history once).
+ * swallow (ends the waiting watches with 503 and never answers what is asked
+ * meanwhile), compact (forgets its history once).
  *   fake_store --port PORT [--page OBJECTS]
  */
 #include <argp.h>
@@ -214,19 +215,26 @@
 
 static void serve(http_exchange_t *exchange);
 
-static void set_fault(http_exchange_t *exchange, const char *mode)
+static void end_watches(guint status)
 {
 	watch_t *watch, *next;
 
+	TAILQ_FOREACH_SAFE (watch, &store.watches, link, next) {
+		reply(watch->exchange, status, "{}");
+		watch_free(watch);
+	}
+}
+
+static void set_fault(http_exchange_t *exchange, const char *mode)
+{
 	g_free(store.fault);
 	store.fault = g_strdup(mode);
 	if (strcmp(mode, "compact") == 0) {
 		store.forgotten = store.revision + 1;
 		store.revision += 10;
-		TAILQ_FOREACH_SAFE (watch, &store.watches, link, next) {
-			reply(watch->exchange, 410, "{}");
-			watch_free(watch);
-		}
+		end_watches(410);
+	} else if (strcmp(mode, "swallow") == 0) {
+		end_watches(503);
 	}
 	reply(exchange, 200, "{}");
 	/* The reply has freed the request, and mode with it. */
@@ -246,7 +254,7 @@
 		reply(exchange, 429, "{}");
 	else if (g_strcmp0(store.fault, "silent") == 0)
 		g_ptr_array_add(store.held, exchange);
-	else
+	else if (g_strcmp0(store.fault, "swallow") != 0)
 		return FALSE;
 	return TRUE;
 }
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -108,6 +108,25 @@
 	}
 }
 
+/*
+ * Fails when a watch of an outage, which may never be answered, holds the feed
+ * for longer than the 3 s until the instance counts as in touch.
+ */
+static void watch_of_an_outage_is_short(void **state)
+{
+	fixture_t *f = *state;
+	feed_step_t step;
+
+	feed_page_read(f->feed, 500, NULL, FALSE);
+	feed_failed(f->feed, NOW);
+	step = feed_next(f->feed, NOW + G_TIME_SPAN_SECOND);
+	assert_int_equal(step.kind, FEED_WATCH);
+	assert_true(step.wait <= G_TIME_SPAN_SECOND);
+	feed_changes_read(f->feed, 500, 0, NOW);
+	step = feed_next(f->feed, NOW + G_TIME_SPAN_SECOND);
+	assert_true(step.wait > G_TIME_SPAN_SECOND);
+}
+
 /* Fails when each of many changes in quick succession costs a call. */
 static void changes_are_collected(void **state)
 {
@@ -134,6 +153,7 @@
 		TEST(lost_history_lists_again),
 		TEST(failed_list_starts_again),
 		TEST(store_is_found_again_within_a_second),
+		TEST(watch_of_an_outage_is_short),
 		TEST(changes_are_collected),
 	};
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -16,6 +16,10 @@
 #define START_TIMEOUT_MS 10000
 /* In force within 2 s of the store's answer, the users' bound. */
 #define CONFIG_BOUND_MS 2000
+/* The users' time after an outage from which on the bounds hold. */
+#define CONTACT_MS 3000
+/* An instance that has just started waits for sources before it watches. */
+#define WATCHING_AFTER_MS 2000
 #define READ_TIMEOUT_S 10
 
 enum {
@@ -503,6 +507,23 @@
 	assert_int_equal(ask_status(f, "GET", "/new/1"), 404);
 }
 
+/*
+ * Fails when a watch that is asked for during an outage, and that the store
+ * never answers, hides a version for longer than the bound after the outage.
+ */
+static void watch_swallowed_in_an_outage_is_replaced(void **state)
+{
+	fixture_t *f = *state;
+
+	run_loop_for(WATCHING_AFTER_MS);
+	set_fault("swallow");
+	run_loop_for(1500);
+	set_fault("none");
+	run_loop_for(CONTACT_MS);
+	put_config(30, ROUTE("new", "/new/", "safe"));
+	assert_true(wait_until(new_route_is_served, f, CONFIG_BOUND_MS));
+}
+
 /* Fails when an endpoint that drains or is gone gets new work. */
 static void leaving_endpoint_gets_no_new_work(void **state)
 {
@@ -623,6 +644,7 @@
 		TEST(slow_sender_is_told),
 		TEST(config_comes_into_force_and_stays),
 		TEST(store_outage_changes_nothing),
+		TEST(watch_swallowed_in_an_outage_is_replaced),
 		TEST(leaving_endpoint_gets_no_new_work),
 		TEST(directory_names_the_instance),
 		TEST(planned_stop_cuts_nothing),
