--- a/lib/upstream/routing_expected_latency.c
+++ b/lib/upstream/routing_expected_latency.c
@@ -220,8 +220,8 @@
 
 /*
  * A call that misses its objective anyway leaves the slots of other data
- * centres to calls of theirs that are in time, unless its caller was refused
- * before: it does not come back often.
+ * centres to their calls in time. One whose caller was refused before does not:
+ * callers give up after a few refusals.
  */
 static endpoint_t *choose(void *ctx, const candidates_t *candidates,
 			  const upstream_need_t *need, GTimeSpan now)
