--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 #   make lint     formatter and linter
 #   make soak     fifty seeds of the randomized soak, about half an hour
 #   make bench    measurements (not a test)
-#   make deps     install what pkg-config misses (Debian packages)
+#   make deps     install the Debian packages that are missing
+#   make proto    regenerate the code of the messages between instances
 
 CC = gcc
 CFLAGS = -O2 -g
