Start the seconds of the fake object API's rates with their first call

Cause: the fake counted calls by the seconds of the monotonic clock. The test writes three times, 20 ms apart; when the second turned between the second and the third write, the third was within the rate again. One run in fifty starts in that phase.

The window now opens with the first call that it counts. A call of the test that takes longer than 300 ms ends as unavailable, so three of them can't outlast the second. The test and its expectations are unchanged.

--- a/tests/fakes/fake_object_api.c
+++ b/tests/fakes/fake_object_api.c
@@ -39,10 +39,13 @@
 	gboolean silent; /* never answered */
 } watch_t;
 
-/* Calls allowed in each second; 0 for no limit. */
+/*
+ * Calls allowed in each second; 0 for no limit. A second starts with its first
+ * call: one that turns by the clock may turn between the calls of a test.
+ */
 typedef struct {
 	guint per_second;
-	gint64 second;
+	gint64 started;
 	guint used;
 } rate_t;
 
@@ -251,12 +254,15 @@
 
 static gboolean within_rate(rate_t *rate)
 {
-	gint64 second = g_get_monotonic_time() / G_TIME_SPAN_SECOND;
+	gint64 now = g_get_monotonic_time();
 
-	if (second != rate->second)
+	if (!rate->per_second)
+		return TRUE;
+	if (now - rate->started >= G_TIME_SPAN_SECOND) {
+		rate->started = now;
 		rate->used = 0;
-	rate->second = second;
-	return !rate->per_second || rate->used++ < rate->per_second;
+	}
+	return rate->used++ < rate->per_second;
 }
 
 typedef struct {
