End a stop under traffic within its bound

Callers that keep the address of a stopping instance saw their connections cut by a kill: with requests still coming in, a stop that reached shutdown_max_ms (5.5 s in the deploy template) went on for up to 2 s to write its last answers, past the platform's grace time of 6 s.

Cause: the time for the last writes started anew when the bound had passed, and new requests kept the server from being idle.

The last writes end 200 ms after the bound; a stop that drained before it still has 2 s. Ruled out: a lower shutdown_max_ms, which would cut calls that end in time on an instance that callers have left.

Evidence: test_platform/stop_under_traffic_keeps_its_bound sends a request of 400 ms every 100 ms after SIGTERM. Before, the process still accepted connections 4.5 s after the signal with a bound of 4 s; now it is gone, with exit status 0.

--- a/codec/settings_json.c
+++ b/codec/settings_json.c
@@ -103,7 +103,8 @@
 	{ "shutdown_max_ms", ENTRY_FIELD(shutdown_max), FIELD_MILLISECONDS, 0,
 	  3600000, 60000, "ms",
 	  "bound of a graceful shutdown; keep it above the longest deadline "
-	  "plus resolve_ttl_ms and request_id_lifetime_ms" },
+	  "plus resolve_ttl_ms and request_id_lifetime_ms, and 200 ms below the "
+	  "time after which the process is killed" },
 	{ "body_bytes_max", offsetof(settings_t, body_bytes_max), FIELD_INT64,
 	  1024, 64 << 20, 1 << 20, "bytes",
 	  "largest body of a request or an answer" },
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -472,6 +472,12 @@
 	return TAILQ_EMPTY(&entry->calls) && !entry_has_forwards(entry);
 }
 
+GTimeSpan entry_stop_bound(const entry_t *entry)
+{
+	return entry->leaving ? entry->left + entry->limits.shutdown_max :
+				CATK_NEVER;
+}
+
 gboolean entry_is_stopped(entry_t *entry)
 {
 	GTimeSpan now = entry_now(entry);
@@ -480,7 +486,7 @@
 		return FALSE;
 	if (is_drained(entry, now))
 		return TRUE;
-	if (now < entry->left + entry->limits.shutdown_max)
+	if (now < entry_stop_bound(entry))
 		return FALSE;
 	counters_add(entry->counters, COUNTER_CALLS_CUT_AT_SHUTDOWN,
 		     g_hash_table_size(entry->calls_by_ref));
--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -325,6 +325,9 @@
  */
 gboolean entry_is_stopped(entry_t *entry);
 
+/* Instant at which that bound passes, CATK_NEVER without a shutdown. */
+GTimeSpan entry_stop_bound(const entry_t *entry);
+
 void entry_dump(entry_t *entry, const dump_writer_t *writer);
 
 #endif
--- a/programs/daemon.c
+++ b/programs/daemon.c
@@ -23,6 +23,8 @@
 
 /* Bound of writing the last answers to callers that read slowly. */
 #define LAST_WRITES_MAX (2 * G_TIME_SPAN_SECOND)
+/* The same after the bound of a shutdown: the platform kills soon after it. */
+#define LAST_WRITES_AFTER_BOUND (200 * G_TIME_SPAN_MILLISECOND)
 
 typedef struct {
 	const settings_t *settings;
@@ -77,6 +79,12 @@
 	       entry_next_wakeup(daemon->entry);
 }
 
+static gboolean answers_are_written(const daemon_t *daemon)
+{
+	return caller_api_is_written(daemon->callers) &&
+	       (!daemon->proxy || proxy_is_idle(daemon->proxy));
+}
+
 /* The last answers leave the process before it ends. */
 static void quit_when_stopped(daemon_t *daemon)
 {
@@ -86,9 +94,9 @@
 		daemon->stopped = now;
 	if (!daemon->stopped)
 		return;
-	if ((caller_api_is_written(daemon->callers) &&
-	     (!daemon->proxy || proxy_is_idle(daemon->proxy))) ||
-	    now - daemon->stopped >= LAST_WRITES_MAX)
+	if (answers_are_written(daemon) ||
+	    now >= daemon->stopped + LAST_WRITES_MAX ||
+	    now >= entry_stop_bound(daemon->entry) + LAST_WRITES_AFTER_BOUND)
 		g_main_loop_quit(daemon->loop);
 }
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -13,6 +13,7 @@
 #include "tests/support.h"
 
 #define ENDPOINTS 2
+#define SHUTDOWN_MAX_MS 4000
 #define START_TIMEOUT_MS 10000
 /* In force within 2 s of the store's answer, the users' bound. */
 #define CONFIG_BOUND_MS 2000
@@ -112,26 +113,35 @@
 		"\"probes_per_second\":60,\"concurrency_max\":100,"
 		"\"entries_max\":1,\"retry_percent\":20,\"retry_saved\":10,"
 		"\"resolve_ttl_ms\":500,\"resolve_addresses\":8,"
-		"\"request_id_lifetime_ms\":100,\"shutdown_max_ms\":4000}",
+		"\"request_id_lifetime_ms\":100,\"shutdown_max_ms\":%d}",
 		support_port(CALLER_PORT), support_port(PEER_PORT),
 		support_port(PROXY_PORT), support_port(DIRECTORY_PORT),
-		support_port(READY_PORT), support_port(STORE_PORT));
+		support_port(READY_PORT), support_port(STORE_PORT),
+		SHUTDOWN_MAX_MS);
 
 	f->daemon = process_start("catkinstalld", "--settings", settings, NULL);
 	g_free(settings);
 }
 
-/* Sends bytes on a new connection; reads until it is closed or is idle. */
-static GSocketConnection *open_connection(guint port)
+/* NULL when nothing listens at the port. */
+static GSocketConnection *try_connection(guint port)
 {
 	GSocketClient *client = g_socket_client_new();
 	GSocketConnection *connection = g_socket_client_connect_to_host(
 		client, "127.0.0.1", (guint16)port, NULL, NULL);
 
+	g_object_unref(client);
+	return connection;
+}
+
+/* Sends bytes on a new connection; reads until it is closed or is idle. */
+static GSocketConnection *open_connection(guint port)
+{
+	GSocketConnection *connection = try_connection(port);
+
 	assert_non_null(connection);
 	g_socket_set_timeout(g_socket_connection_get_socket(connection),
 			     READ_TIMEOUT_S);
-	g_object_unref(client);
 	return connection;
 }
 
@@ -585,6 +595,38 @@
 	g_free(request);
 }
 
+/*
+ * Fails when callers that keep the address of a stopping instance hold it beyond
+ * its bound: the platform kills it then, with the requests it runs.
+ */
+static void stop_under_traffic_keeps_its_bound(void **state)
+{
+	const guint slack_ms = 500; /* between shutdown_max_ms and the kill */
+	GSocketConnection *connections[60], *connection;
+	fixture_t *f = *state;
+	GTimeSpan end = g_get_monotonic_time() +
+			(SHUTDOWN_MAX_MS + slack_ms) * G_TIME_SPAN_MILLISECOND;
+	guint sent = 0;
+
+	process_signal(f->daemon, SIGTERM);
+	while ((connection = try_connection(support_port(PROXY_PORT)))) {
+		char *request = request_text(f, "PUT", "/once/slow", "");
+
+		assert_true(g_get_monotonic_time() < end);
+		assert_true(sent < G_N_ELEMENTS(connections));
+		connections[sent++] = connection;
+		/* The process may end before it is written. */
+		g_output_stream_write_all(
+			g_io_stream_get_output_stream(G_IO_STREAM(connection)),
+			request, strlen(request), NULL, NULL, NULL);
+		g_free(request);
+		run_loop_for(100);
+	}
+	assert_int_equal(process_wait(f->daemon), 0);
+	while (sent)
+		g_object_unref(connections[--sent]);
+}
+
 /* Fails when a killed instance does not serve again soon after its start. */
 static void restarted_instance_serves(void **state)
 {
@@ -648,6 +690,7 @@
 		TEST(leaving_endpoint_gets_no_new_work),
 		TEST(directory_names_the_instance),
 		TEST(planned_stop_cuts_nothing),
+		TEST(stop_under_traffic_keeps_its_bound),
 		TEST(restarted_instance_serves),
 		TEST(settings_are_read_again),
 		TEST(metrics_are_served),
