Judge the last slot only where it is the one left

Reading the change again: has_room() worked out the expected latency of every candidate, although it matters only when one slot is left, and cheapest() works it out again. It asks for it now in that case alone. The decisions are the same: load and tolerance are compared with the slots, and with one less.

The tests of routed calls copied the loop over unanswered probes three times; take_probe() is that loop's body.

--- a/lib/upstream/routing_expected_latency.c
+++ b/lib/upstream/routing_expected_latency.c
@@ -171,26 +171,30 @@
 }
 
 /*
- * Slots of the endpoint that the call may use. Work is slower in the last one: a
- * call that misses its objective there anyway makes others miss theirs.
+ * Work is slower in the last slot of an endpoint: a call that misses its
+ * objective there anyway makes others miss theirs.
  */
-static guint slots_for(const upstream_t *upstream, const endpoint_t *endpoint,
-		       const upstream_need_t *need, GTimeSpan now)
+static gboolean takes_last_slot(const upstream_t *upstream,
+				const endpoint_t *endpoint,
+				const upstream_need_t *need, GTimeSpan now)
 {
-	guint slots = slots_of(upstream, endpoint);
-
-	if (slots < SLOTS_WITH_RESERVE || !need->objective ||
-	    meets_objective(upstream, endpoint, need, now))
-		return slots;
-	return slots - 1;
+	return slots_of(upstream, endpoint) < SLOTS_WITH_RESERVE ||
+	       !need->objective ||
+	       meets_objective(upstream, endpoint, need, now);
 }
 
 static gboolean has_room(const upstream_t *upstream, const endpoint_t *endpoint,
 			 const upstream_need_t *need, GTimeSpan now)
 {
-	return endpoint_load(upstream, endpoint, now) + LOAD_TOLERANCE <
-		       slots_for(upstream, endpoint, need, now) &&
-	       is_worthwhile(upstream, endpoint, need, now);
+	double load = endpoint_load(upstream, endpoint, now) + LOAD_TOLERANCE;
+	guint slots = slots_of(upstream, endpoint);
+
+	if (load >= slots)
+		return FALSE;
+	if (load + 1 >= slots &&
+	    !takes_last_slot(upstream, endpoint, need, now))
+		return FALSE;
+	return is_worthwhile(upstream, endpoint, need, now);
 }
 
 /* The cheapest candidate of the scope, random among nearly equal ones. */
--- a/tests/test_routed_calls.c
+++ b/tests/test_routed_calls.c
@@ -223,19 +223,26 @@
 	entry_probe_ended(f->entry, "s", endpoint, &report);
 }
 
+/* Copies the last probe out, since its answer may start others. */
+static gboolean take_probe(fixture_t *f, char id[UPSTREAM_ID_MAX + 1])
+{
+	if (!f->probe_count)
+		return FALSE;
+	strcpy(id, f->probes[--f->probe_count]);
+	return TRUE;
+}
+
 /* Answers all probes; those of the named endpoint with its own figures. */
 static void answer_probes(fixture_t *f, const char *endpoint, guint in_flight,
 			  guint slowdown, guint other_slowdown)
 {
-	while (f->probe_count) {
-		gchar *id = g_strdup(f->probes[--f->probe_count]);
+	char id[UPSTREAM_ID_MAX + 1];
 
+	while (take_probe(f, id))
 		if (strcmp(id, endpoint) == 0)
 			answer_probe(f, id, in_flight, slowdown);
 		else
 			answer_probe(f, id, 0, other_slowdown);
-		g_free(id);
-	}
 }
 
 static void end_attempt(fixture_t *f, attempt_end_t end, guint status)
@@ -311,12 +318,10 @@
 /* Reports no free slot but in the other data centre. */
 static void answer_full_but_far(fixture_t *f)
 {
-	while (f->probe_count) {
-		gchar *id = g_strdup(f->probes[--f->probe_count]);
+	char id[UPSTREAM_ID_MAX + 1];
 
+	while (take_probe(f, id))
 		answer_probe(f, id, strcmp(id, "i-far") ? 3 : 0, 100);
-		g_free(id);
-	}
 }
 
 /* Fails when a request is refused although another data centre has room. */
@@ -414,12 +419,10 @@
 				       .slots = slots,
 				       .slowdown_percent = 100 };
 
-	while (f->probe_count) {
-		gchar *id = g_strdup(f->probes[--f->probe_count]);
+	char id[UPSTREAM_ID_MAX + 1];
 
+	while (take_probe(f, id))
 		entry_probe_ended(f->entry, "s", id, &report);
-		g_free(id);
-	}
 }
 
 /* Attempts of a request that finds one free slot of so many everywhere. */
