Log and measure what an instance knows of the metadata store

Each list and watch now logs store_call_sent and store_call_ended with its age and outcome. endpoint_leaving names the endpoint, who reported it and how old the known state was, which bounds the age of the change. The dump and the metrics have the time since the state was last known to be current, by kind, and the dump the call in flight with its age.

The feeds move from platform/ into the entry, so that logs, dump and metrics read one state. The pause after changes, a decision, moves with them.

Measured: a call logs two lines; calls are bounded by the feed's pause and backoff. test_feed, test_catalogue, test_subscription, test_entry_subscription and test_platform/metrics_are_served pass; the last fails without the gauges.

--- a/lib/catalogue/catalogue.c
+++ b/lib/catalogue/catalogue.c
@@ -32,8 +32,7 @@
 } service_t;
 
 struct catalogue {
-	catalogue_changed_fn_t changed;
-	void *ctx;
+	catalogue_events_t events;
 	gboolean contact_lost; /* neither store nor peers send changes */
 	GTimeSpan delay_removals_until; /* instant */
 	gboolean first_list_read;
@@ -45,12 +44,11 @@
 	TAILQ_HEAD(service_list, service) services;
 };
 
-catalogue_t *catalogue_new(catalogue_changed_fn_t changed, void *ctx)
+catalogue_t *catalogue_new(const catalogue_events_t *events)
 {
 	catalogue_t *catalogue = g_new0(catalogue_t, 1);
 
-	catalogue->changed = changed;
-	catalogue->ctx = ctx;
+	catalogue->events = *events;
 	catalogue->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	TAILQ_INIT(&catalogue->endpoints);
 	TAILQ_INIT(&catalogue->removals);
@@ -58,10 +56,20 @@
 	return catalogue;
 }
 
-static change_stamp_t next_stamp(catalogue_t *catalogue, gboolean own,
+static void report_leaving(const catalogue_t *catalogue,
+			   const catalogue_entry_t *entry,
+			   catalogue_state_t state, const char *source)
+{
+	if (catalogue->events.leaving)
+		catalogue->events.leaving(catalogue->events.ctx, entry, state,
+					  source);
+}
+
+/* source is NULL for a change that was read from the store. */
+static change_stamp_t next_stamp(catalogue_t *catalogue, const char *source,
 				 GTimeSpan now)
 {
-	change_stamp_t stamp = { .at = now, .own = own };
+	change_stamp_t stamp = { .at = now, .own = !source };
 
 	if (catalogue->first_list_read)
 		stamp.number = ++catalogue->last_change;
@@ -110,7 +118,7 @@
 
 /* Removes the endpoint and records the removal. */
 static void remove_endpoint(catalogue_t *catalogue, known_endpoint_t *endpoint,
-			    gboolean own, GTimeSpan now)
+			    const char *source, GTimeSpan now)
 {
 	removal_t *removal = find_removal(catalogue, endpoint->entry.info.id);
 
@@ -119,9 +127,10 @@
 	removal = g_new0(removal_t, 1);
 	removal->entry = endpoint->entry;
 	removal->entry.revision++;
-	removal->stamp = next_stamp(catalogue, own, now);
+	removal->stamp = next_stamp(catalogue, source, now);
 	TAILQ_INSERT_TAIL(&catalogue->removals, removal, link);
 	endpoint_free(catalogue, endpoint);
+	report_leaving(catalogue, &removal->entry, CATALOGUE_REMOVED, source);
 }
 
 void catalogue_free(catalogue_t *catalogue)
@@ -161,13 +170,14 @@
 }
 
 static void put_entry(catalogue_t *catalogue, const catalogue_entry_t *entry,
-		      gboolean own, GTimeSpan now)
+		      const char *source, GTimeSpan now)
 {
 	known_endpoint_t *endpoint =
 		g_hash_table_lookup(catalogue->by_id, entry->info.id);
 	removal_t *removal = find_removal(catalogue, entry->info.id);
 	gboolean same = endpoint && !endpoint->remove_at &&
 			endpoint->entry.revision == entry->revision;
+	gboolean was_leaving = endpoint && endpoint->entry.info.leaving;
 
 	if (removal)
 		removal_free(catalogue, removal);
@@ -177,10 +187,12 @@
 		endpoint = add_endpoint(catalogue, entry->info.id);
 	mark_service_changed(catalogue, entry->service);
 	if (!same)
-		endpoint->stamp = next_stamp(catalogue, own, now);
+		endpoint->stamp = next_stamp(catalogue, source, now);
 	endpoint->entry = *entry;
 	endpoint->remove_at = 0;
 	endpoint->warmup_until = now + entry->info.warmup_remaining;
+	if (entry->info.leaving && !was_leaving)
+		report_leaving(catalogue, entry, CATALOGUE_PRESENT, source);
 }
 
 void catalogue_put(catalogue_t *catalogue, const catalogue_entry_t *entry,
@@ -190,19 +202,20 @@
 		g_hash_table_lookup(catalogue->by_id, entry->info.id);
 
 	if (!endpoint || !is_older(entry, &endpoint->entry))
-		put_entry(catalogue, entry, TRUE, now);
+		put_entry(catalogue, entry, NULL, now);
 	endpoint = g_hash_table_lookup(catalogue->by_id, entry->info.id);
 	endpoint->listed = TRUE;
 }
 
 static void mark_doubtful(catalogue_t *catalogue, known_endpoint_t *endpoint,
-			  GTimeSpan until, gboolean own, GTimeSpan now)
+			  GTimeSpan until, const char *source, GTimeSpan now)
 {
 	if (endpoint->remove_at)
 		return;
 	endpoint->remove_at = until;
-	endpoint->stamp = next_stamp(catalogue, own, now);
+	endpoint->stamp = next_stamp(catalogue, source, now);
 	mark_service_changed(catalogue, endpoint->entry.service);
+	report_leaving(catalogue, &endpoint->entry, CATALOGUE_DOUBTFUL, source);
 }
 
 /*
@@ -214,9 +227,9 @@
 {
 	if (now < catalogue->delay_removals_until)
 		mark_doubtful(catalogue, endpoint,
-			      catalogue->delay_removals_until, TRUE, now);
+			      catalogue->delay_removals_until, NULL, now);
 	else
-		remove_endpoint(catalogue, endpoint, TRUE, now);
+		remove_endpoint(catalogue, endpoint, NULL, now);
 }
 
 void catalogue_remove(catalogue_t *catalogue, const char *id, GTimeSpan now)
@@ -266,7 +279,8 @@
 }
 
 static gboolean merge_present(catalogue_t *catalogue,
-			      const catalogue_entry_t *entry, GTimeSpan now)
+			      const catalogue_entry_t *entry,
+			      const char *source, GTimeSpan now)
 {
 	const known_endpoint_t *endpoint =
 		g_hash_table_lookup(catalogue->by_id, entry->info.id);
@@ -275,29 +289,30 @@
 	if ((endpoint && entry->revision <= endpoint->entry.revision) ||
 	    (removal && entry->revision < removal->entry.revision))
 		return FALSE;
-	put_entry(catalogue, entry, FALSE, now);
+	put_entry(catalogue, entry, source, now);
 	return TRUE;
 }
 
 gboolean catalogue_merge(catalogue_t *catalogue,
-			 const catalogue_change_t *change, GTimeSpan now)
+			 const catalogue_change_t *change, const char *source,
+			 GTimeSpan now)
 {
 	const catalogue_entry_t *entry = &change->entry;
 	known_endpoint_t *endpoint;
 
 	if (change->state == CATALOGUE_PRESENT)
-		return merge_present(catalogue, entry, now);
+		return merge_present(catalogue, entry, source, now);
 	endpoint = g_hash_table_lookup(catalogue->by_id, entry->info.id);
 	if (!endpoint || entry->revision < endpoint->entry.revision)
 		return FALSE;
 	if (change->state == CATALOGUE_REMOVED) {
-		remove_endpoint(catalogue, endpoint, FALSE, now);
+		remove_endpoint(catalogue, endpoint, source, now);
 		return TRUE;
 	}
 	if (endpoint->remove_at)
 		return FALSE;
 	mark_doubtful(catalogue, endpoint, now + CATALOGUE_REREGISTRATION_TIME,
-		      FALSE, now);
+		      source, now);
 	return TRUE;
 }
 
@@ -387,7 +402,8 @@
 			MAX(endpoint->warmup_until - now, 0);
 		count++;
 	}
-	catalogue->changed(catalogue->ctx, service->name, infos, count);
+	catalogue->events.changed(catalogue->events.ctx, service->name, infos,
+				  count);
 	g_free(infos);
 }
 
@@ -398,7 +414,7 @@
 
 	TAILQ_FOREACH_SAFE (endpoint, &catalogue->endpoints, link, next)
 		if (endpoint->remove_at && now >= endpoint->remove_at)
-			remove_endpoint(catalogue, endpoint, TRUE, now);
+			remove_endpoint(catalogue, endpoint, NULL, now);
 	purge_old_removals(catalogue, now);
 	TAILQ_FOREACH (service, &catalogue->services, link)
 		if (service->changed) {
--- a/lib/catalogue/catalogue.h
+++ b/lib/catalogue/catalogue.h
@@ -59,16 +59,25 @@
 	catalogue_entry_t entry;
 } catalogue_change_t;
 
-/*
- * Called when the endpoints of a service have changed. infos is valid during
- * the call only.
- */
-typedef void (*catalogue_changed_fn_t)(void *ctx, const char *service,
-				       const endpoint_info_t *infos,
-				       gsize count);
+typedef struct {
+	/*
+	 * The endpoints of a service have changed. infos is valid during the
+	 * call only.
+	 */
+	void (*changed)(void *ctx, const char *service,
+			const endpoint_info_t *infos, gsize count);
+	/*
+	 * An endpoint starts to drain, becomes doubtful or is removed. source
+	 * names the instance that sent the change, NULL for a change read from
+	 * the store. NULL ignores the event.
+	 */
+	void (*leaving)(void *ctx, const catalogue_entry_t *entry,
+			catalogue_state_t state, const char *source);
+	void *ctx;
+} catalogue_events_t;
 
 /* Free with catalogue_free(). */
-catalogue_t *catalogue_new(catalogue_changed_fn_t changed, void *ctx);
+catalogue_t *catalogue_new(const catalogue_events_t *events);
 
 /* NULL is allowed. */
 void catalogue_free(catalogue_t *catalogue);
@@ -109,11 +118,12 @@
 void catalogue_contact_via_peers(catalogue_t *catalogue);
 
 /*
- * Applies a change that another instance has sent. Returns FALSE when it has no
+ * Applies a change that the instance source has sent. Returns FALSE when it has no
  * effect, for example because it is older than the known state.
  */
 gboolean catalogue_merge(catalogue_t *catalogue,
-			 const catalogue_change_t *change, GTimeSpan now);
+			 const catalogue_change_t *change, const char *source,
+			 GTimeSpan now);
 
 /*
  * Number of the last change, 0 for none. Entries of the first list are not
--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -20,6 +20,7 @@
 #include "lib/common/event_log.h"
 #include "lib/config/config.h"
 #include "lib/entry/peer_message.h"
+#include "lib/feed/feed.h"
 #include "lib/membership/membership.h"
 #include "lib/request_id/request_id.h"
 #include "lib/upstream/upstream.h"
@@ -233,8 +234,35 @@
  */
 gboolean entry_should_read_store(const entry_t *entry);
 
-/* Records whether the store answered a request of this instance. */
-void entry_record_store_call(entry_t *entry, gboolean answered);
+/*
+ * What this instance reads of the store, and in which order. The reader of the
+ * store performs the requests and records their results.
+ */
+feed_t *entry_feed(entry_t *entry, feed_kind_t kind);
+
+/*
+ * Time since the state of that kind was last known to be current: since the
+ * store's last answer, or for endpoints since the last message of a source that
+ * is in contact with the store. CATK_NEVER if never.
+ */
+GTimeSpan entry_known_age(const entry_t *entry, feed_kind_t kind);
+
+/* How a request to the store ended. */
+typedef struct {
+	const char *outcome; /* for the log */
+	guint http_status; /* 0 without an answer */
+	guint objects; /* in the answer */
+	guint64 revision; /* of the store, 0 if unknown */
+	gboolean answered;
+} entry_store_call_t;
+
+/* Logs and records that the request of a step was sent. */
+void entry_store_call_sent(entry_t *entry, feed_kind_t kind,
+			   const feed_step_t *step);
+
+/* Logs the end of a request, before it is recorded in the feed. */
+void entry_store_call_ended(entry_t *entry, feed_kind_t kind,
+			    const entry_store_call_t *call);
 
 /*
  * Records the store revision up to which changes of endpoints have been read.
--- a/lib/entry/entry_dump.c
+++ b/lib/entry/entry_dump.c
@@ -15,14 +15,35 @@
 		   g_hash_table_size(entry->calls_by_ref));
 }
 
+static void dump_feed(const entry_t *entry, feed_kind_t kind,
+		      const dump_writer_t *w)
+{
+	feed_status_t status =
+		feed_status(entry->feeds[kind], entry_now(entry));
+	GTimeSpan age = entry_known_age(entry, kind);
+
+	w->begin_object(w->ctx, feed_kind_name(kind));
+	if (age != CATK_NEVER)
+		w->integer(w->ctx, "known_age_us", age);
+	w->string(w->ctx, "call", feed_step_name(status.call));
+	w->integer(w->ctx, "call_age_us", status.call_age);
+	w->integer(w->ctx, "revision", (gint64)status.revision);
+	w->integer(w->ctx, "failures", status.failures);
+	w->end_object(w->ctx);
+}
+
 static void dump_subscription(const entry_t *entry, const dump_writer_t *w)
 {
+	guint i;
+
 	w->begin_object(w->ctx, "store");
 	w->boolean(w->ctx, "reads", entry_should_read_store(entry));
 	w->integer(w->ctx, "subscribers",
 		   subscription_subscriber_count(entry->subscription));
 	w->integer(w->ctx, "last_change",
 		   (gint64)catalogue_last_change(entry->catalogue));
+	for (i = 0; i < FEED_KIND_COUNT; i++)
+		dump_feed(entry, (feed_kind_t)i, w);
 	w->end_object(w->ctx);
 }
 
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -53,6 +53,7 @@
 	guint64 next_attempt;
 	catalogue_t *catalogue;
 	subscription_t *subscription;
+	feed_t *feeds[FEED_KIND_COUNT];
 	GTimeSpan next_source_selection;
 	gboolean logged_reads_store; /* entry_should_read_store() as logged */
 	gboolean has_called_store; /* an endpoint store is in use */
@@ -126,6 +127,16 @@
 			     const attempt_t *attempt,
 			     const attempt_result_t *result);
 
+/* Logs that an endpoint leaves; see catalogue_events_t. */
+void entry_log_leaving(const entry_t *entry, const catalogue_entry_t *endpoint,
+		       catalogue_state_t state, const char *source);
+
+/* Log the start and the end of a request to the store. */
+void entry_log_store_call_sent(const entry_t *entry, feed_kind_t kind,
+			       const feed_step_t *step);
+void entry_log_store_call_ended(const entry_t *entry, feed_kind_t kind,
+				const entry_store_call_t *call);
+
 /* Logs that a configuration came into force. */
 void entry_log_config(const entry_t *entry);
 
--- a/lib/entry/entry_log.c
+++ b/lib/entry/entry_log.c
@@ -61,6 +61,68 @@
 			     entry_now(entry) - attempt->started));
 }
 
+/* Age of the state in microseconds, -1 if it was never known. */
+static log_field_t known_age_field(const entry_t *entry, feed_kind_t kind)
+{
+	GTimeSpan age = entry_known_age(entry, kind);
+
+	return LOG_NUMBER("known_age_us", age == CATK_NEVER ? -1 : age);
+}
+
+static const char *leaving_name(const catalogue_entry_t *endpoint,
+				catalogue_state_t state)
+{
+	if (state == CATALOGUE_PRESENT)
+		return endpoint->info.leaving ? "draining" : "present";
+	return state == CATALOGUE_DOUBTFUL ? "doubtful" : "removed";
+}
+
+/*
+ * The age of the knowledge limits how long ago the endpoint started to leave:
+ * the store does not tell when an entry changed.
+ */
+void entry_log_leaving(const entry_t *entry, const catalogue_entry_t *endpoint,
+		       catalogue_state_t state, const char *source)
+{
+	LOG_EVENT(&entry->actions.log, "endpoint_leaving",
+		  LOG_TEXT("endpoint", endpoint->info.id),
+		  LOG_TEXT("service", endpoint->service),
+		  LOG_TEXT("state", leaving_name(endpoint, state)),
+		  LOG_TEXT("learnt_from", source ? source : "store"),
+		  LOG_NUMBER("revision", (gint64)endpoint->revision),
+		  known_age_field(entry, FEED_ENDPOINTS));
+}
+
+void entry_log_store_call_sent(const entry_t *entry, feed_kind_t kind,
+			       const feed_step_t *step)
+{
+	LOG_EVENT(&entry->actions.log, "store_call_sent",
+		  LOG_TEXT("kind", feed_kind_name(kind)),
+		  LOG_TEXT("call", feed_step_name(step->kind)),
+		  LOG_NUMBER("revision", (gint64)step->revision),
+		  LOG_NUMBER("wait_us", step->kind == FEED_WATCH ?
+						step->watch_timeout :
+						0),
+		  known_age_field(entry, kind));
+}
+
+void entry_log_store_call_ended(const entry_t *entry, feed_kind_t kind,
+				const entry_store_call_t *call)
+{
+	feed_status_t status =
+		feed_status(entry->feeds[kind], entry_now(entry));
+
+	LOG_EVENT(&entry->actions.log, "store_call_ended",
+		  LOG_TEXT("kind", feed_kind_name(kind)),
+		  LOG_TEXT("call", feed_step_name(status.call)),
+		  LOG_TEXT("outcome", call->outcome),
+		  LOG_NUMBER("status", call->http_status),
+		  LOG_NUMBER("age_us", status.call_age),
+		  LOG_NUMBER("objects", call->objects),
+		  LOG_NUMBER("revision", (gint64)call->revision),
+		  known_age_field(entry, kind));
+}
+
 void entry_log_config(const entry_t *entry)
 {
 	LOG_EVENT(&entry->actions.log, "config_in_force",
--- a/lib/entry/entry_subscription.c
+++ b/lib/entry/entry_subscription.c
@@ -8,6 +8,11 @@
 
 /* Short compared to the time after which a source counts as silent. */
 #define SOURCE_SELECTION_INTERVAL (250 * G_TIME_SPAN_MILLISECOND)
+/*
+ * The pause between an answer with changes and the next watch is the time within
+ * which a change must be known, divided by this.
+ */
+#define CHANGES_PAUSE_DIVISOR 3
 
 static void on_endpoints_changed(void *ctx, const char *service,
 				 const endpoint_info_t *infos, gsize count)
@@ -16,15 +21,34 @@
 	entry_set_endpoints(ctx, service, infos, count);
 }
 
+static void on_endpoint_leaving(void *ctx, const catalogue_entry_t *endpoint,
+				catalogue_state_t state, const char *source)
+{
+	entry_log_leaving(ctx, endpoint, state, source);
+}
+
 void entry_subscription_init(entry_t *entry)
 {
-	entry->catalogue = catalogue_new(on_endpoints_changed, entry);
+	catalogue_events_t events = { .changed = on_endpoints_changed,
+				      .leaving = on_endpoint_leaving,
+				      .ctx = entry };
+	guint i;
+
+	entry->catalogue = catalogue_new(&events);
+	for (i = 0; i < FEED_KIND_COUNT; i++)
+		entry->feeds[i] = feed_new(entry->limits.change_bound /
+						   CHANGES_PAUSE_DIVISOR,
+					   entry->random);
 	entry->subscription = subscription_new(entry->limits.change_bound,
 					       entry->random, entry_now(entry));
 }
 
 void entry_subscription_free(entry_t *entry)
 {
+	guint i;
+
+	for (i = 0; i < FEED_KIND_COUNT; i++)
+		feed_free(entry->feeds[i]);
 	subscription_free(entry->subscription);
 	catalogue_free(entry->catalogue);
 }
@@ -34,6 +58,22 @@
 	return entry->catalogue;
 }
 
+feed_t *entry_feed(entry_t *entry, feed_kind_t kind)
+{
+	return entry->feeds[kind];
+}
+
+GTimeSpan entry_known_age(const entry_t *entry, feed_kind_t kind)
+{
+	GTimeSpan now = entry_now(entry);
+	GTimeSpan age = feed_status(entry->feeds[kind], now).known_age;
+
+	if (kind == FEED_ENDPOINTS)
+		age = MIN(age,
+			  subscription_source_age(entry->subscription, now));
+	return age;
+}
+
 static gboolean has_sources(const entry_t *entry)
 {
 	return entry->fleet.highest >= SUBSCRIPTION_FLEET_MIN;
@@ -51,11 +91,20 @@
 	       subscription_should_read_store(entry->subscription, now);
 }
 
-void entry_record_store_call(entry_t *entry, gboolean answered)
+void entry_store_call_sent(entry_t *entry, feed_kind_t kind,
+			   const feed_step_t *step)
+{
+	feed_call_sent(entry->feeds[kind], step, entry_now(entry));
+	entry_log_store_call_sent(entry, kind, step);
+}
+
+void entry_store_call_ended(entry_t *entry, feed_kind_t kind,
+			    const entry_store_call_t *call)
 {
+	entry_log_store_call_ended(entry, kind, call);
 	entry->has_called_store = TRUE;
-	entry->last_store_call_answered = answered;
-	subscription_record_store_call(entry->subscription, answered,
+	entry->last_store_call_answered = call->answered;
+	subscription_record_store_call(entry->subscription, call->answered,
 				       entry_now(entry));
 }
 
@@ -187,7 +236,8 @@
 	guint i;
 
 	for (i = 0; i < endpoints->count; i++)
-		catalogue_merge(entry->catalogue, &endpoints->changes[i], now);
+		catalogue_merge(entry->catalogue, &endpoints->changes[i],
+				endpoints->update.name, now);
 	subscription_update_received(entry->subscription, &endpoints->update,
 				     now);
 	if (!entry_member_is_watcher(entry, NULL) &&
--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -30,8 +30,32 @@
 	guint64 revision; /* at which the watch starts */
 	guint failures; /* consecutive */
 	GTimeSpan retry_at;
+	feed_step_kind_t call; /* in flight, FEED_WAIT for none */
+	GTimeSpan call_sent_at;
+	GTimeSpan answered_at; /* instant of the last answer, 0 for none */
 };
 
+const char *feed_kind_name(feed_kind_t kind)
+{
+	static const char *const names[FEED_KIND_COUNT] = {
+		[FEED_CONFIGURATION] = "configuration",
+		[FEED_ENDPOINTS] = "endpoints",
+	};
+
+	return names[kind];
+}
+
+const char *feed_step_name(feed_step_kind_t kind)
+{
+	static const char *const names[] = {
+		[FEED_WAIT] = "none",
+		[FEED_LIST] = "list",
+		[FEED_WATCH] = "watch",
+	};
+
+	return names[kind];
+}
+
 feed_t *feed_new(GTimeSpan changes_pause, GRand *random)
 {
 	feed_t *feed = g_new0(feed_t, 1);
@@ -71,6 +95,32 @@
 	return feed->listing;
 }
 
+void feed_call_sent(feed_t *feed, const feed_step_t *step, GTimeSpan now)
+{
+	feed->call = step->kind;
+	feed->call_sent_at = now;
+}
+
+feed_status_t feed_status(const feed_t *feed, GTimeSpan now)
+{
+	return (feed_status_t){
+		.known_age = feed->answered_at ? now - feed->answered_at :
+						 CATK_NEVER,
+		.call = feed->call,
+		.call_age = feed->call == FEED_WAIT ? 0 :
+						      now - feed->call_sent_at,
+		.revision = feed->revision,
+		.failures = feed->failures,
+	};
+}
+
+static void record_answer(feed_t *feed, GTimeSpan now)
+{
+	feed->call = FEED_WAIT;
+	feed->answered_at = now;
+	feed->failures = 0;
+}
+
 static void start_list(feed_t *feed)
 {
 	feed->listing = TRUE;
@@ -79,9 +129,9 @@
 }
 
 void feed_page_read(feed_t *feed, guint64 revision, const char *last,
-		    gboolean more)
+		    gboolean more, GTimeSpan now)
 {
-	feed->failures = 0;
+	record_answer(feed, now);
 	if (!feed->list_revision)
 		feed->list_revision = revision;
 	if (more && last) {
@@ -97,7 +147,7 @@
 void feed_changes_read(feed_t *feed, guint64 revision, guint changes,
 		       GTimeSpan now)
 {
-	feed->failures = 0;
+	record_answer(feed, now);
 	if (changes)
 		feed->retry_at = now + feed->changes_pause;
 	feed->revision = MAX(feed->revision, revision);
@@ -105,12 +155,14 @@
 
 void feed_history_lost(feed_t *feed)
 {
+	feed->call = FEED_WAIT;
 	feed->failures = 0;
 	start_list(feed);
 }
 
 void feed_restart(feed_t *feed)
 {
+	feed->call = FEED_WAIT;
 	start_list(feed);
 }
 
@@ -124,6 +176,7 @@
 	guint doublings = MIN(feed->failures, BACKOFF_DOUBLINGS);
 	GTimeSpan pause = MIN(BACKOFF_MIN << doublings, BACKOFF_MAX);
 
+	feed->call = FEED_WAIT;
 	feed->failures++;
 	/* Jitter, so that the instances do not all return at the same time. */
 	feed->retry_at =
--- a/lib/feed/feed.h
+++ b/lib/feed/feed.h
@@ -9,12 +9,25 @@
 
 #include "lib/common/clock.h"
 
+/* Kinds of objects that are read. */
+typedef enum {
+	FEED_CONFIGURATION,
+	FEED_ENDPOINTS,
+	FEED_KIND_COUNT
+} feed_kind_t;
+
+/* Name of a kind in logs, metrics and dumps. */
+const char *feed_kind_name(feed_kind_t kind);
+
 typedef enum {
 	FEED_WAIT, /* no request now */
 	FEED_LIST, /* request a page of the list */
 	FEED_WATCH /* request the changes since a revision */
 } feed_step_kind_t;
 
+/* Name of a request in logs and dumps. */
+const char *feed_step_name(feed_step_kind_t kind);
+
 typedef struct {
 	feed_step_kind_t kind;
 	GTimeSpan until; /* FEED_WAIT: instant of the next request */
@@ -26,6 +39,16 @@
 
 typedef struct feed feed_t;
 
+/* What a feed knows and waits for. */
+typedef struct {
+	/* Since the store's last answer, CATK_NEVER before the first. */
+	GTimeSpan known_age;
+	feed_step_kind_t call; /* in flight, FEED_WAIT for none */
+	GTimeSpan call_age; /* since it was sent, 0 for none */
+	guint64 revision; /* at which the last watch started or the next will */
+	guint failures; /* consecutive */
+} feed_status_t;
+
 /*
  * changes_pause is the time between an answer with changes and the next watch;
  * changes during that time are answered together. random must outlive the feed.
@@ -39,6 +62,11 @@
 /* The next request to the store. Valid until the next call on this feed. */
 feed_step_t feed_next(const feed_t *feed, GTimeSpan now);
 
+/* Records that the request of a step was sent. */
+void feed_call_sent(feed_t *feed, const feed_step_t *step, GTimeSpan now);
+
+feed_status_t feed_status(const feed_t *feed, GTimeSpan now);
+
 /* TRUE until all pages of the list are read. */
 gboolean feed_is_listing(const feed_t *feed);
 
@@ -49,7 +77,7 @@
  * of that page may have changed before a later one was read.
  */
 void feed_page_read(feed_t *feed, guint64 revision, const char *last,
-		    gboolean more);
+		    gboolean more, GTimeSpan now);
 
 /*
  * Records the answer to a watch with the number of its changes. The revision
@@ -66,7 +94,10 @@
  */
 void feed_history_lost(feed_t *feed);
 
-/* Starts with a list because changes since the last answer may be missing. */
+/*
+ * Starts with a list because changes since the last answer may be missing. A
+ * request in flight must have been cancelled.
+ */
 void feed_restart(feed_t *feed);
 
 /* Revision at which the next watch starts. */
--- a/lib/subscription/subscription.c
+++ b/lib/subscription/subscription.c
@@ -216,6 +216,18 @@
 	return FALSE;
 }
 
+GTimeSpan subscription_source_age(const subscription_t *subscription,
+				  GTimeSpan now)
+{
+	GTimeSpan age = CATK_NEVER;
+	const source_t *source;
+
+	TAILQ_FOREACH (source, &subscription->sources, link)
+		if (source->in_contact && source->last_heard)
+			age = MIN(age, now - source->last_heard);
+	return age;
+}
+
 gboolean subscription_is_starting(const subscription_t *subscription,
 				  GTimeSpan now)
 {
--- a/lib/subscription/subscription.h
+++ b/lib/subscription/subscription.h
@@ -91,6 +91,13 @@
 gboolean subscription_has_live_source(const subscription_t *subscription,
 				      GTimeSpan now);
 
+/*
+ * Returns the time since the last message of a source that is in contact with
+ * the store, CATK_NEVER without one.
+ */
+GTimeSpan subscription_source_age(const subscription_t *subscription,
+				  GTimeSpan now);
+
 /* Returns TRUE during startup, while the sources may still be unknown. */
 gboolean subscription_is_starting(const subscription_t *subscription,
 				  GTimeSpan now);
--- a/net/metrics.c
+++ b/net/metrics.c
@@ -78,6 +78,26 @@
 		latency->count);
 }
 
+static void append_known_ages(const metrics_t *metrics, GString *text)
+{
+	guint i;
+
+	g_string_append(text,
+			"# TYPE catkinstall_store_known_age_seconds gauge\n");
+	for (i = 0; i < FEED_KIND_COUNT; i++) {
+		GTimeSpan age = entry_known_age(metrics->entry, (feed_kind_t)i);
+
+		/* An instance that has never read this kind has no age. */
+		if (age != CATK_NEVER)
+			g_string_append_printf(
+				text,
+				"catkinstall_store_known_age_seconds{kind="
+				"\"%s\"} %.3f\n",
+				feed_kind_name((feed_kind_t)i),
+				(double)age / G_TIME_SPAN_SECOND);
+	}
+}
+
 static void on_metrics(SoupServer *server, SoupServerMessage *message,
 		       const char *path, GHashTable *query, gpointer data)
 {
@@ -90,6 +110,7 @@
 	(void)path;
 	(void)query;
 	append_counters(metrics, text);
+	append_known_ages(metrics, text);
 	g_string_append_printf(text,
 			       "# TYPE catkinstall_config_version gauge\n"
 			       "catkinstall_config_version %" G_GUINT64_FORMAT
--- a/programs/daemon.c
+++ b/programs/daemon.c
@@ -368,7 +368,7 @@
 	proxy_codec_t codec = http_codec();
 
 	daemon->platform = platform_new(settings, daemon->entry, &system_clock,
-					daemon->random, &daemon->counters, err);
+					&daemon->counters, err);
 	if (!daemon->platform)
 		return FALSE;
 	if (!settings->proxy_address)
--- a/tests/test_catalogue.c
+++ b/tests/test_catalogue.c
@@ -36,8 +36,9 @@
 static int set_up(void **state)
 {
 	fixture_t *f = g_new0(fixture_t, 1);
+	catalogue_events_t events = { .changed = on_changed, .ctx = f };
 
-	f->catalogue = catalogue_new(on_changed, f);
+	f->catalogue = catalogue_new(&events);
 	*state = f;
 	return 0;
 }
@@ -171,7 +172,7 @@
 						 .revision = revision } };
 
 	g_strlcpy(change.entry.info.id, id, sizeof(change.entry.info.id));
-	return catalogue_merge(f->catalogue, &change, NOW);
+	return catalogue_merge(f->catalogue, &change, "e1", NOW);
 }
 
 static void put_revision(fixture_t *f, const char *id, guint64 revision)
--- a/tests/test_entry_subscription.c
+++ b/tests/test_entry_subscription.c
@@ -138,17 +138,20 @@
 /* Stands in for platform/discovery, listing the store at each poll. */
 static void poll_store(node_t *node)
 {
+	const entry_store_call_t answered = { .outcome = "answered",
+					      .answered = TRUE };
+	const entry_store_call_t lost = { .outcome = "no_answer" };
 	catalogue_t *catalogue = entry_catalogue(node->entry);
 	guint id;
 
 	node->next_poll = net.now + STORE_POLL_INTERVAL;
 	node->polls++;
 	if (node->store_unreachable || net.store_down) {
-		entry_record_store_call(node->entry, FALSE);
+		entry_store_call_ended(node->entry, FEED_ENDPOINTS, &lost);
 		catalogue_contact_lost(catalogue);
 		return;
 	}
-	entry_record_store_call(node->entry, TRUE);
+	entry_store_call_ended(node->entry, FEED_ENDPOINTS, &answered);
 	catalogue_contact_regained(catalogue, net.now);
 	catalogue_begin_list(catalogue);
 	for (id = 0; id < STORE_ENDPOINTS_MAX; id++)
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -50,11 +50,11 @@
 
 	assert_int_equal(step.kind, FEED_LIST);
 	assert_null(step.after);
-	feed_page_read(f->feed, 500, "m", TRUE);
+	feed_page_read(f->feed, 500, "m", TRUE, NOW);
 	step = feed_next(f->feed, NOW);
 	assert_int_equal(step.kind, FEED_LIST);
 	assert_string_equal(step.after, "m");
-	feed_page_read(f->feed, 510, "z", FALSE);
+	feed_page_read(f->feed, 510, "z", FALSE, NOW);
 	step = feed_next(f->feed, NOW);
 	assert_int_equal(step.kind, FEED_WATCH);
 	assert_int_equal(step.revision, 500);
@@ -65,7 +65,7 @@
 {
 	fixture_t *f = *state;
 
-	feed_page_read(f->feed, 500, NULL, FALSE);
+	feed_page_read(f->feed, 500, NULL, FALSE, NOW);
 	feed_changes_read(f->feed, 520, 0, NOW);
 	feed_changes_read(f->feed, 510, 0, NOW);
 	assert_int_equal(feed_next(f->feed, NOW).revision, 520);
@@ -79,10 +79,10 @@
 {
 	fixture_t *f = *state;
 
-	feed_page_read(f->feed, 500, "a", FALSE);
+	feed_page_read(f->feed, 500, "a", FALSE, NOW);
 	feed_history_lost(f->feed);
 	assert_int_equal(feed_next(f->feed, NOW).kind, FEED_LIST);
-	feed_page_read(f->feed, 900, "a", FALSE);
+	feed_page_read(f->feed, 900, "a", FALSE, NOW);
 	assert_int_equal(feed_next(f->feed, NOW).revision, 900);
 }
 
@@ -91,7 +91,7 @@
 {
 	fixture_t *f = *state;
 
-	feed_page_read(f->feed, 500, "m", TRUE);
+	feed_page_read(f->feed, 500, "m", TRUE, NOW);
 	feed_failed(f->feed, NOW);
 	assert_null(feed_next(f->feed, NOW + G_TIME_SPAN_SECOND).after);
 }
@@ -125,7 +125,7 @@
 	fixture_t *f = *state;
 	feed_step_t step;
 
-	feed_page_read(f->feed, 500, NULL, FALSE);
+	feed_page_read(f->feed, 500, NULL, FALSE, NOW);
 	feed_failed(f->feed, NOW);
 	step = feed_next(f->feed, NOW + G_TIME_SPAN_SECOND);
 	assert_int_equal(step.kind, FEED_WATCH);
@@ -141,7 +141,7 @@
 	fixture_t *f = *state;
 	feed_step_t step;
 
-	feed_page_read(f->feed, 500, NULL, FALSE);
+	feed_page_read(f->feed, 500, NULL, FALSE, NOW);
 	feed_changes_read(f->feed, 501, 1, NOW);
 	step = feed_next(f->feed, NOW);
 	assert_int_equal(step.kind, FEED_WAIT);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -667,7 +667,10 @@
 	assert_int_equal(request_status(f, "GET", "/safe/1"), 200);
 }
 
-/* Fails if the metrics lack a counter or the latency histogram. */
+/*
+ * Fails if the metrics lack a counter, the latency histogram, or the age of what
+ * is known of the store.
+ */
 static void metrics_are_served(void **state)
 {
 	fixture_t *f = *state;
@@ -678,6 +681,12 @@
 		     NULL);
 	assert_int_equal(reply.status, 200);
 	assert_non_null(strstr(reply.body, "catkinstall_calls_received_total"));
+	assert_non_null(strstr(
+		reply.body,
+		"catkinstall_store_known_age_seconds{kind=\"endpoints\"} "));
+	assert_non_null(strstr(
+		reply.body,
+		"catkinstall_store_known_age_seconds{kind=\"configuration\"} "));
 	assert_non_null(strstr(reply.body,
 			       "catkinstall_request_seconds_bucket{result="
 			       "\"answered\",le=\"+Inf\"}"));
