Show that a lost watch hides later changes

Callers' requests reach an endpoint after it has left, and routes stay those of an older version, long after an outage of the store is over.

The fake store gets the mode "lose": it never answers the reads that arrive in this mode, while pending watches go on. Unlike "swallow", no call fails before the watch is lost, which is what the existing test cannot show.

--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -7,6 +7,8 @@
  *   silent   holds requests back and serves them when the mode ends
  *   swallow  ends pending watches with status 503 and never responds to
  *            requests received in this mode
+ *   lose     never responds to requests received in this mode; pending watches
+ *            continue
  *   compact  discards the history once: pending watches, and later ones from an
  *            earlier revision, end with status 410
  *
@@ -272,7 +274,8 @@
 		reply(exchange, 429, "{}");
 	else if (g_strcmp0(store.fault, "silent") == 0)
 		g_ptr_array_add(store.held, exchange);
-	else if (g_strcmp0(store.fault, "swallow") != 0)
+	else if (g_strcmp0(store.fault, "swallow") != 0 &&
+		 g_strcmp0(store.fault, "lose") != 0)
 		return FALSE;
 	return TRUE;
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -22,6 +22,8 @@
  * to the write.
  */
 #define CONFIG_BOUND_MS 2000
+/* The same for an endpoint that leaves, until it gets no more requests. */
+#define DRAIN_BOUND_MS 2000
 /* Time after an outage from which the users' bounds apply again. */
 #define OUTAGE_RECOVERY_MS 3000
 /* A new instance waits for sources of updates before it watches the store. */
@@ -546,6 +548,79 @@
 	assert_true(wait_until(new_route_is_served, f, CONFIG_BOUND_MS));
 }
 
+static gboolean requests_avoid_endpoint(fixture_t *f, const char *id)
+{
+	gchar *header = g_strdup_printf("X-Instance-Id: %s\r\n", id);
+	gboolean avoided = TRUE;
+	guint i;
+
+	for (i = 0; i < 10 && avoided; i++) {
+		char *answer = send_request(f, "GET", "/safe/where");
+
+		avoided = !strstr(answer, header);
+		g_free(answer);
+	}
+	g_free(header);
+	return avoided;
+}
+
+/*
+ * Lets the store lose the watch that follows a change, while no other call
+ * fails, and returns when the bounds apply again.
+ */
+static void lose_watch_after_change(void (*change)(void))
+{
+	run_loop_for(WATCH_START_MS);
+	change();
+	run_loop_for(200);
+	set_fault("lose");
+	run_loop_for(1500);
+	set_fault("none");
+	run_loop_for(OUTAGE_RECOVERY_MS);
+}
+
+static void change_config(void)
+{
+	put_config(29, "");
+}
+
+static void change_endpoint(void)
+{
+	put_endpoint(1, "ready", 5);
+}
+
+/* Fails if a lost watch hides a version for longer than the bound. */
+static void lost_watch_does_not_hide_a_version(void **state)
+{
+	fixture_t *f = *state;
+
+	lose_watch_after_change(change_config);
+	put_config(30, ROUTE("new", "/new/", "safe"));
+	assert_true(wait_until(new_route_is_served, f, CONFIG_BOUND_MS));
+}
+
+/* Fails if a lost watch hides a leaving endpoint for longer than the bound. */
+static void lost_watch_does_not_hide_a_leaving_endpoint(void **state)
+{
+	fixture_t *f = *state;
+
+	lose_watch_after_change(change_endpoint);
+	put_endpoint(0, "draining", 2);
+	run_loop_for(DRAIN_BOUND_MS);
+	assert_true(requests_avoid_endpoint(f, "i-0"));
+}
+
+/* Fails if a lost watch hides a removed endpoint for longer than the bound. */
+static void lost_watch_does_not_hide_a_removed_endpoint(void **state)
+{
+	fixture_t *f = *state;
+
+	lose_watch_after_change(change_endpoint);
+	send_to_store("/-/objects/servers/i-0", "DELETE", "");
+	run_loop_for(DRAIN_BOUND_MS);
+	assert_true(requests_avoid_endpoint(f, "i-0"));
+}
+
 /* Fails if an endpoint that drains or is removed gets new requests. */
 static void leaving_endpoint_gets_no_new_requests(void **state)
 {
@@ -710,6 +785,9 @@
 		TEST(config_is_applied_and_not_reverted),
 		TEST(service_continues_during_store_outage),
 		TEST(unanswered_watch_is_replaced),
+		TEST(lost_watch_does_not_hide_a_version),
+		TEST(lost_watch_does_not_hide_a_leaving_endpoint),
+		TEST(lost_watch_does_not_hide_a_removed_endpoint),
 		TEST(leaving_endpoint_gets_no_new_requests),
 		TEST(directory_returns_the_instance),
 		TEST(shutdown_completes_requests),
