Replace a lost watch before the bounds of a change apply

Cause: a watch waited 20 s as long as no call had failed before it. A watch sent into an outage that drops requests without closing connections was noticed only after 21 s; all instances react to the same change at the same moment, so all lost theirs together. Class of fault: a wait whose loss nobody notices for longer than the bound that depends on it. Behind it, a removal that was learnt late was delayed by another 2 s, as after an outage that has just ended.

Evidence: store_call_ended of both kinds at all 18 instances: no_answer, age 21.0 s, sent 0.7 s after the change. Ruled out: changes dropped by revision, late messages of sources (learnt_from is the store).

A watch is now lost after reconnect_bound + change_bound less a margin, 4.6 s with the users' bounds: one lost at the last moment of an outage is replaced before a change that counts is due. The feed states how long each request may take, the store client only applies it. A removal is never delayed beyond the instant at which it is due if the outage ended when the lost request was sent.

--- a/codec/settings_json.c
+++ b/codec/settings_json.c
@@ -87,6 +87,11 @@
 	  60000, 2000, "ms",
 	  "time within which a change in the metadata store must be known; the "
 	  "interval between two watches that return changes is a third of it" },
+	{ "reconnect_bound_ms", ENTRY_FIELD(reconnect_bound),
+	  FIELD_MILLISECONDS, 1500, 60000, 3000, "ms",
+	  "time after an outage of the metadata store from which "
+	  "change_bound_ms holds; with it, the time after which a watch that "
+	  "is not answered is replaced" },
 	{ "retry_saved", ENTRY_FIELD(retry_saved), FIELD_UINT, 0, 100000, 0,
 	  "retries",
 	  "burst of retries per service, over all instances together, beyond "
--- a/lib/catalogue/catalogue.c
+++ b/lib/catalogue/catalogue.c
@@ -265,12 +265,14 @@
 	catalogue->contact_lost = TRUE;
 }
 
-void catalogue_contact_regained(catalogue_t *catalogue, GTimeSpan now)
+void catalogue_contact_regained(catalogue_t *catalogue, GTimeSpan removals_due,
+				GTimeSpan now)
 {
 	if (!catalogue->contact_lost)
 		return;
 	catalogue->contact_lost = FALSE;
-	catalogue->delay_removals_until = now + CATALOGUE_REREGISTRATION_TIME;
+	catalogue->delay_removals_until =
+		MIN(now + CATALOGUE_REREGISTRATION_TIME, removals_due);
 }
 
 void catalogue_contact_via_peers(catalogue_t *catalogue)
--- a/lib/catalogue/catalogue.h
+++ b/lib/catalogue/catalogue.h
@@ -90,9 +90,9 @@
 		   GTimeSpan now);
 
 /*
- * Removes an endpoint that the store no longer has. For
- * CATALOGUE_REREGISTRATION_TIME after an outage of the store, the endpoint is
- * marked as doubtful instead and removed at the end of that time.
+ * Removes an endpoint that the store no longer has. For some time after an outage
+ * of the store, see catalogue_contact_regained(), the endpoint is marked as
+ * doubtful instead and removed at the end of that time.
  */
 void catalogue_remove(catalogue_t *catalogue, const char *id, GTimeSpan now);
 
@@ -106,9 +106,15 @@
 void catalogue_end_list(catalogue_t *catalogue, guint64 list_revision,
 			GTimeSpan now);
 
-/* Record that the store does not answer, and that it answers again. */
+/* Records that the store does not answer. */
 void catalogue_contact_lost(catalogue_t *catalogue);
-void catalogue_contact_regained(catalogue_t *catalogue, GTimeSpan now);
+
+/*
+ * Records that the store answers again. Removals are delayed for
+ * CATALOGUE_REREGISTRATION_TIME, but not beyond the instant removals_due.
+ */
+void catalogue_contact_regained(catalogue_t *catalogue, GTimeSpan removals_due,
+				GTimeSpan now);
 
 /*
  * Records that other instances, which are connected to the store, send its
--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -50,6 +50,8 @@
 	GTimeSpan shutdown_max; /* maximum time of a graceful shutdown */
 	/* Maximum delay of a change in the metadata store. */
 	GTimeSpan change_bound;
+	/* Time after an outage of that store from which change_bound holds. */
+	GTimeSpan reconnect_bound;
 	/* Concurrent attempts at a service, 0 for an adaptive limit. */
 	guint concurrency_max;
 	guint probe_fanout; /* endpoints probed per call, 0 for none */
@@ -249,18 +251,20 @@
 
 /* How a request to the store ended. */
 typedef struct {
-	const char *outcome; /* for the log */
+	feed_outcome_t outcome;
 	guint http_status; /* 0 without an answer */
 	guint objects; /* in the answer */
 	guint64 revision; /* of the store, 0 if unknown */
-	gboolean answered;
 } entry_store_call_t;
 
 /* Logs and records that the request of a step was sent. */
 void entry_store_call_sent(entry_t *entry, feed_kind_t kind,
 			   const feed_step_t *step);
 
-/* Logs the end of a request, before it is recorded in the feed. */
+/*
+ * Logs and records the end of a request. With FEED_ANSWERED the caller then
+ * applies the objects and records the answer in the feed.
+ */
 void entry_store_call_ended(entry_t *entry, feed_kind_t kind,
 			    const entry_store_call_t *call);
 
--- a/lib/entry/entry_log.c
+++ b/lib/entry/entry_log.c
@@ -100,9 +100,8 @@
 		  LOG_TEXT("kind", feed_kind_name(kind)),
 		  LOG_TEXT("call", feed_step_name(step->kind)),
 		  LOG_NUMBER("revision", (gint64)step->revision),
-		  LOG_NUMBER("wait_us", step->kind == FEED_WATCH ?
-						step->watch_timeout :
-						0),
+		  LOG_NUMBER("wait_us",
+			     step->kind == FEED_WATCH ? step->watch_wait : 0),
 		  known_age_field(entry, kind));
 }
 
@@ -115,7 +114,7 @@
 	LOG_EVENT(&entry->actions.log, "store_call_ended",
 		  LOG_TEXT("kind", feed_kind_name(kind)),
 		  LOG_TEXT("call", feed_step_name(status.call)),
-		  LOG_TEXT("outcome", call->outcome),
+		  LOG_TEXT("outcome", feed_outcome_name(call->outcome)),
 		  LOG_NUMBER("status", call->http_status),
 		  LOG_NUMBER("age_us", status.call_age),
 		  LOG_NUMBER("objects", call->objects),
--- a/lib/entry/entry_subscription.c
+++ b/lib/entry/entry_subscription.c
@@ -8,11 +8,6 @@
 
 /* Short compared to the time after which a source counts as silent. */
 #define SOURCE_SELECTION_INTERVAL (250 * G_TIME_SPAN_MILLISECOND)
-/*
- * The pause between an answer with changes and the next watch is the time within
- * which a change must be known, divided by this.
- */
-#define CHANGES_PAUSE_DIVISOR 3
 
 static void on_endpoints_changed(void *ctx, const char *service,
 				 const endpoint_info_t *infos, gsize count)
@@ -32,13 +27,15 @@
 	catalogue_events_t events = { .changed = on_endpoints_changed,
 				      .leaving = on_endpoint_leaving,
 				      .ctx = entry };
+	feed_limits_t feed_limits = {
+		.change_bound = entry->limits.change_bound,
+		.reconnect_bound = entry->limits.reconnect_bound,
+	};
 	guint i;
 
 	entry->catalogue = catalogue_new(&events);
 	for (i = 0; i < FEED_KIND_COUNT; i++)
-		entry->feeds[i] = feed_new(entry->limits.change_bound /
-						   CHANGES_PAUSE_DIVISOR,
-					   entry->random);
+		entry->feeds[i] = feed_new(&feed_limits, entry->random);
 	entry->subscription = subscription_new(entry->limits.change_bound,
 					       entry->random, entry_now(entry));
 }
@@ -98,14 +95,50 @@
 	entry_log_store_call_sent(entry, kind, step);
 }
 
+static void record_contact(entry_t *entry, feed_kind_t kind)
+{
+	const feed_t *feed = entry->feeds[kind];
+
+	if (!feed_status(feed, entry_now(entry)).failures)
+		return;
+	g_message("the metadata store is reachable again");
+	if (kind == FEED_ENDPOINTS)
+		catalogue_contact_regained(entry->catalogue,
+					   feed_change_due(feed),
+					   entry_now(entry));
+}
+
+static void record_failure(entry_t *entry, feed_kind_t kind,
+			   const entry_store_call_t *call)
+{
+	feed_t *feed = entry->feeds[kind];
+
+	if (!feed_status(feed, entry_now(entry)).failures)
+		g_warning("request to the metadata store failed (HTTP status "
+			  "%u): the last known state stays in use",
+			  call->http_status);
+	feed_failed(feed, call->outcome, entry_now(entry));
+	if (kind == FEED_ENDPOINTS)
+		catalogue_contact_lost(entry->catalogue);
+}
+
 void entry_store_call_ended(entry_t *entry, feed_kind_t kind,
 			    const entry_store_call_t *call)
 {
+	gboolean answered = call->outcome == FEED_ANSWERED ||
+			    call->outcome == FEED_HISTORY_LOST;
+
 	entry_log_store_call_ended(entry, kind, call);
 	entry->has_called_store = TRUE;
-	entry->last_store_call_answered = call->answered;
-	subscription_record_store_call(entry->subscription, call->answered,
+	entry->last_store_call_answered = answered;
+	subscription_record_store_call(entry->subscription, answered,
 				       entry_now(entry));
+	if (answered)
+		record_contact(entry, kind);
+	else
+		record_failure(entry, kind, call);
+	if (call->outcome == FEED_HISTORY_LOST)
+		feed_history_lost(entry->feeds[kind]);
 }
 
 void entry_record_store_revision(entry_t *entry, guint64 revision,
--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -10,19 +10,29 @@
 #define BACKOFF_DOUBLINGS 3
 
 /*
- * Long, because the store charges per request and answers a watch at once when
- * something changes. Keep-alive probes detect a dead connection.
+ * The pause between an answer with changes and the next watch is the time within
+ * which a change must be known, divided by this.
  */
-#define WATCH_TIMEOUT (20 * G_TIME_SPAN_SECOND)
+#define CHANGES_PAUSE_DIVISOR 3
 /*
- * A watch that is sent during an outage may never be answered although its
- * connection stays open. This timeout, 1 s of slack and the longest backoff are
- * less than the 3 s after which an instance counts as connected again.
+ * The store may never answer a request although its connection stays open, and
+ * does not tell. A lost watch must therefore be replaced early enough that a
+ * change made reconnect_bound after the outage is known within change_bound.
+ * The margin covers the backoff, a new connection and the store's answer.
  */
-#define WATCH_TIMEOUT_IN_OUTAGE (1 * G_TIME_SPAN_SECOND)
+#define REPLACEMENT_MARGIN (400 * G_TIME_SPAN_MILLISECOND)
+/* Time for the store's answer to arrive after the wait of a watch. */
+#define ANSWER_GRACE (1 * G_TIME_SPAN_SECOND)
+/*
+ * Wait of a watch during an outage. Together with the grace and the longest
+ * backoff it is less than reconnect_bound.
+ */
+#define WATCH_WAIT_MIN (1 * G_TIME_SPAN_SECOND)
+/* A list that is not answered within this time is requested again. */
+#define LIST_TIMEOUT (1500 * G_TIME_SPAN_MILLISECOND)
 
 struct feed {
-	GTimeSpan changes_pause;
+	feed_limits_t limits;
 	GRand *random;
 	gboolean listing;
 	char *after; /* last object of the pages so far, NULL for none */
@@ -33,6 +43,11 @@
 	feed_step_kind_t call; /* in flight, FEED_WAIT for none */
 	GTimeSpan call_sent_at;
 	GTimeSpan answered_at; /* instant of the last answer, 0 for none */
+	/*
+	 * When the store refused the last failed request, or when that request
+	 * was sent if the store did not answer it.
+	 */
+	GTimeSpan unavailable_at;
 };
 
 const char *feed_kind_name(feed_kind_t kind)
@@ -56,11 +71,23 @@
 	return names[kind];
 }
 
-feed_t *feed_new(GTimeSpan changes_pause, GRand *random)
+const char *feed_outcome_name(feed_outcome_t outcome)
+{
+	static const char *const names[] = {
+		[FEED_ANSWERED] = "answered",
+		[FEED_HISTORY_LOST] = "history_lost",
+		[FEED_REFUSED] = "refused",
+		[FEED_UNANSWERED] = "no_answer",
+	};
+
+	return names[outcome];
+}
+
+feed_t *feed_new(const feed_limits_t *limits, GRand *random)
 {
 	feed_t *feed = g_new0(feed_t, 1);
 
-	feed->changes_pause = changes_pause;
+	feed->limits = *limits;
 	feed->random = random;
 	feed->listing = TRUE;
 	return feed;
@@ -74,14 +101,25 @@
 	g_free(feed);
 }
 
+static GTimeSpan watch_wait(const feed_t *feed)
+{
+	GTimeSpan wait = feed->limits.reconnect_bound +
+			 feed->limits.change_bound - REPLACEMENT_MARGIN -
+			 ANSWER_GRACE;
+
+	return feed->failures ? WATCH_WAIT_MIN : MAX(wait, WATCH_WAIT_MIN);
+}
+
 feed_step_t feed_next(const feed_t *feed, GTimeSpan now)
 {
 	feed_step_t step = { .kind = feed->listing ? FEED_LIST : FEED_WATCH,
 			     .after = feed->after,
 			     .revision = feed->revision,
-			     .watch_timeout = feed->failures ?
-						      WATCH_TIMEOUT_IN_OUTAGE :
-						      WATCH_TIMEOUT };
+			     .watch_wait = watch_wait(feed),
+			     .timeout = LIST_TIMEOUT };
+
+	if (step.kind == FEED_WATCH)
+		step.timeout = step.watch_wait + ANSWER_GRACE;
 
 	if (now < feed->retry_at) {
 		step.kind = FEED_WAIT;
@@ -149,7 +187,8 @@
 {
 	record_answer(feed, now);
 	if (changes)
-		feed->retry_at = now + feed->changes_pause;
+		feed->retry_at =
+			now + feed->limits.change_bound / CHANGES_PAUSE_DIVISOR;
 	feed->revision = MAX(feed->revision, revision);
 }
 
@@ -171,11 +210,19 @@
 	return feed->revision;
 }
 
-void feed_failed(feed_t *feed, GTimeSpan now)
+GTimeSpan feed_change_due(const feed_t *feed)
+{
+	return feed->unavailable_at + feed->limits.reconnect_bound +
+	       feed->limits.change_bound - REPLACEMENT_MARGIN;
+}
+
+void feed_failed(feed_t *feed, feed_outcome_t outcome, GTimeSpan now)
 {
 	guint doublings = MIN(feed->failures, BACKOFF_DOUBLINGS);
 	GTimeSpan pause = MIN(BACKOFF_MIN << doublings, BACKOFF_MAX);
 
+	feed->unavailable_at = outcome == FEED_REFUSED ? now :
+							 feed->call_sent_at;
 	feed->call = FEED_WAIT;
 	feed->failures++;
 	/* Jitter, so that the instances do not all return at the same time. */
@@ -186,8 +233,3 @@
 	if (feed->listing)
 		start_list(feed);
 }
-
-guint feed_failures(const feed_t *feed)
-{
-	return feed->failures;
-}
--- a/lib/feed/feed.h
+++ b/lib/feed/feed.h
@@ -34,9 +34,22 @@
 	const char *after; /* FEED_LIST: last object so far, NULL for none */
 	guint64 revision; /* FEED_WATCH: where the changes start */
 	/* FEED_WATCH: time after which the store answers without changes. */
-	GTimeSpan watch_timeout;
+	GTimeSpan watch_wait;
+	/* Time after which the request is lost and must be cancelled. */
+	GTimeSpan timeout;
 } feed_step_t;
 
+/* How a request ended. */
+typedef enum {
+	FEED_ANSWERED,
+	FEED_HISTORY_LOST, /* changes since the watched revision are gone */
+	FEED_REFUSED, /* rate limit exceeded, or store unavailable */
+	FEED_UNANSWERED /* no answer, or one that is not valid */
+} feed_outcome_t;
+
+/* Name of an outcome in logs. */
+const char *feed_outcome_name(feed_outcome_t outcome);
+
 typedef struct feed feed_t;
 
 /* What a feed knows and waits for. */
@@ -49,12 +62,15 @@
 	guint failures; /* consecutive */
 } feed_status_t;
 
-/*
- * changes_pause is the time between an answer with changes and the next watch;
- * changes during that time are answered together. random must outlive the feed.
- * Free with feed_free().
- */
-feed_t *feed_new(GTimeSpan changes_pause, GRand *random);
+typedef struct {
+	/* Time within which a change in the store must be known. */
+	GTimeSpan change_bound;
+	/* Time after an outage of the store from which that bound applies. */
+	GTimeSpan reconnect_bound;
+} feed_limits_t;
+
+/* limits are copied; random must outlive the feed. Free with feed_free(). */
+feed_t *feed_new(const feed_limits_t *limits, GRand *random);
 
 /* NULL is allowed. */
 void feed_free(feed_t *feed);
@@ -81,9 +97,8 @@
 
 /*
  * Records the answer to a watch with the number of its changes. The revision
- * never decreases. After an answer with changes the next watch is delayed by
- * changes_pause: the store charges per request, and changes in quick succession
- * then cost one.
+ * never decreases. After an answer with changes the next watch is delayed: the
+ * store charges per request, and changes in quick succession then cost one.
  */
 void feed_changes_read(feed_t *feed, guint64 revision, guint changes,
 		       GTimeSpan now);
@@ -103,10 +118,17 @@
 /* Revision at which the next watch starts. */
 guint64 feed_revision(const feed_t *feed);
 
-/* Records that a request failed: the next one is delayed by a backoff. */
-void feed_failed(feed_t *feed, GTimeSpan now);
+/*
+ * Records that a request ended with FEED_REFUSED or FEED_UNANSWERED: the next
+ * one is delayed by a backoff.
+ */
+void feed_failed(feed_t *feed, feed_outcome_t outcome, GTimeSpan now);
 
-/* Number of consecutive failures. */
-guint feed_failures(const feed_t *feed);
+/*
+ * Instant by which a change made reconnect_bound after the last outage must be
+ * known at the latest. The outage may have ended as soon as the store had
+ * refused the last failed request, or left it unanswered.
+ */
+GTimeSpan feed_change_due(const feed_t *feed);
 
 #endif
--- a/tests/test_catalogue.c
+++ b/tests/test_catalogue.c
@@ -118,7 +118,7 @@
 	put(f, "i-1", 10, 1, FALSE);
 	put(f, "i-2", 10, 1, FALSE);
 	catalogue_contact_lost(f->catalogue);
-	catalogue_contact_regained(f->catalogue, NOW);
+	catalogue_contact_regained(f->catalogue, CATK_NEVER, NOW);
 	catalogue_begin_list(f->catalogue);
 	put(f, "i-2", 10, 2, FALSE);
 	catalogue_end_list(f->catalogue, LIST_REVISION, NOW);
@@ -133,6 +133,25 @@
 	assert_string_equal(f->infos[0].id, "i-2");
 }
 
+/*
+ * Fails if a removal that is learnt late after an outage, because a watch was
+ * lost, is delayed beyond the instant at which it is due.
+ */
+static void late_removal_is_not_delayed_further(void **state)
+{
+	fixture_t *f = *state;
+
+	put(f, "i-1", 10, 1, FALSE);
+	put(f, "i-2", 10, 1, FALSE);
+	catalogue_contact_lost(f->catalogue);
+	catalogue_contact_regained(f->catalogue, NOW + 10, NOW);
+	catalogue_remove(f->catalogue, "i-1", NOW);
+	assert_int_equal(catalogue_next_wakeup(f->catalogue), NOW + 10);
+	catalogue_remove(f->catalogue, "i-2", NOW + 10);
+	catalogue_tick(f->catalogue, NOW + 10);
+	assert_int_equal(f->count, 0);
+}
+
 /* Fails if an endpoint stays doubtful after it has registered again. */
 static void reregistered_entry_is_not_doubtful(void **state)
 {
@@ -140,7 +159,7 @@
 
 	put(f, "i-1", 10, 1, FALSE);
 	catalogue_contact_lost(f->catalogue);
-	catalogue_contact_regained(f->catalogue, NOW);
+	catalogue_contact_regained(f->catalogue, CATK_NEVER, NOW);
 	catalogue_remove(f->catalogue, "i-1", NOW);
 	put(f, "i-1", 10, 2, FALSE);
 	catalogue_tick(f->catalogue, NOW + CATALOGUE_REREGISTRATION_TIME);
@@ -317,6 +336,7 @@
 		TEST(restart_resets_the_sequence),
 		TEST(removal_is_immediate),
 		TEST(missing_entry_is_doubtful_then_removed),
+		TEST(late_removal_is_not_delayed_further),
 		TEST(reregistered_entry_is_not_doubtful),
 		TEST(service_may_change),
 		TEST(outdated_change_does_not_undo_removal),
--- a/tests/test_entry_subscription.c
+++ b/tests/test_entry_subscription.c
@@ -20,6 +20,7 @@
 #define STEP (20 * G_TIME_SPAN_MILLISECOND) /* also the message latency */
 #define JOIN_TIME (20 * G_TIME_SPAN_SECOND)
 #define CHANGE_BOUND (2 * G_TIME_SPAN_SECOND) /* limit on learning a change */
+#define RECONNECT_BOUND (3 * G_TIME_SPAN_SECOND) /* after an outage */
 #define STORE_POLL_INTERVAL (CHANGE_BOUND / 3)
 #define STORE_ENDPOINTS_MAX 8
 
@@ -108,6 +109,7 @@
 		.attempts_max = 2,
 		.resolve_addresses = ADDRESSES_MAX,
 		.change_bound = CHANGE_BOUND,
+		.reconnect_bound = RECONNECT_BOUND,
 	};
 	entry_actions_t actions = { .send_to_peer = on_send,
 				    .reply_to_peer = on_reply,
@@ -138,9 +140,8 @@
 /* Stands in for platform/discovery, listing the store at each poll. */
 static void poll_store(node_t *node)
 {
-	const entry_store_call_t answered = { .outcome = "answered",
-					      .answered = TRUE };
-	const entry_store_call_t lost = { .outcome = "no_answer" };
+	const entry_store_call_t answered = { .outcome = FEED_ANSWERED };
+	const entry_store_call_t lost = { .outcome = FEED_UNANSWERED };
 	catalogue_t *catalogue = entry_catalogue(node->entry);
 	guint id;
 
@@ -148,16 +149,16 @@
 	node->polls++;
 	if (node->store_unreachable || net.store_down) {
 		entry_store_call_ended(node->entry, FEED_ENDPOINTS, &lost);
-		catalogue_contact_lost(catalogue);
 		return;
 	}
 	entry_store_call_ended(node->entry, FEED_ENDPOINTS, &answered);
-	catalogue_contact_regained(catalogue, net.now);
 	catalogue_begin_list(catalogue);
 	for (id = 0; id < STORE_ENDPOINTS_MAX; id++)
 		if (net.store[id].revision)
 			put_endpoint(node, id);
 	catalogue_end_list(catalogue, net.revision, net.now);
+	feed_page_read(entry_feed(node->entry, FEED_ENDPOINTS), net.revision,
+		       NULL, FALSE, net.now);
 	entry_endpoints_changed(node->entry);
 }
 
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -12,7 +12,9 @@
 #include "lib/feed/feed.h"
 
 #define NOW (100 * G_TIME_SPAN_SECOND)
-#define PAUSE (700 * G_TIME_SPAN_MILLISECOND)
+#define CHANGE_BOUND (2100 * G_TIME_SPAN_MILLISECOND)
+#define PAUSE (CHANGE_BOUND / 3)
+#define RECONNECT_BOUND (3 * G_TIME_SPAN_SECOND)
 
 typedef struct {
 	GRand *random;
@@ -21,10 +23,12 @@
 
 static int set_up(void **state)
 {
+	const feed_limits_t limits = { .change_bound = CHANGE_BOUND,
+				       .reconnect_bound = RECONNECT_BOUND };
 	fixture_t *f = g_new0(fixture_t, 1);
 
 	f->random = g_rand_new_with_seed(1);
-	f->feed = feed_new(PAUSE, f->random);
+	f->feed = feed_new(&limits, f->random);
 	*state = f;
 	return 0;
 }
@@ -92,7 +96,7 @@
 	fixture_t *f = *state;
 
 	feed_page_read(f->feed, 500, "m", TRUE, NOW);
-	feed_failed(f->feed, NOW);
+	feed_failed(f->feed, FEED_UNANSWERED, NOW);
 	assert_null(feed_next(f->feed, NOW + G_TIME_SPAN_SECOND).after);
 }
 
@@ -108,7 +112,7 @@
 	guint i;
 
 	for (i = 0; i < 100; i++) {
-		feed_failed(f->feed, NOW);
+		feed_failed(f->feed, FEED_UNANSWERED, NOW);
 		step = feed_next(f->feed, NOW);
 		assert_int_equal(step.kind, FEED_WAIT);
 		assert_true(step.until - NOW < G_TIME_SPAN_SECOND);
@@ -126,13 +130,80 @@
 	feed_step_t step;
 
 	feed_page_read(f->feed, 500, NULL, FALSE, NOW);
-	feed_failed(f->feed, NOW);
+	feed_failed(f->feed, FEED_UNANSWERED, NOW);
 	step = feed_next(f->feed, NOW + G_TIME_SPAN_SECOND);
 	assert_int_equal(step.kind, FEED_WATCH);
-	assert_true(step.watch_timeout <= G_TIME_SPAN_SECOND);
+	assert_true(step.watch_wait <= G_TIME_SPAN_SECOND);
 	feed_changes_read(f->feed, 500, 0, NOW);
 	step = feed_next(f->feed, NOW + G_TIME_SPAN_SECOND);
-	assert_true(step.watch_timeout > G_TIME_SPAN_SECOND);
+	assert_true(step.watch_wait > G_TIME_SPAN_SECOND);
+}
+
+/*
+ * Fails if a watch that the store never answers is replaced too late: a change
+ * made RECONNECT_BOUND after the outage must be known within CHANGE_BOUND.
+ */
+static void lost_watch_is_replaced_within_the_bounds(void **state)
+{
+	/* An answer over a slow link and a new connection. */
+	const GTimeSpan answer_time = 300 * G_TIME_SPAN_MILLISECOND;
+	fixture_t *f = *state;
+	feed_step_t step;
+	GTimeSpan lost_at;
+
+	feed_page_read(f->feed, 500, NULL, FALSE, NOW);
+	step = feed_next(f->feed, NOW);
+	assert_int_equal(step.kind, FEED_WATCH);
+	feed_call_sent(f->feed, &step, NOW);
+	lost_at = NOW + step.timeout;
+	feed_failed(f->feed, FEED_UNANSWERED, lost_at);
+	step = feed_next(f->feed, lost_at);
+	assert_int_equal(step.kind, FEED_WAIT);
+	assert_true(step.until + answer_time <=
+		    NOW + RECONNECT_BOUND + CHANGE_BOUND);
+}
+
+/*
+ * Fails if removals that are delayed after an outage are due too late: the
+ * outage may have ended when the lost watch was sent.
+ */
+static void change_is_due_by_the_send_time_of_a_lost_watch(void **state)
+{
+	fixture_t *f = *state;
+	feed_step_t step;
+
+	feed_page_read(f->feed, 500, NULL, FALSE, NOW);
+	step = feed_next(f->feed, NOW);
+	feed_call_sent(f->feed, &step, NOW);
+	feed_failed(f->feed, FEED_UNANSWERED, NOW + step.timeout);
+	assert_true(feed_change_due(f->feed) <
+		    NOW + RECONNECT_BOUND + CHANGE_BOUND);
+	feed_failed(f->feed, FEED_REFUSED, NOW + step.timeout);
+	assert_true(feed_change_due(f->feed) > NOW + step.timeout);
+}
+
+/* Fails if the age of the known state, or of a call, is wrong. */
+static void status_tells_the_ages(void **state)
+{
+	fixture_t *f = *state;
+	feed_step_t step = feed_next(f->feed, NOW);
+	feed_status_t status = feed_status(f->feed, NOW);
+
+	assert_true(status.known_age == CATK_NEVER);
+	assert_int_equal(status.call, FEED_WAIT);
+	feed_call_sent(f->feed, &step, NOW);
+	feed_page_read(f->feed, 500, NULL, FALSE, NOW + 5);
+	step = feed_next(f->feed, NOW + 5);
+	feed_call_sent(f->feed, &step, NOW + 6);
+	status = feed_status(f->feed, NOW + 16);
+	assert_int_equal(status.known_age, 11);
+	assert_int_equal(status.call, FEED_WATCH);
+	assert_int_equal(status.call_age, 10);
+	feed_failed(f->feed, FEED_UNANSWERED, NOW + 20);
+	status = feed_status(f->feed, NOW + 20);
+	assert_int_equal(status.call, FEED_WAIT);
+	assert_int_equal(status.known_age, 15);
+	assert_int_equal(status.failures, 1);
 }
 
 /* Fails if each of many changes in quick succession costs a request. */
@@ -162,6 +233,9 @@
 		TEST(failed_list_restarts),
 		TEST(backoff_stays_below_a_second),
 		TEST(watch_during_an_outage_has_a_short_timeout),
+		TEST(lost_watch_is_replaced_within_the_bounds),
+		TEST(change_is_due_by_the_send_time_of_a_lost_watch),
+		TEST(status_tells_the_ages),
 		TEST(changes_are_batched),
 	};
 
