Read the other entries when one holds a value that cannot be parsed

An operator of another system reported that one odd entry among those of the endpoints ended the processes that read the list, or made them deaf to it.

It can happen here. An entry of 250,000 nested arrays, which fits into an object of the store, ends the process: json-glib's parser recurses. A lone surrogate ("\ud800", valid JSON) or a byte that is not UTF-8 makes the whole answer unreadable, so that no change is learnt while the entry exists. An integer of 26 digits reads as -1, 1e400 as infinity.

json_parse_untrusted() copies a document before json-glib reads it, without recursion: what is nested deeper than 64 levels and numbers out of range become null, unreadable characters U+FFFD. All JSON from outside goes through it: answers of the store, configurations of peers, object API, operators, cancel queries.

--- a/codec/json_reader.c
+++ b/codec/json_reader.c
@@ -1,6 +1,9 @@
 #include "codec/json_reader.h"
 
 #include <stdarg.h>
+#include <string.h>
+
+#include "codec/json_untrusted.h"
 
 void json_reader_report(json_reader_t *reader, const char *path,
 			const char *format, ...)
@@ -170,23 +173,20 @@
 JsonNode *json_reader_parse(json_reader_t *reader, const char *text,
 			    gssize length)
 {
-	JsonParser *parser = json_parser_new_immutable();
+	gsize size = length < 0 ? strlen(text) : (gsize)length;
 	GError *error = NULL;
-	JsonNode *root = NULL;
+	JsonNode *root = json_parse_untrusted(text, size, &error);
 
-	if (!json_parser_load_from_data(parser, text, length, &error)) {
+	if (error) {
 		json_reader_report(reader, "$", "invalid JSON: %s",
 				   error->message);
 		g_clear_error(&error);
-		goto out;
+		return NULL;
 	}
-	root = json_parser_steal_root(parser);
 	if (root && !JSON_NODE_HOLDS_OBJECT(root))
 		g_clear_pointer(&root, json_node_unref);
 	if (!root)
 		json_reader_report(reader, "$",
 				   "the document must be an object");
-out:
-	g_object_unref(parser);
 	return root;
 }
--- a/net/upstream_client.c
+++ b/net/upstream_client.c
@@ -4,6 +4,7 @@
 #include <libsoup/soup.h>
 #include <string.h>
 
+#include "codec/json_untrusted.h"
 #include "lib/common/intrusive.h"
 #include "net/system_clock.h"
 #include "net/upstream_pools.h"
@@ -289,9 +290,8 @@
 /* TRUE when the response to a cancel query has this state. */
 static gboolean response_has_state(const exchange_t *query, const char *state)
 {
-	gchar *text =
-		g_strndup((const char *)query->body->data, query->body->len);
-	JsonNode *root = json_from_string(text, NULL);
+	JsonNode *root = json_parse_untrusted((const char *)query->body->data,
+					      query->body->len, NULL);
 	gboolean found = FALSE;
 
 	if (root && JSON_NODE_HOLDS_OBJECT(root))
@@ -300,7 +300,6 @@
 					  ""),
 				  state) == 0;
 	g_clear_pointer(&root, json_node_unref);
-	g_free(text);
 	return found;
 }
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -621,6 +621,54 @@
 	assert_true(requests_avoid_endpoint(f, "i-0"));
 }
 
+/*
+ * Fails if an odd entry among those of the endpoints ends the process, or hides
+ * the other entries or later changes.
+ */
+static void odd_entry_hides_no_other_entry(void **state)
+{
+	/* Both fit into an object of the users' store, 1 MiB. */
+	static const guint depths[] = { 1000, 250000 };
+	static const char *const odd[] = {
+		"{\"service\":\"s\",\"address\":\"127.0.0.1:70000\"}",
+		"{\"sequence\":12345678901234567890123456}",
+		"{\"max_concurrency\":1e400,\"born\":-1e400}",
+		"{\"service\":\"\\ud800\",\"zone\":\"\\u0000\"}",
+		"{\"service\":\"\xff\xfe\"}",
+	};
+	fixture_t *f = *state;
+	gsize i;
+
+	run_loop_for(WATCH_START_MS);
+	for (i = 0; i < G_N_ELEMENTS(odd); i++) {
+		gchar *path = g_strdup_printf(
+			"/-/objects/servers/a-odd-%" G_GSIZE_FORMAT, i);
+
+		send_to_store(path, "PUT", odd[i]);
+		g_free(path);
+	}
+	for (i = 0; i < G_N_ELEMENTS(depths); i++) {
+		GString *spec = g_string_new(NULL);
+		guint level;
+
+		for (level = 0; level < depths[i]; level++)
+			g_string_append_c(spec, '[');
+		for (level = 0; level < depths[i]; level++)
+			g_string_append_c(spec, ']');
+		send_to_store("/-/objects/servers/a-deep", "PUT", spec->str);
+		g_string_free(spec, TRUE);
+		put_endpoint(0, i % 2 ? "ready" : "draining", 10 + (guint)i);
+		run_loop_for(DRAIN_BOUND_MS);
+		assert_true(is_ready(NULL));
+		assert_int_equal(requests_avoid_endpoint(f, "i-0"), i % 2 == 0);
+	}
+	/* The list, too, is read with the odd entries in it. */
+	process_free(f->daemon);
+	start_daemon(f);
+	assert_true(wait_until(is_ready, NULL, START_TIMEOUT_MS));
+	assert_true(wait_until(is_served, f, START_TIMEOUT_MS));
+}
+
 /* Fails if an endpoint that drains or is removed gets new requests. */
 static void leaving_endpoint_gets_no_new_requests(void **state)
 {
@@ -788,6 +836,7 @@
 		TEST(lost_watch_does_not_hide_a_version),
 		TEST(lost_watch_does_not_hide_a_leaving_endpoint),
 		TEST(lost_watch_does_not_hide_a_removed_endpoint),
+		TEST(odd_entry_hides_no_other_entry),
 		TEST(leaving_endpoint_gets_no_new_requests),
 		TEST(directory_returns_the_instance),
 		TEST(shutdown_completes_requests),
