Reject numbers out of range in objects of the store

An entry with a number too large was taken for an endpoint with another number: doubles were cast to integers unchecked (undefined beyond the range), fractions cut off, times multiplied past the range of their type, weights and attempts cut to 32 bits.

An entry with any other number names no endpoint, a configuration is rejected. The ports of addresses were checked already, which the test now shows.

--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -79,6 +79,54 @@
 			fail_msg("accepted as an endpoint: %s", invalid[i]);
 }
 
+/*
+ * Fails if a number out of range is taken for another number, by which an
+ * endpoint would get more work than it can do, or never any.
+ */
+static void endpoint_numbers_out_of_range_are_rejected(void **state)
+{
+	static const struct {
+		const char *member;
+		const char *value;
+	} invalid[] = {
+		{ "max_concurrency", "0" },
+		{ "max_concurrency", "2.5" },
+		{ "max_concurrency", "4294967299" },
+		{ "max_concurrency", "1e300" },
+		{ "sequence", "-1" },
+		{ "sequence", "1.5" },
+		{ "sequence", "1e300" },
+		{ "warmup_left_ms", "-1" },
+		{ "warmup_left_ms", "9223372036854775807" },
+		{ "warmup_left_ms", "1e17" },
+		{ "born", "1e300" },
+		{ "born", "1.5" },
+		{ "born", "\"1\"" },
+		{ "born", "null" },
+		{ "address", "\"10.0.0.1:70000\"" },
+		{ "address", "\"10.0.0.1:0\"" },
+		{ "address", "\"10.0.0.1:-1\"" },
+		{ "address", "\"10.0.0.1:99999999999999999999\"" },
+	};
+	catalogue_entry_t entry;
+	gsize i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(invalid); i++) {
+		/* The last of two equal members counts. */
+		gchar *text = g_strdup_printf(
+			"{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+			"\"zone\":\"z\",\"max_concurrency\":3,"
+			"\"state\":\"ready\",\"warmup_left_ms\":0,"
+			"\"sequence\":4,\"born\":5,\"%s\":%s}",
+			invalid[i].member, invalid[i].value);
+
+		if (decode_endpoint_text(text, &entry))
+			fail_msg("accepted as an endpoint: %s", text);
+		g_free(text);
+	}
+}
+
 #define SERVICE(name)                                                     \
 	"{\"entry_kind\":\"services\",\"metadata\":{\"name\":\"" name     \
 	"\"},\"spec\":{\"health_path\":\"/healthz\",\"max_connections\":" \
@@ -96,6 +144,10 @@
 	"{\"entry_kind\":\"limits\",\"metadata\":{},\"spec\":{" \
 	"\"max_header_bytes\":100,\"max_body_bytes\":200,"      \
 	"\"header_timeout_ms\":300,\"idle_timeout_ms\":400}}"
+/* The last of two equal members counts. */
+#define SPLIT_CONFIG_WITH(member, value)              \
+	ROUTE(TRAFFIC_SPLIT ",\"" member "\":" value) \
+	"," SERVICE("s") "," SERVICE("t") "," LIMITS
 #define SPLIT_CONFIG \
 	ROUTE(TRAFFIC_SPLIT) "," SERVICE("s") "," SERVICE("t") "," LIMITS
 
@@ -150,6 +202,16 @@
 		"{\"entry_kind\":\"routes\",\"metadata\":{\"name\":\"r\"},"
 		"\"spec\":{}}",
 		"7",
+		SPLIT_CONFIG_WITH("timeout_ms", "1e300"),
+		SPLIT_CONFIG_WITH("timeout_ms", "18446744073709552"),
+		SPLIT_CONFIG_WITH("max_attempts", "4294967298"),
+		SPLIT_CONFIG_WITH("priority", "1e300"),
+		SPLIT_CONFIG_WITH("target_latency_ms", "1e300"),
+		SPLIT_CONFIG_WITH("target_latency_ms", "18446744073709552"),
+		ROUTE("\"traffic_split\":[{\"service\":\"s\",\"weight\":"
+		      "4294967297}]") "," SERVICE("s"),
+		ROUTE("\"traffic_split\":[{\"service\":\"s\",\"weight\":"
+		      "0.5}]") "," SERVICE("s"),
 	};
 	guint64 version;
 	gsize i;
@@ -182,6 +244,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(endpoint_fields_are_decoded),
 		cmocka_unit_test(invalid_endpoints_are_rejected),
+		cmocka_unit_test(endpoint_numbers_out_of_range_are_rejected),
 		cmocka_unit_test(config_fields_are_decoded),
 		cmocka_unit_test(invalid_config_is_rejected),
 		cmocka_unit_test(unknown_route_type_is_not_idempotent),
