Take an earlier refusal for no later answer

An operator of another system reported that an endpoint wrote an earlier refusal once more on a kept connection: clients were told "not run, try again" for requests that ran, or a request ran twice.

It can happen here in two ways. A response without a request id was taken for the answer to any request, before X-Not-Executed was read. And both attempts of a call have the caller's request id, so that on one connection the refusal of the first, written again, answered the second.

An attempt's response without an id is now accepted only on a connection that carried no earlier request; on a reused one it is discarded and the client waits for the next. An attempt to an endpoint that the call may have been sent to before uses a new connection.

--- a/lib/call/call.c
+++ b/lib/call/call.c
@@ -90,6 +90,9 @@
 
 	attempt->id = id;
 	attempt->started = now;
+	attempt->needs_new_connection = call->attempts_made > 1 ||
+					strcmp(call->last_endpoint, endpoint) ==
+						0;
 	g_strlcpy(attempt->endpoint, endpoint, sizeof(attempt->endpoint));
 	g_strlcpy(call->last_endpoint, endpoint, sizeof(call->last_endpoint));
 	TAILQ_INSERT_TAIL(&call->attempts, attempt, link);
--- a/lib/call/call.h
+++ b/lib/call/call.h
@@ -15,6 +15,12 @@
 	guint64 id;
 	char endpoint[UPSTREAM_ID_MAX + 1]; /* id */
 	GTimeSpan started; /* instant */
+	/*
+	 * An earlier attempt of the call may have gone to the same endpoint. An
+	 * endpoint that sends the answer to that one again would answer this
+	 * one, too: both have the same request id.
+	 */
+	gboolean needs_new_connection;
 } attempt_t;
 
 /* One client connection or peer instance that waits for the answer. */
--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -122,6 +122,7 @@
 	GTimeSpan last_cancel_query_after; /* not less than the first */
 	guint attempt; /* number, counting the caller's attempts as well */
 	guint connections_max; /* from this instance to the address */
+	gboolean needs_new_connection; /* of a routed call; see attempt_t */
 	GBytes *body;
 } attempt_request_t;
 
--- a/lib/entry/entry_attempts.c
+++ b/lib/entry/entry_attempts.c
@@ -105,6 +105,7 @@
 		.remaining = call->deadline - now,
 		.attempt = call->caller_attempt - 1 + call->attempts_made,
 		.connections_max = upstream_connection_share(service->upstream),
+		.needs_new_connection = attempt->needs_new_connection,
 		.body = call->body,
 	};
 
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -157,7 +157,8 @@
 
 	if (response->status >= 200 &&
 	    (!events->response_matches ||
-	     events->response_matches(events->ctx, connection->id, response)))
+	     events->response_matches(events->ctx, connection->id, response,
+				      connection->requests > 1)))
 		return FALSE;
 	http_message_free(http_message_parser_take(connection->parser));
 	return TRUE;
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -33,10 +33,12 @@
 	/*
 	 * Returns FALSE for a response to an earlier request on the same
 	 * connection: it is discarded, and the client waits for the next one.
-	 * NULL when responses carry no request ids.
+	 * reused is TRUE if the connection has carried earlier requests. NULL
+	 * when responses carry no request ids.
 	 */
 	gboolean (*response_matches)(void *ctx, guint64 id,
-				     const http_message_t *response);
+				     const http_message_t *response,
+				     gboolean reused);
 	void *ctx;
 } http_client_events_t;
 
--- a/net/proxy.c
+++ b/net/proxy.c
@@ -185,14 +185,15 @@
 }
 
 static gboolean on_response_matches(void *ctx, guint64 id,
-				    const http_message_t *response)
+				    const http_message_t *response,
+				    gboolean reused)
 {
 	const proxy_t *proxy = ctx;
 	const outgoing_request_t *outgoing =
 		g_hash_table_lookup(proxy->outgoing_by_id, &id);
 
-	return proxy->codec.response_matches(proxy->codec.ctx,
-					     outgoing->request_id, response);
+	return proxy->codec.response_matches(
+		proxy->codec.ctx, outgoing->request_id, response, reused);
 }
 
 proxy_t *proxy_new(const char *address, entry_t *entry,
@@ -271,6 +272,14 @@
 	g_string_free(headers, TRUE);
 }
 
+static GTimeSpan reuse_idle_max(const attempt_request_t *attempt)
+{
+	if (attempt->needs_new_connection)
+		return 0;
+	return attempt->idempotent ? REUSE_IDLE_MAX :
+				     REUSE_IDLE_MAX_NON_IDEMPOTENT;
+}
+
 static GString *write_request(const proxy_t *proxy,
 			      const http_message_t *request,
 			      const attempt_request_t *attempt)
@@ -301,8 +310,7 @@
 		.id = attempt->attempt_id,
 		.address = attempt->address,
 		.message = message,
-		.idle_max = attempt->idempotent ? REUSE_IDLE_MAX :
-						  REUSE_IDLE_MAX_NON_IDEMPOTENT,
+		.idle_max = reuse_idle_max(attempt),
 	};
 	outgoing_request_t *outgoing =
 		add_outgoing_request(proxy, attempt->attempt_id);
--- a/net/proxy.h
+++ b/net/proxy.h
@@ -22,11 +22,13 @@
 	/* Returns the id that the response must repeat, or NULL. */
 	const char *(*request_id)(void *ctx, const http_message_t *request);
 	/*
-	 * Returns FALSE for a response to a request with another id.
-	 * request_id is NULL for a probe.
+	 * Returns FALSE for a response that may belong to another request.
+	 * request_id is NULL for a probe; reused is TRUE if the connection has
+	 * carried earlier requests.
 	 */
 	gboolean (*response_matches)(void *ctx, const char *request_id,
-				     const http_message_t *response);
+				     const http_message_t *response,
+				     gboolean reused);
 	/* Appends the header lines that the endpoint expects. */
 	void (*write_request_headers)(void *ctx,
 				      const attempt_request_t *attempt,
--- a/tests/fakes/fake_endpoint.c
+++ b/tests/fakes/fake_endpoint.c
@@ -4,6 +4,10 @@
  *   slow     responds after SLOW_RUN_MS
  *   reset    executes the request, then resets the connection
  *   shed     refuses the request as not executed
+ *   replay   refuses the first attempt of the request as not executed, and sends
+ *            that refusal again while the next request on a kept connection
+ *            runs; with "always" it refuses each attempt, with "anonymous"
+ *            the refusal that is sent again has no request id
  *   early    closes the connection within the response
  *   foreign  sends a response to another request first
  *   extra    sends a second response after its own
@@ -42,6 +46,7 @@
 	http_message_parser_t *parse;
 	GByteArray *unparsed;
 	http_message_t *request; /* being executed, or NULL */
+	guint requests; /* received so far */
 	guint timer; /* end of the execution, 0 if none */
 } connection_t;
 
@@ -52,6 +57,8 @@
 	guint running;
 	guint abandoned; /* requests whose caller disconnected */
 	GHashTable *runs; /* request id -> count */
+	GHashTable *refused; /* set of request ids */
+	char *refusal; /* to send again, NULL for none */
 	TAILQ_HEAD(connection_list, connection) connections;
 } endpoint;
 
@@ -194,11 +201,45 @@
 		on_run_end, connection);
 }
 
+static char *format_refusal(const char *id)
+{
+	return g_strdup_printf(
+		"HTTP/1.1 503 Status\r\n%s%s%sX-Not-Executed: 1\r\n"
+		"X-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n",
+		id ? "X-Request-Id: " : "", id ? id : "", id ? "\r\n" : "",
+		endpoint.id);
+}
+
+/* Refuses a request and keeps the refusal to send it again. */
+static void send_refusal_to_replay(connection_t *connection,
+				   const http_message_t *request,
+				   const char *id)
+{
+	char *refusal = format_refusal(id);
+
+	g_hash_table_add(endpoint.refused, g_strdup(id));
+	log_event("shed", id);
+	send_text(connection, refusal);
+	g_free(refusal);
+	g_free(endpoint.refusal);
+	endpoint.refusal = format_refusal(
+		target_contains(request, "anonymous") ? NULL : id);
+}
+
+static gboolean is_refused_for_replay(const http_message_t *request,
+				      const char *id)
+{
+	return target_contains(request, "replay") &&
+	       (target_contains(request, "always") ||
+		!g_hash_table_contains(endpoint.refused, id));
+}
+
 static void handle_request(connection_t *connection, http_message_t *request)
 {
 	const char *id = http_message_header(request, "X-Request-Id");
 	const char *target = http_message_header(request, "X-Target-Instance");
 
+	connection->requests++;
 	if (target_contains(request, "/stats")) {
 		send_stats(connection);
 	} else if (target_contains(request, "/healthz")) {
@@ -217,7 +258,13 @@
 		log_event("shed", id ? id : "-");
 		send_response(connection, id ? 503 : 400, id ? id : "",
 			      "X-Not-Executed: 1\r\n", "");
+	} else if (is_refused_for_replay(request, id)) {
+		send_refusal_to_replay(connection, request, id);
 	} else {
+		if (endpoint.refusal && connection->requests > 1) {
+			send_text(connection, endpoint.refusal);
+			g_clear_pointer(&endpoint.refusal, g_free);
+		}
 		start_run(connection, request, id);
 		return;
 	}
@@ -319,6 +366,8 @@
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
 	endpoint.runs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	endpoint.refused =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	TAILQ_INIT(&endpoint.connections);
 	address = g_strdup_printf("127.0.0.1:%u", endpoint.port);
 	listener = address_listen(address, NULL);
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -113,12 +113,32 @@
 	call_free(call);
 }
 
+/*
+ * Fails if an attempt may use a connection that carried an earlier attempt of
+ * the same call: both have the same request id.
+ */
+static void repeated_endpoint_needs_a_new_connection(void **state)
+{
+	call_t *call = new_call(FALSE);
+
+	(void)state;
+	assert_false(call_start_attempt(call, 1, "a", 0)->needs_new_connection);
+	assert_true(call_start_attempt(call, 2, "a", 0)->needs_new_connection);
+	call_free(call);
+	call = new_call(FALSE);
+	call_start_attempt(call, 1, "a", 0);
+	assert_false(call_start_attempt(call, 2, "b", 0)->needs_new_connection);
+	assert_true(call_start_attempt(call, 3, "a", 0)->needs_new_connection);
+	call_free(call);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(retry_requires_proof),
 		cmocka_unit_test(every_attempt_requires_proof),
 		cmocka_unit_test(first_answer_ends_the_call),
+		cmocka_unit_test(repeated_endpoint_needs_a_new_connection),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -64,11 +64,13 @@
 }
 
 static gboolean on_response_matches(void *ctx, guint64 id,
-				    const http_message_t *response)
+				    const http_message_t *response,
+				    gboolean reused)
 {
 	(void)ctx;
 	(void)id;
 	(void)response;
+	(void)reused;
 	return TRUE;
 }
 
--- a/tests/test_http_codec.c
+++ b/tests/test_http_codec.c
@@ -97,10 +97,28 @@
 			       "Content-Length: 0\r\n\r\n");
 
 	(void)state;
-	assert_true(codec.response_matches(codec.ctx, "a", response));
-	assert_false(codec.response_matches(codec.ctx, "b", response));
+	assert_true(codec.response_matches(codec.ctx, "a", response, TRUE));
+	assert_false(codec.response_matches(codec.ctx, "b", response, TRUE));
 	/* NULL: a probe, which has no request id and gets none back. */
-	assert_false(codec.response_matches(codec.ctx, NULL, response));
+	assert_false(codec.response_matches(codec.ctx, NULL, response, TRUE));
+	http_message_free(response);
+}
+
+/*
+ * Fails if a response without an id is taken for the answer to an attempt on a
+ * connection that carried earlier requests: it may belong to one of them.
+ */
+static void answer_without_id_is_rejected_on_a_reused_connection(void **state)
+{
+	proxy_codec_t codec = http_codec();
+	http_message_t *response =
+		parse_response("HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
+			       "Content-Length: 0\r\n\r\n");
+
+	(void)state;
+	assert_false(codec.response_matches(codec.ctx, "a", response, TRUE));
+	assert_true(codec.response_matches(codec.ctx, "a", response, FALSE));
+	assert_true(codec.response_matches(codec.ctx, NULL, response, TRUE));
 	http_message_free(response);
 }
 
@@ -144,6 +162,8 @@
 		cmocka_unit_test(error_status_matches_outcome),
 		cmocka_unit_test(only_explicit_refusals_mean_not_run),
 		cmocka_unit_test(answer_to_another_request_is_rejected),
+		cmocka_unit_test(
+			answer_without_id_is_rejected_on_a_reused_connection),
 		cmocka_unit_test(load_report_is_read),
 		cmocka_unit_test(probe_answer_of_another_endpoint_is_rejected),
 	};
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -367,6 +367,54 @@
 	assert_int_equal(count_runs(f, FALSE), 0);
 }
 
+/* Leaves one endpoint, and budget for the retries of a test. */
+static void use_one_endpoint(fixture_t *f)
+{
+	guint i;
+
+	run_loop_for(WATCH_START_MS);
+	send_to_store("/-/objects/servers/i-1", "DELETE", "");
+	run_loop_for(DRAIN_BOUND_MS);
+	for (i = 0; i < 40; i++)
+		assert_int_equal(request_status(f, "GET", "/safe/1"), 200);
+}
+
+/*
+ * Fails if a refusal that an endpoint sends again is taken for the answer to the
+ * next attempt of the same request: the caller would be told that a running
+ * request has not run.
+ */
+static void repeated_refusal_does_not_answer_the_same_request(void **state)
+{
+	fixture_t *f = *state;
+	guint i;
+
+	use_one_endpoint(f);
+	for (i = 0; i < 4; i++) {
+		assert_int_equal(request_status(f, "PUT", "/once/replay"), 200);
+		assert_int_equal(count_runs(f, FALSE), 1);
+	}
+}
+
+/* Fails if such a refusal is taken for the answer to another request. */
+static void repeated_refusal_does_not_answer_another_request(void **state)
+{
+	static const char *const refused[] = {
+		"/once/replay-always",
+		"/once/replay-always-anonymous",
+	};
+	fixture_t *f = *state;
+	gsize i;
+
+	use_one_endpoint(f);
+	for (i = 0; i < G_N_ELEMENTS(refused); i++) {
+		assert_int_equal(request_status(f, "PUT", refused[i]), 503);
+		assert_int_equal(count_runs(f, FALSE), 0);
+		assert_int_equal(request_status(f, "PUT", "/once/next"), 200);
+		assert_int_equal(count_runs(f, FALSE), 1);
+	}
+}
+
 /* Fails if a truncated answer is forwarded as a success. */
 static void truncated_answer_is_an_error(void **state)
 {
@@ -824,6 +872,8 @@
 		TEST(request_and_answer_are_forwarded_unchanged),
 		TEST(unsafe_request_runs_once_after_reset),
 		TEST(shed_request_is_answered_as_not_run),
+		TEST(repeated_refusal_does_not_answer_the_same_request),
+		TEST(repeated_refusal_does_not_answer_another_request),
 		TEST(truncated_answer_is_an_error),
 		TEST(answers_to_other_requests_are_discarded),
 		TEST(pipelined_requests_run_side_by_side),
