Let the soak lose the store between changes

Series of outages now follow a change: the store loses, holds or refuses the requests that come next, an endpoint's entry is written anew and an odd entry is stored meanwhile; when the bounds apply again an endpoint drains or its entry is removed and the configuration changes. They have a random stream of their own, and --no-outage-series keeps the faults of older seeds as they were.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -1,7 +1,8 @@
 /*
  * Randomized soak test of the whole system.
  *   soak --seed N [--seconds N] [--instances N] [--endpoints N] [--rate N]
- *        [--daemon PROGRAM] [--port-base PORT] [--verbose]
+ *        [--daemon PROGRAM] [--port-base PORT] [--no-outage-series]
+ *        [--verbose]
  * The exit status is 0 without violations and 1 otherwise. After a violation
  * the settings and logs are kept in the build directory, in soak-SEED-PORT.
  */
@@ -105,6 +106,8 @@
 	{ "daemon", 'd', "PROGRAM", 0,
 	  "Program of the instances, default catkinstalld", 0 },
 	{ "port-base", 'p', "PORT", 0, "First port to use, default 24000", 0 },
+	{ "no-outage-series", 'o', NULL, 0,
+	  "Leave out the outages of the store between changes", 0 },
 	{ "verbose", 'v', NULL, 0, "Log faults and statistics", 0 },
 	{ 0 }
 };
@@ -127,6 +130,8 @@
 		options->daemon = argument;
 	else if (key == 'p')
 		options->port_base = (guint)atoi(argument);
+	else if (key == 'o')
+		options->outage_series = FALSE;
 	else if (key == 'v')
 		verbose = TRUE;
 	else
@@ -145,6 +150,7 @@
 				     .endpoints = 6,
 				     .requests_per_second = 100,
 				     .port_base = 24000,
+				     .outage_series = TRUE,
 				     .daemon = "catkinstalld" } };
 	gchar *directory;
 
@@ -159,6 +165,8 @@
 	soak.fault_random = g_rand_new_with_seed((guint32)soak.options.seed);
 	soak.traffic_random =
 		g_rand_new_with_seed((guint32)soak.options.seed + 1);
+	soak.outage_random =
+		g_rand_new_with_seed((guint32)soak.options.seed + 2);
 	soak.store_fault_intervals =
 		g_array_new(FALSE, FALSE, sizeof(fault_interval_t));
 	soak.config_acked_at = g_array_new(FALSE, TRUE, sizeof(GTimeSpan));
@@ -175,6 +183,7 @@
 	g_array_unref(soak.config_acked_at);
 	g_rand_free(soak.fault_random);
 	g_rand_free(soak.traffic_random);
+	g_rand_free(soak.outage_random);
 	g_free(directory);
 	return soak.violations ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -26,6 +26,7 @@
 	guint endpoints;
 	guint requests_per_second;
 	guint port_base;
+	gboolean outage_series; /* see soak_outages.c */
 	const char *daemon; /* program that the instances run */
 	const char *directory; /* of settings and logs */
 } soak_options_t;
@@ -84,7 +85,9 @@
 	soak_options_t options;
 	GRand *fault_random; /* used for faults only */
 	GRand *traffic_random; /* used for requests only */
+	GRand *outage_random; /* used for soak_outages.c only */
 	GTimeSpan faults_end_at;
+	GTimeSpan quiet_until; /* no other faults before */
 	process_t *store;
 	GArray *store_fault_intervals;
 	TAILQ_HEAD(instance_list, instance) instances;
@@ -126,6 +129,12 @@
 endpoint_t *fleet_add_endpoint(soak_t *soak);
 /* Marks the endpoint as draining in the store and stops it later. */
 void fleet_drain(soak_t *soak, endpoint_t *endpoint);
+/* Removes the entry of an endpoint that does not drain, and stops it later. */
+void fleet_remove(soak_t *soak, endpoint_t *endpoint);
+/* Writes the entry of the endpoint anew, unchanged but for its sequence. */
+void fleet_rewrite(soak_t *soak, endpoint_t *endpoint);
+/* Writes an entry that names no endpoint, with that content. */
+void fleet_put_odd_entry(soak_t *soak, const char *spec);
 /* Kills the endpoint, starts another, and removes its entry later. */
 void fleet_crash_endpoint(soak_t *soak, endpoint_t *endpoint);
 /* Writes the next version of the configuration. */
@@ -149,6 +158,13 @@
 void faults_start(soak_t *soak);
 /* Waits until the last fault has cleared. */
 void faults_wait_cleared(void);
+/* A number from min to max. */
+guint faults_draw(GRand *random, guint min, guint max);
+/* A running endpoint that does not drain; NULL when too few are left. */
+endpoint_t *faults_draw_endpoint(const soak_t *soak, GRand *random);
+
+/* soak_outages.c: outages of the store between changes, for that time. */
+void outages_start(soak_t *soak);
 
 /* soak_traffic.c: sends requests and checks each response. */
 void traffic_start(soak_t *soak);
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -34,10 +34,14 @@
 	void (*apply)(soak_t *soak);
 } fault_kind_t;
 
+guint faults_draw(GRand *random, guint min, guint max)
+{
+	return (guint)g_rand_int_range(random, (gint32)min, (gint32)max + 1);
+}
+
 static guint draw(soak_t *soak, guint min, guint max)
 {
-	return (guint)g_rand_int_range(soak->fault_random, (gint32)min,
-				       (gint32)max + 1);
+	return faults_draw(soak->fault_random, min, max);
 }
 
 static instance_t *draw_instance(soak_t *soak)
@@ -45,19 +49,23 @@
 	return soak_instance(soak, draw(soak, 0, soak->options.instances - 1));
 }
 
-/* A running endpoint that does not drain; NULL when too few are left. */
-static endpoint_t *draw_endpoint(soak_t *soak)
+endpoint_t *faults_draw_endpoint(const soak_t *soak, GRand *random)
 {
 	endpoint_t *endpoint, *chosen = NULL;
 	guint seen = 0;
 
 	TAILQ_FOREACH (endpoint, &soak->endpoints, link)
 		if (endpoint->process && !endpoint->stop_at &&
-		    draw(soak, 0, seen++) == 0)
+		    faults_draw(random, 0, seen++) == 0)
 			chosen = endpoint;
 	return seen > ENDPOINTS_MIN ? chosen : NULL;
 }
 
+static endpoint_t *draw_endpoint(soak_t *soak)
+{
+	return faults_draw_endpoint(soak, soak->fault_random);
+}
+
 static void recover(recovery_t *recovery)
 {
 	if (recovery->proxy)
@@ -265,7 +273,8 @@
 
 	if (soak_now() >= soak->faults_end_at)
 		return G_SOURCE_REMOVE;
-	draw_kind(soak)->apply(soak);
+	if (soak_now() >= soak->quiet_until)
+		draw_kind(soak)->apply(soak);
 	/* Without faults, changes must meet CHANGE_PROPAGATION_MAX. */
 	if (draw(soak, 0, 99) < QUIET_PERCENT) {
 		interval_ms = QUIET_MS;
@@ -282,6 +291,8 @@
 
 	if (soak_now() >= soak->faults_end_at)
 		return G_SOURCE_REMOVE;
+	if (soak_now() < soak->quiet_until)
+		return G_SOURCE_CONTINUE;
 	change_config(soak);
 	drain_endpoint(soak);
 	return G_SOURCE_CONTINUE;
@@ -294,6 +305,8 @@
 		soak->options.seconds * (GTimeSpan)G_TIME_SPAN_SECOND;
 	g_timeout_add(INTERVAL_MAX_MS, on_next_fault, soak);
 	g_timeout_add(REGULAR_CHANGE_MS, on_regular_change, soak);
+	if (soak->options.outage_series)
+		outages_start(soak);
 }
 
 void faults_wait_cleared(void)
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -233,12 +233,13 @@
 	return write;
 }
 
-static void remove_entry(soak_t *soak, const endpoint_t *endpoint)
+static store_write_t *remove_entry(soak_t *soak, const endpoint_t *endpoint)
 {
 	gchar *path = g_strdup_printf("/-/objects/servers/%s", endpoint->id);
+	store_write_t *write = write_store(soak, "DELETE", path, "");
 
-	write_store(soak, "DELETE", path, "");
 	g_free(path);
+	return write;
 }
 
 endpoint_t *fleet_add_endpoint(soak_t *soak)
@@ -271,6 +272,22 @@
 	endpoint->stop_at = soak_now() + CHANGE_PROPAGATION_MAX + DRAIN_EXTRA;
 }
 
+void fleet_remove(soak_t *soak, endpoint_t *endpoint)
+{
+	remove_entry(soak, endpoint)->endpoint = endpoint;
+	endpoint->stop_at = soak_now() + CHANGE_PROPAGATION_MAX + DRAIN_EXTRA;
+}
+
+void fleet_rewrite(soak_t *soak, endpoint_t *endpoint)
+{
+	put_endpoint(soak, endpoint, "ready");
+}
+
+void fleet_put_odd_entry(soak_t *soak, const char *spec)
+{
+	write_store(soak, "PUT", "/-/objects/servers/a-odd", spec);
+}
+
 static void stop_endpoint(endpoint_t *endpoint)
 {
 	g_clear_pointer(&endpoint->process, process_free);
