--- a/codec/json_untrusted.c
+++ b/codec/json_untrusted.c
@@ -56,7 +56,7 @@
 	} else if (is_high_surrogate(unit) &&
 		   is_low_surrogate(unicode_escape(
 			   copy, copy->at + UNICODE_ESCAPE_LENGTH))) {
-		copy_bytes(copy, 2 * UNICODE_ESCAPE_LENGTH);
+		copy_bytes(copy, (gsize)2 * UNICODE_ESCAPE_LENGTH);
 	} else if (!unit || is_high_surrogate(unit) || is_low_surrogate(unit)) {
 		g_string_append(copy->out, REPLACEMENT_ESCAPE);
 		copy->at += UNICODE_ESCAPE_LENGTH;
