Let test_config wait for the watches that it has silenced

invalid_version_is_skipped failed once in nine runs beside other work ("0 is not within the range 1-4"), and three tests after it with it.

Cause: the test before silences all watches and goes on as soon as the next version is in force, which one instance can spread before the other watches have ended, 4 s after the silence. An invalid version is not spread, so no instance can count it before its own watch works again; the bound of 1 s holds for working watches.

The test that silences the watches now ends when they must have ended.

--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -20,6 +20,8 @@
 #define OBJECT_PORT 60
 #define START_TIMEOUT_MS 5000
 #define IN_FORCE_MS 6000 /* for a version to be in force everywhere */
+/* A watch of 2 s, the timeout of a call of 2 s, and a new watch. */
+#define WATCH_REPLACEMENT_MS 4500
 #define WATCHERS_MAX 4 /* two in each data centre */
 #define STATS_MS 6000
 /* One watch every 2 s, and the one in progress at the reset. */
@@ -329,6 +331,7 @@
  */
 static void dead_watches_are_replaced_in_time(void **state)
 {
+	gint64 start = g_get_monotonic_time();
 	char *text = schema_text(6);
 
 	(void)state;
@@ -336,6 +339,13 @@
 	put_directly(5, text);
 	assert_in_force(6, "a write while all watches were silent");
 	g_free(text);
+	/*
+	 * One instance may spread the version before the others have replaced
+	 * their watches, which the next test needs.
+	 */
+	while (g_get_monotonic_time() <
+	       start + WATCH_REPLACEMENT_MS * G_TIME_SPAN_MILLISECOND)
+		run_loop_for(100);
 }
 
 /*
