--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -57,7 +57,7 @@
 	GTimeSpan next_source_selection;
 	gboolean logged_reads_store; /* entry_should_read_store() as logged */
 	gboolean has_called_store; /* an endpoint store is in use */
-	gboolean last_store_call_answered;
+	gboolean endpoints_call_answered; /* the last one to the store */
 	route_splits_t *splits;
 	route_deadlines_t *deadlines;
 
--- a/lib/entry/entry_subscription.c
+++ b/lib/entry/entry_subscription.c
@@ -130,7 +130,9 @@
 
 	entry_log_store_call_ended(entry, kind, call);
 	entry->has_called_store = TRUE;
-	entry->last_store_call_answered = answered;
+	/* An answer about the configuration says nothing about endpoints. */
+	if (kind == FEED_ENDPOINTS)
+		entry->endpoints_call_answered = answered;
 	subscription_record_store_call(entry->subscription, answered,
 				       entry_now(entry));
 	if (answered)
@@ -219,7 +221,7 @@
 	 * two sources without it could each report the contact of the other.
 	 */
 	endpoints->update.in_contact =
-		entry->last_store_call_answered ||
+		entry->endpoints_call_answered ||
 		(!subscriber->own_only &&
 		 subscription_has_live_source(entry->subscription, now));
 	endpoints->changes = (const catalogue_change_t *)changes->data;
@@ -299,7 +301,7 @@
 		  LOG_NUMBER("served_by_source",
 			     subscription_has_live_source(entry->subscription,
 							  now)),
-		  LOG_NUMBER("store_answers", entry->last_store_call_answered),
+		  LOG_NUMBER("store_answers", entry->endpoints_call_answered),
 		  LOG_NUMBER("fleet", entry->fleet.highest));
 }
 
--- a/tests/test_entry_subscription.c
+++ b/tests/test_entry_subscription.c
@@ -41,6 +41,7 @@
 	guint polls;
 	gboolean dead;
 	gboolean store_unreachable; /* for this node only */
+	gboolean watches_configuration; /* that watch is answered always */
 } node_t;
 
 typedef struct {
@@ -137,6 +138,15 @@
 	catalogue_put(entry_catalogue(node->entry), &entry, net.now);
 }
 
+static void answer_configuration(node_t *node)
+{
+	const entry_store_call_t answered = { .outcome = FEED_ANSWERED };
+
+	entry_store_call_ended(node->entry, FEED_CONFIGURATION, &answered);
+	feed_changes_read(entry_feed(node->entry, FEED_CONFIGURATION),
+			  net.revision, 0, net.now);
+}
+
 /* Stands in for platform/discovery, listing the store at each poll. */
 static void poll_store(node_t *node)
 {
@@ -149,6 +159,8 @@
 	node->polls++;
 	if (node->store_unreachable || net.store_down) {
 		entry_store_call_ended(node->entry, FEED_ENDPOINTS, &lost);
+		if (node->watches_configuration)
+			answer_configuration(node);
 		return;
 	}
 	entry_store_call_ended(node->entry, FEED_ENDPOINTS, &answered);
@@ -357,6 +369,27 @@
 	assert_int_equal(count_knowing(3), ENTRIES);
 }
 
+/*
+ * Fails if sources whose watches of endpoints are lost, while the store answers
+ * their other calls, hide changes from the instances that they serve.
+ */
+static void sources_without_endpoints_hide_no_changes(void **state)
+{
+	const guint sources = DATA_CENTRES * ENTRY_CONFIG_WATCHERS;
+	guint i;
+
+	(void)state;
+	for (i = 0; i < ENTRIES; i++) {
+		net.nodes[i].store_unreachable = is_source(i);
+		net.nodes[i].watches_configuration = is_source(i);
+	}
+	/* Until the sources notice. */
+	run_for(STORE_POLL_INTERVAL);
+	change_store(5, TRUE);
+	run_for(CHANGE_BOUND);
+	assert_true(count_knowing(5) >= ENTRIES - sources);
+}
+
 /* Fails if the whole fleet polls the store during an outage of the store. */
 static void only_sources_poll_during_an_outage(void **state)
 {
@@ -416,6 +449,7 @@
 		TEST(only_sources_read_the_store),
 		TEST(dead_sources_do_not_hide_changes),
 		TEST(sources_without_store_learn_from_others),
+		TEST(sources_without_endpoints_hide_no_changes),
 		TEST(only_sources_poll_during_an_outage),
 		TEST(resolve_rotates_over_all_instances),
 	};
