Tell a request that failed from one that was not answered

After a watch that was not answered, a removal may be due as early as the send time of that watch says. A connection that is reset or cut, or a connection that is refused, shows that the store was unavailable at that moment, so entries that expired get their 2 s as before. They had the outcome of a lost request, which left them less.

--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -44,8 +44,8 @@
 	GTimeSpan call_sent_at;
 	GTimeSpan answered_at; /* instant of the last answer, 0 for none */
 	/*
-	 * When the store refused the last failed request, or when that request
-	 * was sent if the store did not answer it.
+	 * When the last request failed, or when it was sent if the store did
+	 * not answer it.
 	 */
 	GTimeSpan unavailable_at;
 };
@@ -77,6 +77,7 @@
 		[FEED_ANSWERED] = "answered",
 		[FEED_HISTORY_LOST] = "history_lost",
 		[FEED_REFUSED] = "refused",
+		[FEED_FAILED] = "failed",
 		[FEED_UNANSWERED] = "no_answer",
 	};
 
@@ -221,8 +222,8 @@
 	guint doublings = MIN(feed->failures, BACKOFF_DOUBLINGS);
 	GTimeSpan pause = MIN(BACKOFF_MIN << doublings, BACKOFF_MAX);
 
-	feed->unavailable_at = outcome == FEED_REFUSED ? now :
-							 feed->call_sent_at;
+	feed->unavailable_at =
+		outcome == FEED_UNANSWERED ? feed->call_sent_at : now;
 	feed->call = FEED_WAIT;
 	feed->failures++;
 	/* Jitter, so that the instances do not all return at the same time. */
--- a/lib/feed/feed.h
+++ b/lib/feed/feed.h
@@ -44,7 +44,8 @@
 	FEED_ANSWERED,
 	FEED_HISTORY_LOST, /* changes since the revision cannot be read */
 	FEED_REFUSED, /* rate limit exceeded, or store unavailable */
-	FEED_UNANSWERED /* no answer, or one that is not valid */
+	FEED_FAILED, /* the connection ended, or the answer is not valid */
+	FEED_UNANSWERED /* no answer within the timeout of the step */
 } feed_outcome_t;
 
 /* Name of an outcome in logs. */
@@ -119,15 +120,15 @@
 guint64 feed_revision(const feed_t *feed);
 
 /*
- * Records that a request ended with FEED_REFUSED or FEED_UNANSWERED: the next
- * one is delayed by a backoff.
+ * Records that a request ended with FEED_REFUSED, FEED_FAILED or
+ * FEED_UNANSWERED: the next one is delayed by a backoff.
  */
 void feed_failed(feed_t *feed, feed_outcome_t outcome, GTimeSpan now);
 
 /*
  * Instant by which a change made reconnect_bound after the last outage must be
- * known at the latest. The outage may have ended as soon as the store had
- * refused the last failed request, or left it unanswered.
+ * known at the latest. The outage may have ended as soon as the last request had
+ * failed, or when it was sent if the store left it unanswered.
  */
 GTimeSpan feed_change_due(const feed_t *feed);
 
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -180,6 +180,10 @@
 		    NOW + RECONNECT_BOUND + CHANGE_BOUND);
 	feed_failed(f->feed, FEED_REFUSED, NOW + step.timeout);
 	assert_true(feed_change_due(f->feed) > NOW + step.timeout);
+	/* A connection that ends shows that the outage has not. */
+	feed_call_sent(f->feed, &step, NOW);
+	feed_failed(f->feed, FEED_FAILED, NOW + step.timeout);
+	assert_true(feed_change_due(f->feed) > NOW + step.timeout);
 }
 
 /* Fails if the age of the known state, or of a call, is wrong. */
