--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -222,8 +222,8 @@
 	guint doublings = MIN(feed->failures, BACKOFF_DOUBLINGS);
 	GTimeSpan pause = MIN(BACKOFF_MIN << doublings, BACKOFF_MAX);
 
-	feed->unavailable_at =
-		outcome == FEED_UNANSWERED ? feed->call_sent_at : now;
+	feed->unavailable_at = outcome == FEED_UNANSWERED ? feed->call_sent_at :
+							    now;
 	feed->call = FEED_WAIT;
 	feed->failures++;
 	/* Jitter, so that the instances do not all return at the same time. */
