Expect an idle service to run one call at a time at least

test_platform/pipelined_requests_run_side_by_side failed in 4 of 80 runs beside load: the third of three requests was refused with 503 while both endpoints were idle.

While no attempt is in flight, the drain rate is at least that of one call at a time.

Measured: test_admission/idle_service_is_not_limited_by_its_completions fails before and passes, 11 of 11.

--- a/lib/admission/admission.c
+++ b/lib/admission/admission.c
@@ -87,7 +87,8 @@
 /*
  * The rate of completions underestimates the capacity of a service that was
  * idle. The attempts in flight over their mean latency (Little's law) show it
- * as soon as calls wait.
+ * as soon as calls wait. While none is in flight, one at a time is assumed: the
+ * waiting calls may only wait for load reports.
  */
 double admission_drain_rate(const admission_t *admission, GTimeSpan now)
 {
@@ -95,7 +96,7 @@
 	double possible = 0;
 
 	if (admission->mean_latency > 0)
-		possible = admission->state.in_flight_total *
+		possible = MAX(admission->state.in_flight_total, 1) *
 			   (double)G_TIME_SPAN_SECOND / admission->mean_latency;
 	return MAX(completed, possible);
 }
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -34,6 +34,7 @@
 	guint started_of_caller[2]; /* callers "a" and "b" */
 	GTimeSpan longest_wait[3];
 	const admission_item_t *watched; /* reset to NULL when it starts */
+	GTimeSpan latest_start; /* of new calls, after their arrival; 0: none */
 	catk_error_t error; /* of the last refusal */
 } sim_t;
 
@@ -70,6 +71,8 @@
 
 	call->item.priority = priority;
 	call->item.deadline = sim->now + deadline;
+	if (sim->latest_start)
+		call->item.latest_start = sim->now + sim->latest_start;
 	call->item.caller = caller;
 	call->arrived = sim->now;
 	sim->offered[priority]++;
@@ -394,6 +397,30 @@
 	sim_clear(&sim);
 }
 
+/*
+ * Fails if the few calls that an idle service has completed are taken for its
+ * capacity: a third call was refused while two waited for load reports and both
+ * endpoints were idle.
+ */
+static void idle_service_is_not_limited_by_its_completions(void **state)
+{
+	const guint load[3] = { 0, 1, 0 }; /* 5 calls/s */
+	sim_t sim;
+	guint i;
+
+	(void)state;
+	sim_init(&sim, 100, 100);
+	sim_run(&sim, G_TIME_SPAN_SECOND, load);
+	while (sim.in_flight || sim.waiting)
+		sim_step(&sim);
+	sim.latest_start = 100 * MS;
+	for (i = 0; i < 3; i++)
+		assert_non_null(sim_offer(&sim, 1, 500 * MS, "a"));
+	sim_dispatch(&sim);
+	assert_int_equal(sim.in_flight, 3);
+	sim_clear(&sim);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -409,6 +436,8 @@
 		cmocka_unit_test(call_that_cannot_finish_is_refused),
 		cmocka_unit_test(
 			idle_service_accepts_a_call_with_short_deadline),
+		cmocka_unit_test(
+			idle_service_is_not_limited_by_its_completions),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
