Keep the soak from judging what it held up itself

What it holds is a fault that it injects without knowing.

Killed processes end without blocking the loop, and a restart waits for that. A gap of 500 ms or more in the loop, longer than the delays of a faulty proxy, is recorded as a fault of all instances, as any other fault of the relayed connections, and each run prints how many there were. No bound is changed.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -16,6 +16,8 @@
 #include "tests/soak/soak.h"
 
 #define FLEET_TICK_MS 50
+/* Longer than the delays of a faulty proxy. */
+#define STALL_MIN (500 * G_TIME_SPAN_MILLISECOND)
 /* After the last fault: covers RECONNECT_MAX and CHANGE_PROPAGATION_MAX. */
 #define SETTLE_MS 5500
 
@@ -56,8 +58,23 @@
 	va_end(list);
 }
 
+void soak_record_stall(soak_t *soak)
+{
+	fault_interval_t stall = { .from = soak->loop_ran_at,
+				   .to = soak_now() };
+
+	soak->loop_ran_at = stall.to;
+	if (stall.to - stall.from < STALL_MIN)
+		return;
+	soak->stalls++;
+	g_array_append_val(soak->store_fault_intervals, stall);
+	soak_log("the soak was stalled for %" G_GINT64_FORMAT " ms",
+		 (stall.to - stall.from) / G_TIME_SPAN_MILLISECOND);
+}
+
 static gboolean on_fleet_tick(gpointer data)
 {
+	soak_record_stall(data);
 	fleet_tick(data);
 	return G_SOURCE_CONTINUE;
 }
@@ -68,6 +85,7 @@
 
 	fleet_start(soak);
 	run_loop_for(2000);
+	soak->loop_ran_at = soak_now();
 	tick = g_timeout_add(FLEET_TICK_MS, on_fleet_tick, soak);
 	traffic_start(soak);
 	faults_start(soak);
@@ -174,8 +192,8 @@
 	TAILQ_INIT(&soak.endpoints);
 	start_time = soak_now();
 	run(&soak);
-	printf("seed %" G_GUINT64_FORMAT ": %u violations\n", soak.options.seed,
-	       soak.violations);
+	printf("seed %" G_GUINT64_FORMAT ": %u violations, %u stalls\n",
+	       soak.options.seed, soak.violations, soak.stalls);
 	if (!soak.violations)
 		remove_directory(directory);
 	g_hash_table_unref(soak.requests);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -41,6 +41,7 @@
 	TAILQ_ENTRY(instance) link;
 	guint index;
 	process_t *process; /* NULL while down */
+	gboolean ending; /* killed, and not gone yet */
 	guint incarnation; /* number of starts so far */
 	gboolean paused;
 	GTimeSpan sigterm_at; /* 0 without SIGTERM */
@@ -62,6 +63,7 @@
 	soak_proxy_t *proxy;
 	guint sequence; /* of its last entry in the store */
 	GTimeSpan started_at;
+	gboolean ending; /* killed, and not gone yet */
 	GTimeSpan ended_at; /* 0 while it runs */
 	GTimeSpan drain_acked_at; /* the store confirmed the drain; 0: no */
 	GTimeSpan stop_at; /* planned end after a drain, 0 for none */
@@ -99,6 +101,8 @@
 	http_client_t *client; /* of the callers */
 	http_client_t *operator_client;
 	guint64 last_request_id;
+	GTimeSpan loop_ran_at; /* see soak_record_stall() */
+	guint stalls; /* recorded so far */
 	guint violations; /* reported so far */
 } soak_t;
 
@@ -108,6 +112,13 @@
 void soak_violation(soak_t *soak, const char *kind, const char *format, ...)
 	G_GNUC_PRINTF(3, 4);
 
+/*
+ * Records a fault of all instances if the main loop has not run for a while: the
+ * connections to the store and the endpoints pass through this process, so what
+ * they carry was held. To be called before a check, and periodically.
+ */
+void soak_record_stall(soak_t *soak);
+
 /* Logs an injected fault or another event when --verbose is set. */
 void soak_log(const char *format, ...) G_GNUC_PRINTF(1, 2);
 
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -11,6 +11,8 @@
 #define DRAIN_EXTRA (3 * G_TIME_SPAN_SECOND)
 /* The store entry of a crashed endpoint expires after three heartbeats. */
 #define ENTRY_EXPIRY_MS 1500
+/* For a killed process to be gone, on a busy machine. */
+#define PROCESS_END_MS 60000
 #define OPERATOR_TIMEOUT (5 * G_TIME_SPAN_SECOND)
 /* Beyond SHUTDOWN_MAX_MS: last responses, checks every 50 ms, a busy CPU. */
 #define SHUTDOWN_SLACK_MS 3000
@@ -288,11 +290,21 @@
 	write_store(soak, "PUT", "/-/objects/servers/a-odd", spec);
 }
 
-static void stop_endpoint(endpoint_t *endpoint)
+static void on_endpoint_gone(void *ctx)
 {
-	g_clear_pointer(&endpoint->process, process_free);
+	endpoint_t *endpoint = ctx;
+
+	endpoint->ending = FALSE;
 	endpoint->ended_at = soak_now();
+}
+
+static void stop_endpoint(endpoint_t *endpoint)
+{
+	process_t *process = g_steal_pointer(&endpoint->process);
+
 	endpoint->stop_at = 0;
+	endpoint->ending = TRUE;
+	process_free_async(process, on_endpoint_gone, endpoint);
 }
 
 static gboolean on_entry_expired(gpointer data)
@@ -409,10 +421,20 @@
 		add_instance(soak, i);
 }
 
+static void on_instance_gone(void *ctx)
+{
+	instance_t *instance = ctx;
+
+	instance->ending = FALSE;
+}
+
 /* The fault interval, opened by the caller, lasts until the next start. */
 static void mark_down(instance_t *instance, GTimeSpan downtime)
 {
-	g_clear_pointer(&instance->process, process_free);
+	process_t *process = g_steal_pointer(&instance->process);
+
+	instance->ending = TRUE;
+	process_free_async(process, on_instance_gone, instance);
 	instance->paused = FALSE;
 	instance->sigterm_at = 0;
 	instance->restart_at = soak_now() + downtime;
@@ -489,7 +511,8 @@
 			       instance->index);
 		mark_down(instance, 0);
 	}
-	if (!instance->process && soak_now() >= instance->restart_at) {
+	if (!instance->process && !instance->ending &&
+	    soak_now() >= instance->restart_at) {
 		start_instance(soak, instance);
 		fault_interval_end(instance->fault_intervals);
 	}
@@ -530,8 +553,26 @@
 	g_free(endpoint);
 }
 
+static gboolean all_killed_are_gone(void *ctx)
+{
+	const soak_t *soak = ctx;
+	const instance_t *instance;
+	const endpoint_t *endpoint;
+
+	TAILQ_FOREACH (instance, &soak->instances, link)
+		if (instance->ending)
+			return FALSE;
+	TAILQ_FOREACH (endpoint, &soak->endpoints, link)
+		if (endpoint->ending)
+			return FALSE;
+	return TRUE;
+}
+
 void fleet_stop(soak_t *soak)
 {
+	if (!wait_until(all_killed_are_gone, soak, PROCESS_END_MS))
+		g_error("a killed process has not ended after %d ms",
+			PROCESS_END_MS);
 	while (!TAILQ_EMPTY(&soak->instances))
 		instance_free(soak, TAILQ_FIRST(&soak->instances));
 	while (!TAILQ_EMPTY(&soak->endpoints))
--- a/tests/soak/soak_traffic.c
+++ b/tests/soak/soak_traffic.c
@@ -79,6 +79,7 @@
 	soak_request_t *request = g_hash_table_lookup(soak->requests, name);
 	instance_t *instance = soak_instance(soak, request->instance);
 
+	soak_record_stall(soak);
 	g_free(name);
 	request->ended_at = soak_now();
 	request->end = result->end;
--- a/tests/support.c
+++ b/tests/support.c
@@ -129,6 +129,36 @@
 	g_free(process);
 }
 
+/* A process that has been killed and is not gone yet. */
+typedef struct {
+	process_t *process;
+	void (*gone)(void *ctx);
+	void *ctx;
+} process_end_t;
+
+static void on_process_gone(GObject *source, GAsyncResult *result,
+			    gpointer data)
+{
+	process_end_t *end = data;
+
+	g_subprocess_wait_finish(G_SUBPROCESS(source), result, NULL);
+	g_object_unref(end->process->process);
+	g_free(end->process);
+	end->gone(end->ctx);
+	g_free(end);
+}
+
+void process_free_async(process_t *process, void (*gone)(void *ctx), void *ctx)
+{
+	process_end_t *end = g_new0(process_end_t, 1);
+
+	end->process = process;
+	end->gone = gone;
+	end->ctx = ctx;
+	g_subprocess_force_exit(process->process);
+	g_subprocess_wait_async(process->process, NULL, on_process_gone, end);
+}
+
 static void on_response(GObject *source, GAsyncResult *result, gpointer data)
 {
 	async_request_t *request = data;
--- a/tests/support.h
+++ b/tests/support.h
@@ -37,9 +37,18 @@
  */
 int process_wait(process_t *process);
 
-/* Kills the process if it is running, and frees it. NULL is allowed. */
+/*
+ * Kills the process if it is running, waits until it is gone, and frees it. NULL
+ * is allowed.
+ */
 void process_free(process_t *process);
 
+/*
+ * Like process_free(), without blocking: gone is called from the main loop once
+ * the process is gone. On a busy machine that takes seconds.
+ */
+void process_free_async(process_t *process, void (*gone)(void *ctx), void *ctx);
+
 /* An HTTP response. Clear with reply_clear(). */
 typedef struct {
 	guint status; /* 0 if no complete response was received */
