--- a/codec/json_untrusted.h
+++ b/codec/json_untrusted.h
@@ -1,6 +1,6 @@
 /*
  * Parser for JSON that other programs have written. What json-glib cannot read
- * safely is replaced, so that one odd value does not affect the rest of the
+ * safely is replaced, so that one malformed value does not affect the rest of the
  * document.
  */
 #ifndef CATK_JSON_UNTRUSTED_H
--- a/lib/entry/entry_log.c
+++ b/lib/entry/entry_log.c
@@ -69,12 +69,15 @@
 	return LOG_NUMBER("known_age_us", age == CATK_NEVER ? -1 : age);
 }
 
-static const char *leaving_name(const catalogue_entry_t *endpoint,
-				catalogue_state_t state)
+static const char *leaving_name(catalogue_state_t state)
 {
-	if (state == CATALOGUE_PRESENT)
-		return endpoint->info.leaving ? "draining" : "present";
-	return state == CATALOGUE_DOUBTFUL ? "doubtful" : "removed";
+	static const char *const names[] = {
+		[CATALOGUE_PRESENT] = "draining",
+		[CATALOGUE_DOUBTFUL] = "doubtful",
+		[CATALOGUE_REMOVED] = "removed",
+	};
+
+	return names[state];
 }
 
 /*
@@ -87,7 +90,7 @@
 	LOG_EVENT(&entry->actions.log, "endpoint_leaving",
 		  LOG_TEXT("endpoint", endpoint->info.id),
 		  LOG_TEXT("service", endpoint->service),
-		  LOG_TEXT("state", leaving_name(endpoint, state)),
+		  LOG_TEXT("state", leaving_name(state)),
 		  LOG_TEXT("learnt_from", source ? source : "store"),
 		  LOG_NUMBER("revision", (gint64)endpoint->revision),
 		  known_age_field(entry, FEED_ENDPOINTS));
--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -15,10 +15,10 @@
  */
 #define CHANGES_PAUSE_DIVISOR 3
 /*
- * The store may never answer a request although its connection stays open, and
- * does not tell. A lost watch must therefore be replaced early enough that a
- * change made reconnect_bound after the outage is known within change_bound.
- * The margin covers the backoff, a new connection and the store's answer.
+ * A watch that the store never answers looks like one without changes: its
+ * connection stays open. It is replaced early enough that a change made
+ * reconnect_bound after the outage is known within change_bound. The margin
+ * covers the backoff, a new connection and the store's answer.
  */
 #define REPLACEMENT_MARGIN (400 * G_TIME_SPAN_MILLISECOND)
 /* Time for the store's answer to arrive after the wait of a watch. */
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -172,6 +172,14 @@
 	return TRUE;
 }
 
+static http_parse_result_t
+result_after_discard(const client_connection_t *connection)
+{
+	return connection->discarded > DISCARDED_RESPONSES_MAX ?
+		       HTTP_PARSE_MALFORMED :
+		       HTTP_PARSE_INCOMPLETE;
+}
+
 static void on_received(void *ctx, const char *data, gsize size)
 {
 	client_connection_t *connection = ctx;
@@ -191,10 +199,7 @@
 		consumed += used;
 		if (result == HTTP_PARSE_COMPLETE &&
 		    discard_mismatched(connection))
-			result = connection->discarded >
-						 DISCARDED_RESPONSES_MAX ?
-					 HTTP_PARSE_MALFORMED :
-					 HTTP_PARSE_INCOMPLETE;
+			result = result_after_discard(connection);
 	}
 	if (result == HTTP_PARSE_COMPLETE)
 		complete_request(connection, consumed == size);
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -58,6 +58,9 @@
 	gsize body_bytes_max;
 } http_message_limits_t;
 
+/* Header limit of responses, far above what endpoints and the store send. */
+#define HTTP_RESPONSE_HEADER_BYTES_MAX 65536
+
 /*
  * Creates a parser for the requests or the responses of one connection. Free
  * with http_message_parser_free().
--- a/net/proxy.c
+++ b/net/proxy.c
@@ -11,7 +11,6 @@
 #define PROBE_TIMEOUT (100 * G_TIME_SPAN_MILLISECOND)
 /* Connections idle for longer are not reused. */
 #define REUSE_IDLE_MAX (60 * G_TIME_SPAN_SECOND)
-#define RESPONSE_HEADER_BYTES_MAX 65536
 /*
  * A request that is not idempotent cannot be retried when the endpoint closes
  * the connection meanwhile, which is unlikely for a recently used one.
@@ -203,7 +202,7 @@
 		   const catk_clock_t *clock, catk_error_t *err)
 {
 	const http_message_limits_t limits = {
-		.header_bytes_max = RESPONSE_HEADER_BYTES_MAX,
+		.header_bytes_max = HTTP_RESPONSE_HEADER_BYTES_MAX,
 		.body_bytes_max = response_bytes_max,
 	};
 	proxy_t *proxy = g_new0(proxy_t, 1);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -145,7 +145,7 @@
 /* Writes the entry of the endpoint anew, unchanged but for its sequence. */
 void fleet_rewrite(soak_t *soak, endpoint_t *endpoint);
 /* Writes an entry that names no endpoint, with that content. */
-void fleet_put_odd_entry(soak_t *soak, const char *spec);
+void fleet_put_malformed_entry(soak_t *soak, const char *spec);
 /* Kills the endpoint, starts another, and removes its entry later. */
 void fleet_crash_endpoint(soak_t *soak, endpoint_t *endpoint);
 /* Writes the next version of the configuration. */
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -285,9 +285,9 @@
 	put_endpoint(soak, endpoint, "ready");
 }
 
-void fleet_put_odd_entry(soak_t *soak, const char *spec)
+void fleet_put_malformed_entry(soak_t *soak, const char *spec)
 {
-	write_store(soak, "PUT", "/-/objects/servers/a-odd", spec);
+	write_store(soak, "PUT", "/-/objects/servers/a-malformed", spec);
 }
 
 static void on_endpoint_gone(void *ctx)
--- a/tests/soak/soak_outages.c
+++ b/tests/soak/soak_outages.c
@@ -30,7 +30,7 @@
 	return soak_now() >= soak->faults_end_at;
 }
 
-static void put_odd_entry(soak_t *soak)
+static void put_malformed_entry(soak_t *soak)
 {
 	static const char *const specs[] = {
 		"{\"service\":\"s\",\"address\":\"127.0.0.1:70000\"}",
@@ -41,9 +41,9 @@
 	guint index = draw(soak, 0, G_N_ELEMENTS(specs));
 	GString *deep;
 
-	soak_log("odd entry %u", index);
+	soak_log("malformed entry %u", index);
 	if (index < G_N_ELEMENTS(specs)) {
-		fleet_put_odd_entry(soak, specs[index]);
+		fleet_put_malformed_entry(soak, specs[index]);
 		return;
 	}
 	deep = g_string_new(NULL);
@@ -51,7 +51,7 @@
 		g_string_append_c(deep, '[');
 	for (index = 0; index < DEEP_LEVELS; index++)
 		g_string_append_c(deep, ']');
-	fleet_put_odd_entry(soak, deep->str);
+	fleet_put_malformed_entry(soak, deep->str);
 	g_string_free(deep, TRUE);
 }
 
@@ -128,7 +128,7 @@
 	fleet_store_fault(soak, mode);
 	if (endpoint)
 		fleet_rewrite(soak, endpoint);
-	put_odd_entry(soak);
+	put_malformed_entry(soak);
 	g_timeout_add(draw(soak, OUTAGE_MIN_MS, OUTAGE_MAX_MS), on_outage_end,
 		      soak);
 	return G_SOURCE_REMOVE;
--- a/tests/test_json_untrusted.c
+++ b/tests/test_json_untrusted.c
@@ -1,6 +1,6 @@
 /*
- * Tests the parser for JSON that other programs have written: one odd value must
- * neither end the process nor hide the rest of the document.
+ * Tests the parser for JSON that other programs have written: one malformed
+ * value must neither end the process nor hide the rest of the document.
  */
 #include <setjmp.h>
 #include <stdarg.h>
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -723,14 +723,14 @@
 }
 
 /*
- * Fails if an odd entry among those of the endpoints ends the process, or hides
+ * Fails if a malformed entry among those of the endpoints ends the process, or hides
  * the other entries or later changes.
  */
-static void odd_entry_hides_no_other_entry(void **state)
+static void malformed_entry_hides_no_other_entry(void **state)
 {
 	/* Both fit into an object of the users' store, 1 MiB. */
 	static const guint depths[] = { 1000, 250000 };
-	static const char *const odd[] = {
+	static const char *const malformed[] = {
 		"{\"service\":\"s\",\"address\":\"127.0.0.1:70000\"}",
 		"{\"sequence\":12345678901234567890123456}",
 		"{\"max_concurrency\":1e400,\"born\":-1e400}",
@@ -741,11 +741,11 @@
 	gsize i;
 
 	run_loop_for(WATCH_START_MS);
-	for (i = 0; i < G_N_ELEMENTS(odd); i++) {
+	for (i = 0; i < G_N_ELEMENTS(malformed); i++) {
 		gchar *path = g_strdup_printf(
-			"/-/objects/servers/a-odd-%" G_GSIZE_FORMAT, i);
+			"/-/objects/servers/a-malformed-%" G_GSIZE_FORMAT, i);
 
-		send_to_store(path, "PUT", odd[i]);
+		send_to_store(path, "PUT", malformed[i]);
 		g_free(path);
 	}
 	for (i = 0; i < G_N_ELEMENTS(depths); i++) {
@@ -763,7 +763,7 @@
 		assert_true(is_ready(NULL));
 		assert_int_equal(requests_avoid_endpoint(f, "i-0"), i % 2 == 0);
 	}
-	/* The list, too, is read with the odd entries in it. */
+	/* The list, too, is read with the malformed entries in it. */
 	process_free(f->daemon);
 	start_daemon(f);
 	assert_true(wait_until(is_ready, NULL, START_TIMEOUT_MS));
@@ -940,7 +940,7 @@
 		TEST(lost_watch_does_not_hide_a_version),
 		TEST(lost_watch_does_not_hide_a_leaving_endpoint),
 		TEST(lost_watch_does_not_hide_a_removed_endpoint),
-		TEST(odd_entry_hides_no_other_entry),
+		TEST(malformed_entry_hides_no_other_entry),
 		TEST(leaving_endpoint_gets_no_new_requests),
 		TEST(directory_returns_the_instance),
 		TEST(shutdown_completes_requests),
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -64,7 +64,7 @@
 
 /*
  * Fails if changes just before an outage of the store, which lose the watches
- * that follow them, hide later changes, or if an odd entry ends a process.
+ * that follow them, hide later changes, or if a malformed entry ends a process.
  */
 static void changes_around_outages_are_learnt(void **state)
 {
