Skip instances whose address cannot be connected to

The same class as malformed entries of endpoints, in the instance lists of the object API: an address without a port, with port 70000 or with a host name was used as an endpoint, and one that is too long was cut to another address.

Measured: test_instance_list_json/malformed_instances_are_skipped fails before (4 instances in place of 1) and passes.

--- a/codec/instance_list_json.c
+++ b/codec/instance_list_json.c
@@ -1,5 +1,7 @@
 #include "codec/instance_list_json.h"
 
+#include <string.h>
+
 #include "codec/json_reader.h"
 
 static gboolean read_instance(json_reader_t *reader, JsonArray *array,
@@ -15,6 +17,14 @@
 	data_centre = json_reader_string(reader, "$", object, "data_centre");
 	if (!address || !state || !data_centre)
 		return FALSE;
+	if (strlen(address) >= sizeof(info->address) ||
+	    strlen(data_centre) >= sizeof(info->data_centre) ||
+	    !schema_address_is_valid(address)) {
+		g_warning("ignored an instance with address \"%.64s\": use "
+			  "ip:port",
+			  address);
+		return FALSE;
+	}
 	g_strlcpy(info->address, address, sizeof(info->address));
 	g_strlcpy(info->data_centre, data_centre, sizeof(info->data_centre));
 	info->leaving = g_str_equal(state, "leaving");
