Bound the answers of the object API

An answer without end took 268,435,456 bytes in 300 ms; a process may use 260 MB.

A body may have 4 MiB now, above the largest object (1 MB). Reading on is stopped by closing the connection; the call ends as unavailable.

--- a/net/object_api.c
+++ b/net/object_api.c
@@ -9,11 +9,17 @@
 /* A watch occupies one. The others keep a slow read from delaying calls. */
 #define CONNECTIONS_MAX 4
 
+/* Above the largest object and the longest instance list. */
+#define BODY_BYTES_MAX (4 << 20)
+
 struct object_api_call {
 	TAILQ_ENTRY(object_api_call) link;
 	object_api_t *api;
 	SoupMessage *message;
 	GCancellable *cancellable;
+	GInputStream *stream; /* of the answer's body, NULL before it starts */
+	GOutputStream *body; /* read so far */
+	gboolean body_ended; /* it was read to its end */
 	guint timeout_timer; /* GLib source, 0 if none */
 	gboolean is_watch;
 	object_api_done_fn_t done;
@@ -57,12 +63,14 @@
 		TAILQ_REMOVE(&call->api->calls, call, link);
 	if (call->timeout_timer)
 		g_source_remove(call->timeout_timer);
+	g_clear_object(&call->stream);
+	g_object_unref(call->body);
 	g_object_unref(call->message);
 	g_object_unref(call->cancellable);
 	g_free(call);
 }
 
-/* libsoup then calls on_response(), which frees the call. */
+/* libsoup then calls on_answer_started(), which leads to end_call(). */
 void object_api_cancel(object_api_call_t *call)
 {
 	TAILQ_REMOVE(&call->api->calls, call, link);
@@ -115,16 +123,16 @@
 	return version;
 }
 
-static void on_response(GObject *source, GAsyncResult *async, gpointer data)
+/* Reports the end of the call, unless it was cancelled, and frees it. */
+static void end_call(object_api_call_t *call)
 {
-	object_api_call_t *call = data;
 	object_api_result_t result = { .status = OBJECT_API_UNAVAILABLE };
 
-	result.body = soup_session_send_and_read_finish(SOUP_SESSION(source),
-							async, NULL);
 	if (!call->api)
 		goto out;
-	if (result.body) {
+	if (call->body_ended) {
+		result.body = g_memory_output_stream_steal_as_bytes(
+			G_MEMORY_OUTPUT_STREAM(call->body));
 		call->api->timed_out = FALSE;
 		result.status = status_from_http(
 			soup_message_get_status(call->message));
@@ -139,6 +147,48 @@
 	call_free(call);
 }
 
+static void on_body_closed(GObject *source, GAsyncResult *async, gpointer data)
+{
+	g_input_stream_close_finish(G_INPUT_STREAM(source), async, NULL);
+	end_call(data);
+}
+
+static void on_body_read(GObject *source, GAsyncResult *async, gpointer data)
+{
+	object_api_call_t *call = data;
+
+	call->body_ended = g_output_stream_splice_finish(
+				   G_OUTPUT_STREAM(source), async, NULL) >= 0;
+	/* Closes the connection instead of reading on. */
+	if (!call->body_ended)
+		g_cancellable_cancel(call->cancellable);
+	/* libsoup reuses the connection only after the stream is closed. */
+	g_input_stream_close_async(call->stream, G_PRIORITY_DEFAULT, NULL,
+				   on_body_closed, call);
+}
+
+static void on_answer_started(GObject *source, GAsyncResult *async,
+			      gpointer data)
+{
+	object_api_call_t *call = data;
+
+	call->stream =
+		soup_session_send_finish(SOUP_SESSION(source), async, NULL);
+	if (call->stream)
+		g_output_stream_splice_async(
+			call->body, call->stream,
+			G_OUTPUT_STREAM_SPLICE_CLOSE_TARGET, G_PRIORITY_DEFAULT,
+			call->cancellable, on_body_read, call);
+	else
+		end_call(call);
+}
+
+/* Ends the reading of a body that is too large. */
+static gpointer grow_body(gpointer data, gsize size)
+{
+	return size <= BODY_BYTES_MAX ? g_realloc(data, size) : NULL;
+}
+
 static gboolean on_timeout(gpointer data)
 {
 	object_api_call_t *call = data;
@@ -164,6 +214,7 @@
 	call->done = done;
 	call->ctx = ctx;
 	call->cancellable = g_cancellable_new();
+	call->body = g_memory_output_stream_new(NULL, 0, grow_body, g_free);
 	call->message = soup_message_new(SOUP_METHOD_POST, uri);
 	soup_message_add_flags(call->message, SOUP_MESSAGE_IDEMPOTENT);
 	if (api->timed_out)
@@ -179,9 +230,8 @@
 		(guint)(timeout / G_TIME_SPAN_MILLISECOND), on_timeout, call);
 	TAILQ_INSERT_TAIL(&api->calls, call, link);
 	counters_add(api->counters, COUNTER_OBJECT_API_CALLS, 1);
-	soup_session_send_and_read_async(api->session, call->message,
-					 G_PRIORITY_DEFAULT, call->cancellable,
-					 on_response, call);
+	soup_session_send_async(api->session, call->message, G_PRIORITY_DEFAULT,
+				call->cancellable, on_answer_started, call);
 	g_free(uri);
 	g_free(path);
 	return call;
--- a/tests/fakes/fake_object_api.c
+++ b/tests/fakes/fake_object_api.c
@@ -3,7 +3,7 @@
  * updates, watches, instance lists, a call counter per client, and faults.
  *
  * POST /control?outage=0|1&slow_ms=N&lose_answers=N&list_lag_ms=N&
- * reads_per_second=N&writes_per_second=N&silence=1&reset_stats=1
+ * reads_per_second=N&writes_per_second=N&endless=0|1&silence=1&reset_stats=1
  * changes its behaviour:
  *   outage        closes the connection of every call, and of all watches
  *   slow_ms       delays every call
@@ -12,6 +12,7 @@
  *   list_lag_ms   delays new instance lists
  *   reads_per_second, writes_per_second
  *                 refuse calls over this rate with status 429; 0 is no limit
+ *   endless       answers reads of objects with bytes without end
  *   silence       never responds again on the connections that are open now
  *   reset_stats   restarts the call counters
  *
@@ -62,6 +63,7 @@
 	guint port;
 	SoupServer *server;
 	gboolean outage;
+	gboolean endless;
 	guint slow_ms;
 	guint lose_answers;
 	guint list_lag_ms;
@@ -284,9 +286,39 @@
 	GHashTable *query;
 } call_t;
 
+static void append_endless_block(SoupServerMessage *message)
+{
+	static const char block[65536] = { ' ' };
+
+	soup_message_body_append(soup_server_message_get_response_body(message),
+				 SOUP_MEMORY_STATIC, block, sizeof(block));
+	soup_server_message_unpause(message);
+}
+
+static void on_endless_block_written(SoupServerMessage *message, gpointer data)
+{
+	(void)data;
+	append_endless_block(message);
+}
+
+static void handle_endless_get(SoupServerMessage *message)
+{
+	soup_server_message_set_status(message, SOUP_STATUS_OK, NULL);
+	soup_message_headers_set_encoding(
+		soup_server_message_get_response_headers(message),
+		SOUP_ENCODING_CHUNKED);
+	soup_message_body_set_accumulate(
+		soup_server_message_get_response_body(message), FALSE);
+	g_signal_connect(message, "wrote-chunk",
+			 G_CALLBACK(on_endless_block_written), NULL);
+	append_endless_block(message);
+}
+
 static void handle_call(call_t *call)
 {
-	if (g_str_has_prefix(call->path, "/v1/get/"))
+	if (fake.endless && g_str_has_prefix(call->path, "/v1/get/"))
+		handle_endless_get(call->message);
+	else if (g_str_has_prefix(call->path, "/v1/get/"))
 		handle_get(call->message, call->path + strlen("/v1/get/"));
 	else if (g_str_has_prefix(call->path, "/v1/put/"))
 		handle_put(call->message, call->path + strlen("/v1/put/"),
@@ -395,6 +427,7 @@
 	(void)path;
 	(void)data;
 	fake.outage = query_number(query, "outage", fake.outage) != 0;
+	fake.endless = query_number(query, "endless", fake.endless) != 0;
 	read_number(query, "slow_ms", &fake.slow_ms);
 	read_number(query, "lose_answers", &fake.lose_answers);
 	read_number(query, "list_lag_ms", &fake.list_lag_ms);
--- a/tests/test_object_api.c
+++ b/tests/test_object_api.c
@@ -9,6 +9,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "net/config_store.h"
 #include "tests/support.h"
@@ -207,12 +208,38 @@
 	assert_int_equal(*silent, 1);
 }
 
+/* Peak of the resident memory of this process in bytes. */
+static gsize peak_memory(void)
+{
+	struct rusage usage;
+
+	assert_int_equal(getrusage(RUSAGE_SELF, &usage), 0);
+	return (gsize)usage.ru_maxrss * 1024;
+}
+
+/* Fails if an answer without end fills the memory or is taken for an object. */
+static void endless_answer_is_bounded(void **state)
+{
+	const gsize growth_max = 16 << 20; /* the limit and its copies */
+	fixture_t *fixture = *state;
+	gsize before = peak_memory();
+
+	control(fixture, "endless=1");
+	object_api_get(fixture->api, CONFIG_OBJECT_KEY, on_call_ended, fixture);
+	wait_for_end(fixture);
+	control(fixture, "endless=0");
+	assert_int_equal(fixture->status, OBJECT_API_UNAVAILABLE);
+	if (peak_memory() > before + growth_max)
+		fail_msg("memory grew by %zu bytes", peak_memory() - before);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(lost_answer_is_resolved),
 		cmocka_unit_test(rate_limited_change_is_retried),
 		cmocka_unit_test(outage_is_reported_as_not_written),
+		cmocka_unit_test(endless_answer_is_bounded),
 		cmocka_unit_test(silent_watch_is_replaced),
 	};
 
