--- a/tests/test_http_codec.c
+++ b/tests/test_http_codec.c
@@ -104,10 +104,7 @@
 	http_message_free(response);
 }
 
-/*
- * Fails if a response without an id is taken for the answer to an attempt on a
- * connection that carried earlier requests: it may belong to one of them.
- */
+/* Fails if a response that may belong to an earlier request is accepted. */
 static void answer_without_id_is_rejected_on_a_reused_connection(void **state)
 {
 	proxy_codec_t codec = http_codec();
@@ -138,6 +135,32 @@
 	assert_false(result.has_report);
 }
 
+/* Fails if a load out of range reads as a small one, which attracts calls. */
+static void load_out_of_range_is_no_report(void **state)
+{
+	static const char *const loads[] = {
+		"4294967297,0,3",
+		"-1,1,3",
+		"4294967295,1,3,100",
+		"0,0,99999999999999999999",
+		"0,0,3,4294967396",
+		"0,0,3,-1",
+		"2147483648,2147483648,3,1",
+	};
+	gsize i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(loads); i++) {
+		gchar *text = g_strdup_printf(
+			"200 OK\r\nX-Request-Id: 1\r\nX-Server-Load: %s",
+			loads[i]);
+
+		if (decode_response(text).has_report)
+			fail_msg("accepted as a report: %s", loads[i]);
+		g_free(text);
+	}
+}
+
 /* Fails if the report of another endpoint at the same address is used. */
 static void probe_answer_of_another_endpoint_is_rejected(void **state)
 {
@@ -165,6 +188,7 @@
 		cmocka_unit_test(
 			answer_without_id_is_rejected_on_a_reused_connection),
 		cmocka_unit_test(load_report_is_read),
+		cmocka_unit_test(load_out_of_range_is_no_report),
 		cmocka_unit_test(probe_answer_of_another_endpoint_is_rejected),
 	};
 
