--- a/net/http_client.c
+++ b/net/http_client.c
@@ -1,6 +1,5 @@
 #include "net/http_client.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 #include "net/stream.h"
@@ -12,6 +11,8 @@
 #define CONNECT_TIMEOUT (300 * G_TIME_SPAN_MILLISECOND)
 /* Idle timeout of a persistent connection whose peer announces none. */
 #define IDLE_TIMEOUT_DEFAULT (4 * G_TIME_SPAN_SECOND)
+/* Limit on the idle timeout that a peer announces. */
+#define IDLE_TIMEOUT_MAX_S 3600
 /*
  * Subtracted from the idle timeout that the peer announces, so that the peer
  * does not close the connection while a request is on its way.
@@ -107,12 +108,13 @@
 {
 	const char *text = http_message_header(response, "Keep-Alive");
 	const char *timeout = text ? strstr(text, "timeout=") : NULL;
+	guint64 seconds;
 	GTimeSpan time;
 
 	if (!timeout)
 		return IDLE_TIMEOUT_DEFAULT;
-	time = strtol(timeout + strlen("timeout="), NULL, 10) *
-	       G_TIME_SPAN_SECOND;
+	seconds = g_ascii_strtoull(timeout + strlen("timeout="), NULL, 10);
+	time = (GTimeSpan)MIN(seconds, IDLE_TIMEOUT_MAX_S) * G_TIME_SPAN_SECOND;
 	return MAX(time - IDLE_TIMEOUT_MARGIN, time / 2);
 }
 
@@ -242,10 +244,15 @@
 	return peer;
 }
 
-static void peer_free(peer_t *peer)
+static void close_idle(peer_t *peer)
 {
 	while (!TAILQ_EMPTY(&peer->idle))
 		connection_free(TAILQ_FIRST(&peer->idle));
+}
+
+static void peer_free(peer_t *peer)
+{
+	close_idle(peer);
 	while (!TAILQ_EMPTY(&peer->busy))
 		connection_free(TAILQ_FIRST(&peer->busy));
 	g_hash_table_remove(peer->client->peers_by_address, peer->address);
@@ -315,6 +322,14 @@
 		     request->message->len);
 }
 
+void http_client_close_idle(http_client_t *client)
+{
+	peer_t *peer;
+
+	TAILQ_FOREACH (peer, &client->peers, link)
+		close_idle(peer);
+}
+
 void http_client_cancel(http_client_t *client, guint64 id)
 {
 	client_connection_t *connection =
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -72,6 +72,9 @@
 void http_client_send(http_client_t *client,
 		      const http_client_request_t *request);
 
+/* Closes the idle connections: they may be dead without being closed. */
+void http_client_close_idle(http_client_t *client);
+
 /* Closes the connection of a request without calling ended. */
 void http_client_cancel(http_client_t *client, guint64 id);
 
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -180,6 +180,19 @@
 	assert_false(f->reused[3]);
 }
 
+/* Fails if a connection is reused after the idle ones were closed. */
+static void closed_idle_connection_is_not_reused(void **state)
+{
+	fixture_t *f = *state;
+
+	send_request(f, 1, SERVER_PORT, 0, G_TIME_SPAN_SECOND);
+	run_until_ended(f, 1);
+	http_client_close_idle(f->client);
+	send_request(f, 2, SERVER_PORT, 0, G_TIME_SPAN_SECOND);
+	run_until_ended(f, 2);
+	assert_false(f->reused[2]);
+}
+
 /*
  * Fails if a request is sent again, or reported as not sent, after the server
  * closed the connection.
@@ -258,6 +271,7 @@
 	const struct CMUnitTest tests[] = {
 		TEST(refused_connection_is_not_sent),
 		TEST(idle_connection_is_reused_when_allowed),
+		TEST(closed_idle_connection_is_not_reused),
 		TEST(closed_connection_fails_once),
 		TEST(silent_server_times_out),
 		TEST(large_response_is_rejected),
