--- a/lib/catalogue/catalogue.h
+++ b/lib/catalogue/catalogue.h
@@ -124,8 +124,8 @@
 void catalogue_contact_via_peers(catalogue_t *catalogue);
 
 /*
- * Applies a change that the instance source has sent. Returns FALSE when it has no
- * effect, for example because it is older than the known state.
+ * Applies a change that the instance source has sent. Returns FALSE when it has
+ * no effect, for example because it is older than the known state.
  */
 gboolean catalogue_merge(catalogue_t *catalogue,
 			 const catalogue_change_t *change, const char *source,
--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -102,13 +102,18 @@
 	g_free(feed);
 }
 
-static GTimeSpan watch_wait(const feed_t *feed)
+/* Time after which a change must be known that the last outage has hidden. */
+static GTimeSpan recovery_time(const feed_t *feed)
 {
-	GTimeSpan wait = feed->limits.reconnect_bound +
-			 feed->limits.change_bound - REPLACEMENT_MARGIN -
-			 ANSWER_GRACE;
+	return feed->limits.reconnect_bound + feed->limits.change_bound -
+	       REPLACEMENT_MARGIN;
+}
 
-	return feed->failures ? WATCH_WAIT_MIN : MAX(wait, WATCH_WAIT_MIN);
+static GTimeSpan watch_wait(const feed_t *feed)
+{
+	return feed->failures ?
+		       WATCH_WAIT_MIN :
+		       MAX(recovery_time(feed) - ANSWER_GRACE, WATCH_WAIT_MIN);
 }
 
 feed_step_t feed_next(const feed_t *feed, GTimeSpan now)
@@ -121,7 +126,6 @@
 
 	if (step.kind == FEED_WATCH)
 		step.timeout = step.watch_wait + ANSWER_GRACE;
-
 	if (now < feed->retry_at) {
 		step.kind = FEED_WAIT;
 		step.until = feed->retry_at;
@@ -213,8 +217,7 @@
 
 GTimeSpan feed_change_due(const feed_t *feed)
 {
-	return feed->unavailable_at + feed->limits.reconnect_bound +
-	       feed->limits.change_bound - REPLACEMENT_MARGIN;
+	return feed->unavailable_at + recovery_time(feed);
 }
 
 void feed_failed(feed_t *feed, feed_outcome_t outcome, GTimeSpan now)
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -232,12 +232,6 @@
 	fleet_store_fault(soak, "compact");
 }
 
-static void change_config(soak_t *soak)
-{
-	soak_log("configuration r%u", soak->config_version + 1);
-	fleet_put_config(soak);
-}
-
 static const fault_kind_t kinds[] = {
 	{ "store connection", 10, disturb_store_connection },
 	{ "peer connections", 8, disturb_peer_connections },
@@ -251,7 +245,7 @@
 	{ "endpoint drain", 8, drain_endpoint },
 	{ "store", 4, disturb_store },
 	{ "store compaction", 4, compact_store },
-	{ "configuration", 10, change_config },
+	{ "configuration", 10, fleet_put_config },
 };
 
 static const fault_kind_t *draw_kind(soak_t *soak)
@@ -293,7 +287,7 @@
 		return G_SOURCE_REMOVE;
 	if (soak_now() < soak->quiet_until)
 		return G_SOURCE_CONTINUE;
-	change_config(soak);
+	fleet_put_config(soak);
 	drain_endpoint(soak);
 	return G_SOURCE_CONTINUE;
 }
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -192,6 +192,7 @@
 	GTimeSpan none = 0;
 	guint i;
 
+	soak_log("configuration r%u", version);
 	while (soak->config_acked_at->len <= version)
 		g_array_append_val(soak->config_acked_at, none);
 	g_string_printf(text, "{\"version\":\"r%u\",\"resources\":[", version);
--- a/tests/soak/soak_outages.c
+++ b/tests/soak/soak_outages.c
@@ -70,12 +70,6 @@
 	fleet_add_endpoint(soak);
 }
 
-static void change_config(soak_t *soak)
-{
-	soak_log("configuration r%u", soak->config_version + 1);
-	fleet_put_config(soak);
-}
-
 static gboolean on_series_due(gpointer data);
 
 static gboolean on_observed(gpointer data)
@@ -95,7 +89,7 @@
 	if (is_over(soak))
 		return G_SOURCE_REMOVE;
 	change_endpoint(soak);
-	change_config(soak);
+	fleet_put_config(soak);
 	g_timeout_add(OBSERVATION_MS, on_observed, soak);
 	return G_SOURCE_REMOVE;
 }
@@ -146,7 +140,7 @@
 				      LATER_CHANGE_MS + OBSERVATION_MS) *
 					     G_TIME_SPAN_MILLISECOND;
 	change_endpoint(soak);
-	change_config(soak);
+	fleet_put_config(soak);
 	g_timeout_add(draw(soak, ONSET_MIN_MS, ONSET_MAX_MS), on_outage, soak);
 	return G_SOURCE_REMOVE;
 }
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -397,11 +397,7 @@
 	sim_clear(&sim);
 }
 
-/*
- * Fails if the few calls that an idle service has completed are taken for its
- * capacity: a third call was refused while two waited for load reports and both
- * endpoints were idle.
- */
+/* Fails if the few calls that an idle service completed limit the next ones. */
 static void idle_service_is_not_limited_by_its_completions(void **state)
 {
 	const guint load[3] = { 0, 1, 0 }; /* 5 calls/s */
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -113,10 +113,7 @@
 	call_free(call);
 }
 
-/*
- * Fails if an attempt may use a connection that carried an earlier attempt of
- * the same call: both have the same request id.
- */
+/* Fails if two attempts with one request id may share a connection. */
 static void repeated_endpoint_needs_a_new_connection(void **state)
 {
 	call_t *call = new_call(FALSE);
--- a/tests/test_catalogue.c
+++ b/tests/test_catalogue.c
@@ -133,10 +133,7 @@
 	assert_string_equal(f->infos[0].id, "i-2");
 }
 
-/*
- * Fails if a removal that is learnt late after an outage, because a watch was
- * lost, is delayed beyond the instant at which it is due.
- */
+/* Fails if a removal is delayed beyond the instant at which it is due. */
 static void late_removal_is_not_delayed_further(void **state)
 {
 	fixture_t *f = *state;
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -339,10 +339,7 @@
 	put_directly(5, text);
 	assert_in_force(6, "a write while all watches were silent");
 	g_free(text);
-	/*
-	 * One instance may spread the version before the others have replaced
-	 * their watches, which the next test needs.
-	 */
+	/* The next test needs working watches, and a peer may be faster. */
 	while (g_get_monotonic_time() <
 	       start + WATCH_REPLACEMENT_MS * G_TIME_SPAN_MILLISECOND)
 		run_loop_for(100);
--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -79,10 +79,7 @@
 			fail_msg("accepted as an endpoint: %s", invalid[i]);
 }
 
-/*
- * Fails if a number out of range is taken for another number, by which an
- * endpoint would get more work than it can do, or never any.
- */
+/* Fails if a number out of range is taken for another number. */
 static void endpoint_numbers_out_of_range_are_rejected(void **state)
 {
 	static const struct {
--- a/tests/test_entry_subscription.c
+++ b/tests/test_entry_subscription.c
@@ -369,10 +369,7 @@
 	assert_int_equal(count_knowing(3), ENTRIES);
 }
 
-/*
- * Fails if sources whose watches of endpoints are lost, while the store answers
- * their other calls, hide changes from the instances that they serve.
- */
+/* Fails if sources that cannot read endpoints hide changes of them. */
 static void sources_without_endpoints_hide_no_changes(void **state)
 {
 	const guint sources = DATA_CENTRES * ENTRY_CONFIG_WATCHERS;
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -139,10 +139,7 @@
 	assert_true(step.watch_wait > G_TIME_SPAN_SECOND);
 }
 
-/*
- * Fails if a watch that the store never answers is replaced too late: a change
- * made RECONNECT_BOUND after the outage must be known within CHANGE_BOUND.
- */
+/* Fails if a watch that is never answered hides a change beyond its bound. */
 static void lost_watch_is_replaced_within_the_bounds(void **state)
 {
 	/* An answer over a slow link and a new connection. */
@@ -163,10 +160,7 @@
 		    NOW + RECONNECT_BOUND + CHANGE_BOUND);
 }
 
-/*
- * Fails if removals that are delayed after an outage are due too late: the
- * outage may have ended when the lost watch was sent.
- */
+/* Fails if a change that a lost watch has hidden is due too late. */
 static void change_is_due_by_the_send_time_of_a_lost_watch(void **state)
 {
 	fixture_t *f = *state;
@@ -180,7 +174,7 @@
 		    NOW + RECONNECT_BOUND + CHANGE_BOUND);
 	feed_failed(f->feed, FEED_REFUSED, NOW + step.timeout);
 	assert_true(feed_change_due(f->feed) > NOW + step.timeout);
-	/* A connection that ends shows that the outage has not. */
+	/* A connection that ends shows that the outage goes on. */
 	feed_call_sent(f->feed, &step, NOW);
 	feed_failed(f->feed, FEED_FAILED, NOW + step.timeout);
 	assert_true(feed_change_due(f->feed) > NOW + step.timeout);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -382,11 +382,7 @@
 		assert_int_equal(request_status(f, "GET", "/safe/1"), 200);
 }
 
-/*
- * Fails if a refusal that an endpoint sends again is taken for the answer to the
- * next attempt of the same request: the caller would be told that a running
- * request has not run.
- */
+/* Fails if a caller is told that its running request has not run. */
 static void repeated_refusal_does_not_answer_the_same_request(void **state)
 {
 	fixture_t *f = *state;
@@ -399,7 +395,7 @@
 	}
 }
 
-/* Fails if such a refusal is taken for the answer to another request. */
+/* Fails if a refusal that is sent again answers another request. */
 static void repeated_refusal_does_not_answer_another_request(void **state)
 {
 	static const char *const refused[] = {
@@ -440,10 +436,7 @@
 	return pages * (gsize)sysconf(_SC_PAGESIZE);
 }
 
-/*
- * Fails if bytes without end, in place of an answer, fill the memory, hold the
- * caller beyond the timeout of the route, or are taken for an answer.
- */
+/* Fails if bytes without end fill the memory or hold the caller too long. */
 static void endless_answer_is_bounded(void **state)
 {
 	static const char *const paths[] = {
@@ -665,10 +658,7 @@
 	return avoided;
 }
 
-/*
- * Lets the store lose the watch that follows a change, while no other call
- * fails, and returns when the bounds apply again.
- */
+/* Loses the watch after a change; returns when the bounds apply again. */
 static void lose_watch_after_change(void (*change)(void))
 {
 	run_loop_for(WATCH_START_MS);
@@ -722,10 +712,7 @@
 	assert_true(requests_avoid_endpoint(f, "i-0"));
 }
 
-/*
- * Fails if a malformed entry among those of the endpoints ends the process, or hides
- * the other entries or later changes.
- */
+/* Fails if a malformed entry ends the process or hides other entries. */
 static void malformed_entry_hides_no_other_entry(void **state)
 {
 	/* Both fit into an object of the users' store, 1 MiB. */
@@ -891,10 +878,7 @@
 	assert_int_equal(request_status(f, "GET", "/safe/1"), 200);
 }
 
-/*
- * Fails if the metrics lack a counter, the latency histogram, or the age of what
- * is known of the store.
- */
+/* Fails if the metrics lack a counter, a latency, or the age of the state. */
 static void metrics_are_served(void **state)
 {
 	fixture_t *f = *state;
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -62,10 +62,7 @@
 	assert_int_equal(run_soak("140", "12", "catkinstalld", FALSE), 0);
 }
 
-/*
- * Fails if changes just before an outage of the store, which lose the watches
- * that follow them, hide later changes, or if a malformed entry ends a process.
- */
+/* Fails if changes around outages are hidden, or a malformed entry is fatal. */
 static void changes_around_outages_are_learnt(void **state)
 {
 	(void)state;
