Log what a shutdown takes, refuses and cuts

A call that the end of a shutdown cut left no trace but a counter, so a lost request could not be told from one that its endpoint broke off, and nothing told how long after SIGTERM it had been taken.

The shutdown is a type of its own with its start, its fixed end and the calls since then. shutdown_started, one call_cut for each lost call and shutdown_ended are logged, attempt_started and request_ended tell the time since the start of the shutdown, and the dump has its state. No call is treated differently, except that a reload no longer moves the end of a shutdown that has started.

--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -289,7 +289,7 @@
 		return fail_no_instance(err);
 	result->ttl = entry->limits.resolve_ttl;
 	result->config_version = config_version(entry->config);
-	result->has_ids = !entry->leaving;
+	result->has_ids = !entry_is_leaving(entry);
 	if (!result->has_ids)
 		return TRUE;
 	g_strlcpy(result->instance, self->name, sizeof(result->instance));
@@ -356,7 +356,7 @@
 
 gboolean entry_is_ready(const entry_t *entry)
 {
-	return !entry->leaving && config_version(entry->config) > 0;
+	return !entry_is_leaving(entry) && config_version(entry->config) > 0;
 }
 
 static void send_probes(entry_t *entry, entry_service_t *service)
@@ -461,20 +461,27 @@
 	return wakeup;
 }
 
-void entry_shutdown(entry_t *entry)
+void entry_shutdown(entry_t *entry, const char *reason)
 {
-	if (entry->leaving)
+	if (!shutdown_start(&entry->shutdown, entry->limits.shutdown_max,
+			    entry_now(entry)))
 		return;
-	entry->leaving = TRUE;
-	entry->shutdown_started = entry_now(entry);
+	entry->shutdown.calls.open_at_start =
+		g_hash_table_size(entry->calls_by_ref);
+	entry_log_shutdown_started(entry, reason);
 	membership_leave(entry->membership);
 }
 
+gboolean entry_is_leaving(const entry_t *entry)
+{
+	return entry->shutdown.phase != SHUTDOWN_NONE;
+}
+
 static gboolean is_drained(const entry_t *entry, GTimeSpan now)
 {
 	GTimeSpan last_expiry = request_ids_last_expiry(entry->ids);
 
-	if (now < entry->shutdown_started + entry->limits.resolve_ttl +
+	if (now < entry->shutdown.started + entry->limits.resolve_ttl +
 			  LEAVE_PROPAGATION_TIME)
 		return FALSE;
 	if (last_expiry != CATK_NEVER && now < last_expiry)
@@ -484,22 +491,22 @@
 
 GTimeSpan entry_shutdown_deadline(const entry_t *entry)
 {
-	return entry->leaving ?
-		       entry->shutdown_started + entry->limits.shutdown_max :
-		       CATK_NEVER;
+	return entry_is_leaving(entry) ? entry->shutdown.end : CATK_NEVER;
 }
 
 gboolean entry_is_shutdown_complete(entry_t *entry)
 {
 	GTimeSpan now = entry_now(entry);
 
-	if (!entry->leaving)
-		return FALSE;
-	if (is_drained(entry, now))
-		return TRUE;
-	if (now < entry_shutdown_deadline(entry))
+	if (!entry_is_leaving(entry))
 		return FALSE;
-	counters_add(entry->counters, COUNTER_CALLS_CUT_AT_SHUTDOWN,
-		     g_hash_table_size(entry->calls_by_ref));
-	return TRUE;
+	return is_drained(entry, now) || now >= entry_shutdown_deadline(entry);
+}
+
+void entry_end_shutdown(entry_t *entry, guint connections)
+{
+	if (!entry_is_leaving(entry))
+		return;
+	entry_record_cut_calls(entry);
+	entry_log_shutdown_ended(entry, connections);
 }
--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -375,17 +375,29 @@
 /* Instant at which entry_tick() must be called next. */
 GTimeSpan entry_next_wakeup(const entry_t *entry);
 
-/* Starts a graceful shutdown. Later calls have no effect. */
-void entry_shutdown(entry_t *entry);
+/*
+ * Starts a graceful shutdown. Later calls have no effect. reason is for the log,
+ * such as "signal".
+ */
+void entry_shutdown(entry_t *entry, const char *reason);
+
+/* TRUE from the start of a shutdown. */
+gboolean entry_is_leaving(const entry_t *entry);
 
 /*
  * TRUE if a graceful shutdown is complete: the addresses and request ids
  * handed out to callers have expired and no call is in flight, or the shutdown
- * deadline has passed. In the latter case each call adds the cut calls to a
- * counter.
+ * deadline has passed.
  */
 gboolean entry_is_shutdown_complete(entry_t *entry);
 
+/*
+ * To be called once, when the process is about to end after a shutdown: logs
+ * each call that is cut, and what became of the calls since the start.
+ * connections is the number of callers' connections that are still open.
+ */
+void entry_end_shutdown(entry_t *entry, guint connections);
+
 /* Instant at which a shutdown is forced, CATK_NEVER if none has started. */
 GTimeSpan entry_shutdown_deadline(const entry_t *entry);
 
--- a/lib/entry/entry_answers.c
+++ b/lib/entry/entry_answers.c
@@ -14,11 +14,24 @@
 	return rule->outcome(rule->ctx, call);
 }
 
+static void count_answer_in_shutdown(entry_t *entry, outcome_t outcome)
+{
+	shutdown_calls_t *calls = &entry->shutdown.calls;
+
+	if (!entry_is_leaving(entry))
+		return;
+	if (outcome == OUTCOME_NOT_RUN)
+		calls->refused++;
+	else
+		calls->answered++;
+}
+
 static void answer_error(entry_t *entry, void *caller_ref,
 			 const catk_error_t *error, GTimeSpan elapsed)
 {
 	call_answer_t answer = { .error = *error, .elapsed = elapsed };
 
+	count_answer_in_shutdown(entry, error->outcome);
 	switch (error->outcome) {
 	case OUTCOME_NOT_RUN:
 		counters_add(entry->counters, COUNTER_CALLS_REFUSED, 1);
@@ -45,6 +58,7 @@
 	call_answer_t answer = { .status = status, .body = body };
 
 	answer.error.outcome = OUTCOME_RAN;
+	count_answer_in_shutdown(entry, OUTCOME_RAN);
 	counters_add(entry->counters, COUNTER_CALLS_SUCCEEDED, 1);
 	entry_send_answer(entry, caller_ref, &answer);
 }
@@ -115,6 +129,21 @@
 	call_free(call);
 }
 
+void entry_record_cut_calls(entry_t *entry)
+{
+	const call_waiter_t *waiter;
+	const call_t *call;
+
+	TAILQ_FOREACH (call, &entry->calls, by_deadline) {
+		TAILQ_FOREACH (waiter, &call->waiters, link) {
+			entry->shutdown.calls.cut++;
+			entry_log_cut_call(entry, call);
+		}
+	}
+	counters_add(entry->counters, COUNTER_CALLS_CUT_AT_SHUTDOWN,
+		     entry->shutdown.calls.cut);
+}
+
 /* Requests no actions, as the front end may be partly freed already. */
 void entry_free_calls(entry_t *entry)
 {
@@ -158,6 +187,7 @@
 	if (call->routed)
 		entry_log_call(entry, "request_ended", call, NULL);
 	TAILQ_FOREACH (waiter, &call->waiters, link) {
+		count_answer_in_shutdown(entry, OUTCOME_RAN);
 		counters_add(entry->counters, COUNTER_CALLS_SUCCEEDED, 1);
 		entry_send_answer(entry, waiter->caller_ref, &answer);
 	}
--- a/lib/entry/entry_calls.c
+++ b/lib/entry/entry_calls.c
@@ -51,6 +51,13 @@
 	return call_new(&attributes);
 }
 
+static void count_received(entry_t *entry)
+{
+	counters_add(entry->counters, COUNTER_CALLS_RECEIVED, 1);
+	if (entry_is_leaving(entry))
+		entry->shutdown.calls.received++;
+}
+
 static void answer_no_route(entry_t *entry, const routed_request_t *request)
 {
 	catk_error_t error;
@@ -83,7 +90,7 @@
 	call_attributes_t attributes = { .caller = "", .caller_attempt = 1 };
 	GTimeSpan remaining;
 
-	counters_add(entry->counters, COUNTER_CALLS_RECEIVED, 1);
+	count_received(entry);
 	if (schema)
 		route = schema_match_route(schema, request->host,
 					   request->path);
@@ -282,7 +289,7 @@
 	gboolean has_id = request->request_id &&
 			  request_id_parse(request->request_id, &id, &id_error);
 
-	counters_add(entry->counters, COUNTER_CALLS_RECEIVED, 1);
+	count_received(entry);
 	method = find_method(entry, request, &error);
 	if (!method) {
 		if (!has_id || !decide_by_id(entry, request, &id))
--- a/lib/entry/entry_dump.c
+++ b/lib/entry/entry_dump.c
@@ -8,13 +8,29 @@
 	w->string(w->ctx, "instance", self->name);
 	w->string(w->ctx, "data_centre", self->data_centre);
 	w->integer(w->ctx, "incarnation", (gint64)self->incarnation);
-	w->boolean(w->ctx, "leaving", entry->leaving);
+	w->boolean(w->ctx, "leaving", entry_is_leaving(entry));
 	w->integer(w->ctx, "config_version",
 		   (gint64)config_version(entry->config));
 	w->integer(w->ctx, "calls_in_flight",
 		   g_hash_table_size(entry->calls_by_ref));
 }
 
+static void dump_shutdown(const entry_t *entry, const dump_writer_t *w)
+{
+	const shutdown_t *shutdown = &entry->shutdown;
+	const shutdown_calls_t *calls = &shutdown->calls;
+
+	w->begin_object(w->ctx, "shutdown");
+	w->string(w->ctx, "phase", shutdown_phase_name(shutdown->phase));
+	w->integer(w->ctx, "elapsed_us",
+		   shutdown_elapsed(shutdown, entry_now(entry)));
+	w->integer(w->ctx, "open_at_start", (gint64)calls->open_at_start);
+	w->integer(w->ctx, "received", (gint64)calls->received);
+	w->integer(w->ctx, "refused", (gint64)calls->refused);
+	w->integer(w->ctx, "answered", (gint64)calls->answered);
+	w->end_object(w->ctx);
+}
+
 static void dump_feed(const entry_t *entry, feed_kind_t kind,
 		      const dump_writer_t *w)
 {
@@ -95,6 +111,7 @@
 
 	w->begin_object(w->ctx, NULL);
 	dump_self(entry, w);
+	dump_shutdown(entry, w);
 	membership_dump(entry->membership, w);
 	dump_subscription(entry, w);
 	w->begin_array(w->ctx, "upstreams");
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -10,6 +10,7 @@
 #include "lib/membership/fleet_size.h"
 #include "lib/route/route_deadline.h"
 #include "lib/route/route_split.h"
+#include "lib/shutdown/shutdown.h"
 
 /*
  * Interval between rounds of request id expiry, distribution of fleet limits
@@ -64,9 +65,8 @@
 	fleet_size_t fleet; /* all instances */
 	fleet_size_t fleet_local; /* instances in this data centre */
 	GTimeSpan next_housekeeping;
-	gboolean leaving;
+	shutdown_t shutdown;
 	gboolean freeing; /* no further actions are requested */
-	GTimeSpan shutdown_started; /* valid while leaving */
 };
 
 static inline GTimeSpan entry_now(const entry_t *entry)
@@ -137,6 +137,11 @@
 void entry_log_store_call_ended(const entry_t *entry, feed_kind_t kind,
 				const entry_store_call_t *call);
 
+/* Log the start and the end of a shutdown, and a call that the end cuts. */
+void entry_log_shutdown_started(const entry_t *entry, const char *reason);
+void entry_log_shutdown_ended(const entry_t *entry, guint connections);
+void entry_log_cut_call(const entry_t *entry, const call_t *call);
+
 /* Logs that a configuration came into force. */
 void entry_log_config(const entry_t *entry);
 
@@ -227,6 +232,9 @@
 /* Ends the calls whose deadline has passed. */
 void entry_expire_calls(entry_t *entry);
 
+/* Logs and counts the calls that have a caller and no answer. */
+void entry_record_cut_calls(entry_t *entry);
+
 /* Frees all calls without answering them or requesting actions. */
 void entry_free_calls(entry_t *entry);
 
--- a/lib/entry/entry_log.c
+++ b/lib/entry/entry_log.c
@@ -1,6 +1,13 @@
 /* Log events of an entry, each with the inputs of the decision. */
 #include "lib/entry/entry_internal.h"
 
+/* Time since the start of the shutdown in microseconds, -1 without one. */
+static log_field_t shutdown_field(const entry_t *entry)
+{
+	return LOG_NUMBER("shutdown_us",
+			  shutdown_elapsed(&entry->shutdown, entry_now(entry)));
+}
+
 void entry_log_call(const entry_t *entry, const char *event, const call_t *call,
 		    const catk_error_t *error)
 {
@@ -17,6 +24,7 @@
 		  LOG_TEXT("outcome",
 			   error ? outcome_name(error->outcome) : "ran"),
 		  LOG_NUMBER("retry_after_us", error ? error->retry_after : 0),
+		  shutdown_field(entry),
 		  LOG_TEXT("message", error ? error->message : ""));
 }
 
@@ -42,7 +50,7 @@
 		  LOG_NUMBER("report_age_us", estimate.report_age),
 		  LOG_NUMBER("load_percent", estimate.load_percent),
 		  LOG_NUMBER("slowdown_percent", estimate.slowdown_percent),
-		  LOG_NUMBER("near", estimate.local),
+		  LOG_NUMBER("near", estimate.local), shutdown_field(entry),
 		  LOG_NUMBER("config_version",
 			     (gint64)config_version(entry->config)));
 }
@@ -125,6 +133,56 @@
 		  known_age_field(entry, kind));
 }
 
+void entry_log_shutdown_started(const entry_t *entry, const char *reason)
+{
+	LOG_EVENT(&entry->actions.log, "shutdown_started",
+		  LOG_TEXT("reason", reason),
+		  LOG_NUMBER("max_us",
+			     entry->shutdown.end - entry->shutdown.started),
+		  LOG_NUMBER("open_calls",
+			     (gint64)entry->shutdown.calls.open_at_start),
+		  LOG_NUMBER("config_version",
+			     (gint64)config_version(entry->config)));
+}
+
+void entry_log_shutdown_ended(const entry_t *entry, guint connections)
+{
+	const shutdown_calls_t *calls = &entry->shutdown.calls;
+	gboolean forced = entry_now(entry) >= entry->shutdown.end;
+
+	LOG_EVENT(&entry->actions.log, "shutdown_ended", shutdown_field(entry),
+		  LOG_TEXT("cause", forced ? "deadline" : "drained"),
+		  LOG_NUMBER("open_at_start", (gint64)calls->open_at_start),
+		  LOG_NUMBER("received", (gint64)calls->received),
+		  LOG_NUMBER("refused", (gint64)calls->refused),
+		  LOG_NUMBER("answered", (gint64)calls->answered),
+		  LOG_NUMBER("cut", (gint64)calls->cut),
+		  LOG_NUMBER("connections", connections));
+}
+
+/*
+ * received_us is the time from the start of the shutdown to the receipt of the
+ * call, negative if it was received before.
+ */
+void entry_log_cut_call(const entry_t *entry, const call_t *call)
+{
+	const attempt_t *attempt = TAILQ_FIRST(&call->attempts);
+
+	LOG_EVENT(&entry->actions.log, "call_cut",
+		  LOG_TEXT("request", call->log_name),
+		  LOG_TEXT("service", call->service),
+		  LOG_TEXT("method", call->method), shutdown_field(entry),
+		  LOG_NUMBER("received_us",
+			     call->admitted - entry->shutdown.started),
+		  LOG_NUMBER("remaining_us", call->deadline - entry_now(entry)),
+		  LOG_NUMBER("attempts", call->attempts_made),
+		  LOG_TEXT("endpoint", attempt ? attempt->endpoint : ""),
+		  LOG_NUMBER("attempt_age_us",
+			     attempt ? entry_now(entry) - attempt->started : 0),
+		  LOG_TEXT("outcome",
+			   outcome_name(entry_call_outcome(entry, call))));
+}
+
 void entry_log_config(const entry_t *entry)
 {
 	LOG_EVENT(&entry->actions.log, "config_in_force",
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -447,6 +447,16 @@
 	return server->pending_requests;
 }
 
+guint http_server_connection_count(const http_server_t *server)
+{
+	const connection_t *connection;
+	guint count = 0;
+
+	TAILQ_FOREACH (connection, &server->connections, link)
+		count++;
+	return count;
+}
+
 const http_message_t *http_exchange_request(const http_exchange_t *exchange)
 {
 	return exchange->request;
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -49,6 +49,9 @@
 /* Number of requests that have no reply yet. */
 guint http_server_pending_requests(const http_server_t *server);
 
+/* Number of open connections. */
+guint http_server_connection_count(const http_server_t *server);
+
 const http_message_t *http_exchange_request(const http_exchange_t *exchange);
 
 /* Returns a pointer slot for the handler's own use, initially NULL. */
--- a/net/operator_api.c
+++ b/net/operator_api.c
@@ -370,7 +370,7 @@
 	(void)server;
 	(void)path;
 	(void)query;
-	entry_shutdown(api->entry);
+	entry_shutdown(api->entry, "operator");
 	json_builder_begin_object(builder);
 	json_builder_set_member_name(builder, "leaving");
 	json_builder_add_boolean_value(builder, TRUE);
--- a/net/proxy.c
+++ b/net/proxy.c
@@ -254,6 +254,11 @@
 	return http_server_pending_requests(proxy->server) == 0;
 }
 
+guint proxy_connection_count(const proxy_t *proxy)
+{
+	return http_server_connection_count(proxy->server);
+}
+
 gboolean proxy_owns(const proxy_t *proxy, const void *caller_ref)
 {
 	return g_hash_table_contains(proxy->exchanges, caller_ref);
--- a/net/proxy.h
+++ b/net/proxy.h
@@ -77,6 +77,9 @@
  */
 gboolean proxy_is_idle(const proxy_t *proxy);
 
+/* Number of open connections of callers. */
+guint proxy_connection_count(const proxy_t *proxy);
+
 /* Implementations of entry_actions_t for routed calls. */
 void proxy_send_response(proxy_t *proxy, void *caller_ref,
 			 const call_answer_t *answer);
--- a/programs/daemon.c
+++ b/programs/daemon.c
@@ -112,6 +112,11 @@
 		g_main_loop_quit(daemon->loop);
 }
 
+static guint open_connections(const daemon_t *daemon)
+{
+	return daemon->proxy ? proxy_connection_count(daemon->proxy) : 0;
+}
+
 static gboolean entry_source_dispatch(GSource *source, GSourceFunc callback,
 				      gpointer data)
 {
@@ -246,7 +251,7 @@
 
 	g_message("graceful shutdown requested: serving calls until all "
 		  "addresses and request ids given to callers have expired");
-	entry_shutdown(daemon->entry);
+	entry_shutdown(daemon->entry, "signal");
 	if (daemon->proxy)
 		proxy_drain(daemon->proxy);
 	if (daemon->platform)
@@ -443,6 +448,7 @@
 					    settings->proxy_address :
 					    ""));
 	g_main_loop_run(daemon.loop);
+	entry_end_shutdown(daemon.entry, open_connections(&daemon));
 	remove_event_sources(&daemon);
 	LOG_EVENT(&daemon.log, "stopped",
 		  LOG_TEXT("instance", settings->instance));
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -463,7 +463,7 @@
 	resolve_result_t after;
 
 	call_book(f, 1, 1);
-	entry_shutdown(f->entry);
+	entry_shutdown(f->entry, "test");
 	assert_false(entry_resolve(f->entry, &after, NULL));
 	advance(f, RESOLVE_TTL);
 	call_book(f, 2, 2);
@@ -490,10 +490,11 @@
 {
 	fixture_t *f = *state;
 
-	entry_shutdown(f->entry);
+	entry_shutdown(f->entry, "test");
 	f->now += SHUTDOWN_MAX;
 	call_method(f, 1, "status", 1, 1);
 	assert_true(entry_is_shutdown_complete(f->entry));
+	entry_end_shutdown(f->entry, 0);
 	assert_int_equal(f->counters.value[COUNTER_CALLS_CUT_AT_SHUTDOWN], 1);
 }
 
