Close callers' connections in every kind of shutdown, and lose none

A drain that an operator asked for did not close kept connections with their next answer, as only the signal handler told the server to; requests on them were cut by the end of the process. At that end, the server counted answers as sent that were still in its buffer or that the client had not read, and an idle connection was closed without looking whether a request had just arrived on it.

The server asks whether connections are to be closed, and the answer comes from the entry, whatever started the shutdown. When the shutdown is complete it accepts no more connections, closes the idle ones without input, and counts as idle only when each client has closed its connection after the last answer.

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -45,8 +45,7 @@
 	GSource *accept_source;
 	guint timeout_source;
 	guint resume_source; /* parses input after a pipeline was full */
-	gboolean draining;
-	guint pending_requests;
+	gboolean stopped; /* accepts no more connections */
 	TAILQ_HEAD(connection_list, connection) connections;
 };
 
@@ -61,9 +60,7 @@
 
 	TAILQ_REMOVE(&connection->exchanges, exchange, link);
 	connection->exchange_count--;
-	if (!exchange->response)
-		connection->server->pending_requests--;
-	else
+	if (exchange->response)
 		g_string_free(exchange->response, TRUE);
 	http_message_free(exchange->request);
 	g_free(exchange);
@@ -165,13 +162,13 @@
 			 const char *headers, GBytes *body)
 {
 	connection_t *connection = exchange->connection;
+	const http_server_events_t *events = &connection->server->events;
 
 	g_assert(!exchange->response);
-	if (connection->server->draining ||
+	if (events->closing(events->ctx) ||
 	    (exchange->request && !exchange->request->keep_alive))
 		exchange->close_after = TRUE;
 	format_response(exchange, status, headers, body);
-	connection->server->pending_requests--;
 	if (connection->closed)
 		return;
 	write_ready_responses(connection);
@@ -190,7 +187,6 @@
 	exchange->request = request;
 	TAILQ_INSERT_TAIL(&connection->exchanges, exchange, link);
 	connection->exchange_count++;
-	connection->server->pending_requests++;
 	return exchange;
 }
 
@@ -363,6 +359,22 @@
 	return G_SOURCE_CONTINUE;
 }
 
+/* TRUE while a response is pending, or may not have reached the client. */
+static gboolean is_busy(const connection_t *connection)
+{
+	return connection->exchange_count || connection->lingering ||
+	       stream_bytes_buffered(connection->stream);
+}
+
+/* Not while a request waits in the kernel: it would be lost unread. */
+static void close_if_idle(connection_t *connection)
+{
+	if (!is_busy(connection) &&
+	    !http_message_parser_has_begun(connection->parser) &&
+	    !stream_has_input(connection->stream))
+		connection_close(connection);
+}
+
 static void check_timeouts(connection_t *connection,
 			   const schema_request_limits_t *limits, GTimeSpan now)
 {
@@ -380,7 +392,7 @@
 		    !http_message_parser_has_headers(connection->parser))
 			reject_request(connection, HTTP_STATUS_REQUEST_TIMEOUT);
 	} else if (limits->idle_timeout && age > limits->idle_timeout) {
-		connection_close(connection);
+		close_if_idle(connection);
 	}
 }
 
@@ -422,6 +434,16 @@
 	return server;
 }
 
+static void stop_accepting(http_server_t *server)
+{
+	if (server->stopped)
+		return;
+	server->stopped = TRUE;
+	g_source_destroy(server->accept_source);
+	g_source_unref(server->accept_source);
+	g_object_unref(server->listener);
+}
+
 void http_server_free(http_server_t *server)
 {
 	if (!server)
@@ -429,22 +451,29 @@
 	g_source_remove(server->timeout_source);
 	if (server->resume_source)
 		g_source_remove(server->resume_source);
-	g_source_destroy(server->accept_source);
-	g_source_unref(server->accept_source);
+	stop_accepting(server);
 	while (!TAILQ_EMPTY(&server->connections))
 		connection_free(TAILQ_FIRST(&server->connections));
-	g_object_unref(server->listener);
 	g_free(server);
 }
 
-void http_server_drain(http_server_t *server)
+void http_server_stop(http_server_t *server)
 {
-	server->draining = TRUE;
+	connection_t *connection, *next;
+
+	stop_accepting(server);
+	TAILQ_FOREACH_SAFE (connection, &server->connections, link, next)
+		close_if_idle(connection);
 }
 
-guint http_server_pending_requests(const http_server_t *server)
+gboolean http_server_is_idle(const http_server_t *server)
 {
-	return server->pending_requests;
+	const connection_t *connection;
+
+	TAILQ_FOREACH (connection, &server->connections, link)
+		if (is_busy(connection))
+			return FALSE;
+	return TRUE;
 }
 
 guint http_server_connection_count(const http_server_t *server)
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -29,6 +29,8 @@
 	void (*disconnected)(void *ctx, http_exchange_t *exchange);
 	/* Returns the limits for the next request. */
 	schema_request_limits_t (*limits)(void *ctx);
+	/* TRUE if each connection must be closed with its next response. */
+	gboolean (*closing)(void *ctx);
 	void *ctx;
 } http_server_events_t;
 
@@ -43,11 +45,17 @@
 /* Closes all connections without callbacks. NULL is allowed. */
 void http_server_free(http_server_t *server);
 
-/* Closes every connection after its next response; still accepts new ones. */
-void http_server_drain(http_server_t *server);
+/*
+ * Accepts no more connections and closes the idle ones. Requests that have begun
+ * or wait in the kernel are still handled.
+ */
+void http_server_stop(http_server_t *server);
 
-/* Number of requests that have no reply yet. */
-guint http_server_pending_requests(const http_server_t *server);
+/*
+ * TRUE when each request that was received has its response, and each client has
+ * closed its connection after the last one.
+ */
+gboolean http_server_is_idle(const http_server_t *server);
 
 /* Number of open connections. */
 guint http_server_connection_count(const http_server_t *server);
--- a/net/proxy.c
+++ b/net/proxy.c
@@ -125,6 +125,14 @@
 	return schema ? schema->request_limits : none;
 }
 
+/* A kept connection would be cut when the process ends. */
+static gboolean is_leaving(void *ctx)
+{
+	const proxy_t *proxy = ctx;
+
+	return entry_is_leaving(proxy->entry);
+}
+
 static attempt_end_t attempt_end_from(http_client_end_t end)
 {
 	switch (end) {
@@ -210,6 +218,7 @@
 		.request = on_request,
 		.disconnected = on_disconnected,
 		.limits = current_limits,
+		.closing = is_leaving,
 		.ctx = proxy,
 	};
 	http_client_events_t client_events = {
@@ -244,14 +253,14 @@
 	g_free(proxy);
 }
 
-void proxy_drain(proxy_t *proxy)
+void proxy_stop(proxy_t *proxy)
 {
-	http_server_drain(proxy->server);
+	http_server_stop(proxy->server);
 }
 
 gboolean proxy_is_idle(const proxy_t *proxy)
 {
-	return http_server_pending_requests(proxy->server) == 0;
+	return http_server_is_idle(proxy->server);
 }
 
 guint proxy_connection_count(const proxy_t *proxy)
--- a/net/proxy.h
+++ b/net/proxy.h
@@ -68,13 +68,10 @@
 /* Drops requests in flight without a response. NULL is allowed. */
 void proxy_free(proxy_t *proxy);
 
-/* Closes every caller's connection after its next response. */
-void proxy_drain(proxy_t *proxy);
+/* See http_server_stop(). */
+void proxy_stop(proxy_t *proxy);
 
-/*
- * TRUE when every request received so far has its response, which may be partly
- * unsent.
- */
+/* See http_server_is_idle(). */
 gboolean proxy_is_idle(const proxy_t *proxy);
 
 /* Number of open connections of callers. */
--- a/net/stream.c
+++ b/net/stream.c
@@ -264,6 +264,12 @@
 	shutdown_if_flushed(stream);
 }
 
+gboolean stream_has_input(const stream_t *stream)
+{
+	return !stream->ended &&
+	       g_socket_condition_check(stream->socket, G_IO_IN) != 0;
+}
+
 guint64 stream_bytes_sent(const stream_t *stream)
 {
 	return stream->bytes_sent;
--- a/net/stream.h
+++ b/net/stream.h
@@ -50,6 +50,9 @@
 /* Shuts the sending side down once all buffered data was sent. */
 void stream_shutdown_write(stream_t *stream);
 
+/* TRUE if data, or the end of the stream, waits to be read. */
+gboolean stream_has_input(const stream_t *stream);
+
 /* Bytes passed to the kernel since the stream was created. */
 guint64 stream_bytes_sent(const stream_t *stream);
 
--- a/programs/daemon.c
+++ b/programs/daemon.c
@@ -101,8 +101,11 @@
 	GTimeSpan now = catk_clock_now(&system_clock);
 
 	if (!daemon->shutdown_completed_at &&
-	    entry_is_shutdown_complete(daemon->entry))
+	    entry_is_shutdown_complete(daemon->entry)) {
 		daemon->shutdown_completed_at = now;
+		if (daemon->proxy)
+			proxy_stop(daemon->proxy);
+	}
 	if (!daemon->shutdown_completed_at)
 		return;
 	if (all_answers_written(daemon) ||
@@ -252,10 +255,6 @@
 	g_message("graceful shutdown requested: serving calls until all "
 		  "addresses and request ids given to callers have expired");
 	entry_shutdown(daemon->entry, "signal");
-	if (daemon->proxy)
-		proxy_drain(daemon->proxy);
-	if (daemon->platform)
-		platform_start_shutdown(daemon->platform);
 	return G_SOURCE_CONTINUE;
 }
 
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -320,6 +320,12 @@
 			watch_free(watch);
 }
 
+static gboolean never_closing(void *ctx)
+{
+	(void)ctx;
+	return FALSE;
+}
+
 static schema_request_limits_t no_limits(void *ctx)
 {
 	(void)ctx;
@@ -356,7 +362,8 @@
 	const struct argp argp = { .options = options, .parser = parse_option };
 	http_server_events_t events = { .request = on_request,
 					.disconnected = on_disconnected,
-					.limits = no_limits };
+					.limits = no_limits,
+					.closing = never_closing };
 	GMainLoop *loop = g_main_loop_new(NULL, FALSE);
 	gchar *address;
 
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -67,6 +67,12 @@
 	return (schema_request_limits_t){ 0 };
 }
 
+static gboolean never_closing(void *ctx)
+{
+	(void)ctx;
+	return FALSE;
+}
+
 static void on_ended(void *ctx, guint64 id, const http_client_result_t *result)
 {
 	fixture_t *f = ctx;
@@ -98,6 +104,7 @@
 	http_server_events_t server_events = { .request = on_request,
 					       .disconnected = on_disconnected,
 					       .limits = no_limits,
+					       .closing = never_closing,
 					       .ctx = f };
 	http_client_events_t client_events = { .ended = on_ended,
 					       .response_matches =
--- /dev/null
+++ b/tests/test_http_server.c
@@ -0,0 +1,211 @@
+/*
+ * Tests how the HTTP server ends its connections: no request that was sent and
+ * no response that was written may be lost by it.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <gio/gio.h>
+#include <string.h>
+
+#include "net/http_server.h"
+#include "net/system_clock.h"
+#include "tests/support.h"
+
+enum { SERVER_PORT = 730 };
+
+#define IDLE_TIMEOUT_MS 300
+#define TIMEOUT_CHECK_MS 300 /* a little above the server's interval */
+#define LARGE_BODY_BYTES (16 << 20) /* more than the kernel's buffers hold */
+#define REQUEST "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+typedef struct {
+	http_server_t *server;
+	GSocket *client;
+	http_exchange_t *exchange; /* the last request, without its response */
+	guint requests;
+	gboolean closing;
+} fixture_t;
+
+static void on_request(void *ctx, http_exchange_t *exchange)
+{
+	fixture_t *f = ctx;
+
+	f->requests++;
+	f->exchange = exchange;
+}
+
+static void on_disconnected(void *ctx, http_exchange_t *exchange)
+{
+	(void)ctx;
+	(void)exchange;
+}
+
+static schema_request_limits_t idle_limit(void *ctx)
+{
+	(void)ctx;
+	return (schema_request_limits_t){
+		.idle_timeout = IDLE_TIMEOUT_MS * G_TIME_SPAN_MILLISECOND
+	};
+}
+
+static gboolean is_closing(void *ctx)
+{
+	const fixture_t *f = ctx;
+
+	return f->closing;
+}
+
+static GSocket *connect_client(void)
+{
+	GSocketAddress *address = g_inet_socket_address_new_from_string(
+		"127.0.0.1", test_port(SERVER_PORT));
+	GSocket *socket = g_socket_new(G_SOCKET_FAMILY_IPV4,
+				       G_SOCKET_TYPE_STREAM,
+				       G_SOCKET_PROTOCOL_TCP, NULL);
+
+	assert_true(g_socket_connect(socket, address, NULL, NULL));
+	g_socket_set_blocking(socket, FALSE);
+	g_object_unref(address);
+	return socket;
+}
+
+static int set_up(void **state)
+{
+	fixture_t *f = g_new0(fixture_t, 1);
+	http_server_events_t events = { .request = on_request,
+					.disconnected = on_disconnected,
+					.limits = idle_limit,
+					.closing = is_closing,
+					.ctx = f };
+	gchar *address =
+		g_strdup_printf("127.0.0.1:%u", test_port(SERVER_PORT));
+
+	f->server = http_server_new(address, &events, &system_clock, NULL);
+	assert_non_null(f->server);
+	g_free(address);
+	f->client = connect_client();
+	run_loop_for(50);
+	assert_int_equal(http_server_connection_count(f->server), 1);
+	*state = f;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	fixture_t *f = *state;
+
+	http_server_free(f->server);
+	g_object_unref(f->client);
+	g_free(f);
+	return 0;
+}
+
+static void send_text(const fixture_t *f, const char *text)
+{
+	assert_int_equal(g_socket_send(f->client, text, strlen(text), NULL,
+				       NULL),
+			 strlen(text));
+}
+
+static void reply_with(fixture_t *f, gsize size)
+{
+	GBytes *body = g_bytes_new_take(g_malloc0(size), size);
+
+	http_exchange_reply(f->exchange, 200, "", body);
+	f->exchange = NULL;
+	g_bytes_unref(body);
+}
+
+/* Returns the bytes that arrive until the server closes the connection. */
+static gsize read_to_end(const fixture_t *f)
+{
+	static char data[1 << 20];
+	gsize total = 0;
+	gssize size;
+
+	do {
+		size = g_socket_receive(f->client, data, sizeof(data), NULL,
+					NULL);
+		total += size > 0 ? (gsize)size : 0;
+		run_loop_for(1);
+	} while (size != 0);
+	return total;
+}
+
+/* Fails if an idle timeout discards a request that has just arrived. */
+static void request_that_meets_the_idle_timeout_is_read(void **state)
+{
+	fixture_t *f = *state;
+
+	/* The loop does not run meanwhile, so both are due in one iteration. */
+	g_usleep((IDLE_TIMEOUT_MS + TIMEOUT_CHECK_MS) * 1000);
+	send_text(f, REQUEST);
+	run_loop_for(100);
+	assert_int_equal(f->requests, 1);
+	reply_with(f, 1);
+}
+
+/* Fails if a stop discards a request that has just arrived. */
+static void request_that_meets_a_stop_is_read(void **state)
+{
+	fixture_t *f = *state;
+
+	f->closing = TRUE;
+	send_text(f, REQUEST);
+	http_server_stop(f->server);
+	run_loop_for(100);
+	assert_int_equal(f->requests, 1);
+	assert_false(http_server_is_idle(f->server));
+	reply_with(f, 1);
+	assert_true(read_to_end(f) > 0);
+}
+
+/* Fails if idle connections outlast a stop, or new ones are accepted. */
+static void stop_closes_idle_connections(void **state)
+{
+	fixture_t *f = *state;
+	GSocketClient *client = g_socket_client_new();
+
+	http_server_stop(f->server);
+	assert_int_equal(http_server_connection_count(f->server), 0);
+	assert_true(http_server_is_idle(f->server));
+	assert_null(g_socket_client_connect_to_host(
+		client, "127.0.0.1", (guint16)test_port(SERVER_PORT), NULL,
+		NULL));
+	g_object_unref(client);
+}
+
+/* Fails if a stop counts as finished before the last response is read. */
+static void stop_waits_until_the_last_response_is_read(void **state)
+{
+	fixture_t *f = *state;
+
+	f->closing = TRUE;
+	send_text(f, REQUEST);
+	run_loop_for(50);
+	http_server_stop(f->server);
+	reply_with(f, LARGE_BODY_BYTES);
+	run_loop_for(50);
+	assert_false(http_server_is_idle(f->server));
+	assert_true(read_to_end(f) > LARGE_BODY_BYTES);
+	g_socket_close(f->client, NULL);
+	run_loop_for(50);
+	assert_true(http_server_is_idle(f->server));
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		TEST(request_that_meets_the_idle_timeout_is_read),
+		TEST(request_that_meets_a_stop_is_read),
+		TEST(stop_closes_idle_connections),
+		TEST(stop_waits_until_the_last_response_is_read),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -914,6 +914,84 @@
 	}
 }
 
+static void request_drain(const fixture_t *f)
+{
+	reply_t reply;
+
+	(void)f;
+	http_request(&reply, "POST", test_port(CALLER_PORT),
+		     "/v1/operator/drain", "", NULL);
+	assert_int_equal(reply.status, 200);
+	reply_clear(&reply);
+}
+
+/* Fails if kept connections outlast a drain, which would cut their requests. */
+static void operator_drain_closes_kept_connections(void **state)
+{
+	fixture_t *f = *state;
+	GSocketConnection *connection = open_connection(test_port(PROXY_PORT));
+	char *request = request_text(f, "GET", "/safe/1", "");
+	char *answer;
+
+	send_bytes(connection, request);
+	answer = read_answers(connection, 1);
+	assert_null(strstr(answer, "Connection: close"));
+	g_free(answer);
+	request_drain(f);
+	assert_int_equal(get_status(READY_PORT, "/-/readyz"), 503);
+	send_bytes(connection, request);
+	answer = read_answers(connection, 1);
+	assert_int_equal(status_of(answer), 200);
+	assert_non_null(strstr(answer, "Connection: close"));
+	assert_int_equal(process_wait(f->daemon), 0);
+	g_object_unref(connection);
+	g_free(request);
+	g_free(answer);
+}
+
+/* Fails if a signal or a reload in a shutdown moves its end or cuts a call. */
+static void signals_during_a_shutdown_cut_no_call(void **state)
+{
+	fixture_t *f = *state;
+	GTimeSpan start = g_get_monotonic_time();
+	GSocketConnection *connection;
+	char *request, *answer;
+
+	process_signal(f->daemon, SIGTERM);
+	run_loop_for(SHUTDOWN_MAX_MS / 4);
+	connection = open_connection(test_port(PROXY_PORT));
+	request = request_text(f, "PUT", "/once/slow", "");
+	send_bytes(connection, request);
+	run_loop_for(100);
+	g_free(write_build_file("platform.json", "{\"instance\":5}"));
+	process_signal(f->daemon, SIGHUP);
+	process_signal(f->daemon, SIGTERM);
+	process_signal(f->daemon, SIGINT);
+	put_config(8, "");
+	answer = read_answers(connection, 1);
+	assert_int_equal(status_of(answer), 200);
+	assert_int_equal(process_wait(f->daemon), 0);
+	assert_true(g_get_monotonic_time() - start <
+		    SHUTDOWN_MAX_MS * G_TIME_SPAN_MILLISECOND);
+	g_object_unref(connection);
+	g_free(request);
+	g_free(answer);
+}
+
+/* Fails if an instance without a configuration does not stop, or not in time. */
+static void shutdown_before_the_first_configuration_ends(void **state)
+{
+	fixture_t *f = *state;
+
+	process_free(f->daemon);
+	set_fault("silent");
+	start_daemon(f);
+	run_loop_for(500);
+	process_signal(f->daemon, SIGTERM);
+	assert_int_equal(request_status(f, "PUT", "/once/1"), 503);
+	assert_int_equal(process_wait(f->daemon), 0);
+}
+
 /* Fails if a killed instance does not serve soon after its restart. */
 static void restarted_instance_serves_requests(void **state)
 {
@@ -992,6 +1070,9 @@
 		TEST(shutdown_completes_requests),
 		TEST(shutdown_under_traffic_meets_its_deadline),
 		TEST(every_request_during_a_shutdown_is_answered),
+		TEST(operator_drain_closes_kept_connections),
+		TEST(signals_during_a_shutdown_cut_no_call),
+		TEST(shutdown_before_the_first_configuration_ends),
 		TEST(restarted_instance_serves_requests),
 		TEST(settings_are_reloaded),
 		TEST(metrics_are_served),
