Derive the end of a shutdown from the deployment's grace

shutdown_max_ms 5500 and resolve_ttl_ms 2000 were fixed for a grace of 6 s and callers that keep addresses for 2 s or more. With a shorter grace the process was killed in the middle of its shutdown.

termination_grace_s and resolve_ttl_max_s carry the deployment's figures; the shutdown ends 0.5 s before the kill, and addresses are not given out for longer than callers keep them. Tests: test_settings_json.

--- a/codec/settings_json.c
+++ b/codec/settings_json.c
@@ -31,7 +31,8 @@
 	FIELD_UINT,
 	FIELD_SIZE,
 	FIELD_INT64,
-	FIELD_MILLISECONDS /* a GTimeSpan, written in milliseconds */
+	FIELD_MILLISECONDS, /* a GTimeSpan, written in milliseconds */
+	FIELD_SECONDS /* a GTimeSpan, written in seconds with a fraction */
 } field_type_t;
 
 typedef struct {
@@ -43,11 +44,11 @@
 	gint64 default_value;
 	const char *unit;
 	const char *help;
-} integer_key_t;
+} numeric_key_t;
 
 #define ENTRY_FIELD(name) offsetof(settings_t, entry.name)
 
-static const integer_key_t integer_keys[] = {
+static const numeric_key_t numeric_keys[] = {
 	{ "entries_max", ENTRY_FIELD(entries_max), FIELD_UINT, 1, 1000, 18,
 	  "instances",
 	  "expected maximum number of entry instances; the probe budget and "
@@ -110,8 +111,15 @@
 	{ "shutdown_max_ms", ENTRY_FIELD(shutdown_max), FIELD_MILLISECONDS, 0,
 	  3600000, 60000, "ms",
 	  "maximum duration of a graceful shutdown; keep it above the longest "
-	  "deadline plus resolve_ttl_ms and request_id_lifetime_ms, and 200 ms "
-	  "below the time after which the process is killed" },
+	  "deadline plus resolve_ttl_ms and request_id_lifetime_ms" },
+	{ "termination_grace_s", offsetof(settings_t, termination_grace),
+	  FIELD_SECONDS, 0, 3600, 0, "s",
+	  "time after SIGTERM at which the process is killed, 0 for unknown; a "
+	  "shutdown ends 0.5 s before" },
+	{ "resolve_ttl_max_s", offsetof(settings_t, resolve_ttl_max),
+	  FIELD_SECONDS, 0, 600, 0, "s",
+	  "longest time for which callers use resolved addresses, 0 for "
+	  "unlimited; resolve_ttl_ms is limited to it" },
 	{ "body_bytes_max", offsetof(settings_t, body_bytes_max), FIELD_INT64,
 	  1024, 64 << 20, 1 << 20, "bytes",
 	  "maximum size of the body of a request or an answer" },
@@ -128,7 +136,13 @@
 	  "time between reads is extended to stay below it" },
 };
 
-static void set_integer(settings_t *settings, const integer_key_t *key,
+/*
+ * Time between the end of a shutdown and the kill of the process: the last
+ * answers are written, and the process frees its memory and exits.
+ */
+#define TERMINATION_RESERVE (500 * G_TIME_SPAN_MILLISECOND)
+
+static void set_integer(settings_t *settings, const numeric_key_t *key,
 			gint64 value)
 {
 	void *field = (char *)settings + key->offset;
@@ -146,9 +160,22 @@
 	case FIELD_MILLISECONDS:
 		*(GTimeSpan *)field = value * G_TIME_SPAN_MILLISECOND;
 		break;
+	case FIELD_SECONDS:
+		*(GTimeSpan *)field = value * G_TIME_SPAN_SECOND;
+		break;
 	}
 }
 
+static void read_seconds(json_reader_t *reader, JsonObject *object,
+			 settings_t *settings, const numeric_key_t *key)
+{
+	double seconds = json_reader_number(reader, "$", object, key->key,
+					    (double)key->min, (double)key->max);
+
+	*(GTimeSpan *)((char *)settings + key->offset) =
+		(GTimeSpan)(seconds * G_TIME_SPAN_SECOND);
+}
+
 static void read_strings(json_reader_t *reader, JsonObject *object,
 			 settings_t *settings)
 {
@@ -165,15 +192,20 @@
 	}
 }
 
-static void read_integers(json_reader_t *reader, JsonObject *object,
-			  settings_t *settings)
+static void read_numbers(json_reader_t *reader, JsonObject *object,
+			 settings_t *settings)
 {
 	gsize i;
 
-	for (i = 0; i < G_N_ELEMENTS(integer_keys); i++) {
-		const integer_key_t *key = &integer_keys[i];
+	for (i = 0; i < G_N_ELEMENTS(numeric_keys); i++) {
+		const numeric_key_t *key = &numeric_keys[i];
 		gint64 value = key->default_value;
 
+		if (key->type == FIELD_SECONDS &&
+		    json_object_has_member(object, key->key)) {
+			read_seconds(reader, object, settings, key);
+			continue;
+		}
 		if (json_object_has_member(object, key->key))
 			value = json_reader_integer(reader, "$", object,
 						    key->key, key->min,
@@ -182,6 +214,21 @@
 	}
 }
 
+/* Applies the limits that the deployment sets to the instance's own times. */
+static void limit_times(settings_t *settings)
+{
+	entry_limits_t *entry = &settings->entry;
+
+	if (settings->termination_grace)
+		entry->shutdown_max = MIN(
+			entry->shutdown_max,
+			MAX(settings->termination_grace - TERMINATION_RESERVE,
+			    0));
+	if (settings->resolve_ttl_max)
+		entry->resolve_ttl =
+			MIN(entry->resolve_ttl, settings->resolve_ttl_max);
+}
+
 static void read_seeds(json_reader_t *reader, JsonObject *object,
 		       settings_t *settings)
 {
@@ -279,8 +326,8 @@
 
 	for (i = 0; i < G_N_ELEMENTS(string_keys); i++)
 		g_ptr_array_add(known_keys, (gpointer)string_keys[i].key);
-	for (i = 0; i < G_N_ELEMENTS(integer_keys); i++)
-		g_ptr_array_add(known_keys, (gpointer)integer_keys[i].key);
+	for (i = 0; i < G_N_ELEMENTS(numeric_keys); i++)
+		g_ptr_array_add(known_keys, (gpointer)numeric_keys[i].key);
 	g_ptr_array_add(known_keys, "seeds");
 	g_ptr_array_add(known_keys, "routing");
 	g_ptr_array_add(known_keys, "admission");
@@ -305,7 +352,8 @@
 	object = json_node_get_object(root);
 	reject_unknown_keys(&reader, object);
 	read_strings(&reader, object, settings);
-	read_integers(&reader, object, settings);
+	read_numbers(&reader, object, settings);
+	limit_times(settings);
 	read_seeds(&reader, object, settings);
 	read_routing(&reader, object, settings);
 	read_admission(&reader, object, settings);
@@ -334,8 +382,8 @@
 {
 	gsize i;
 
-	for (i = 0; i < G_N_ELEMENTS(integer_keys); i++)
-		describe(ctx, integer_keys[i].key, integer_keys[i].unit,
-			 integer_keys[i].min, integer_keys[i].max,
-			 integer_keys[i].default_value, integer_keys[i].help);
+	for (i = 0; i < G_N_ELEMENTS(numeric_keys); i++)
+		describe(ctx, numeric_keys[i].key, numeric_keys[i].unit,
+			 numeric_keys[i].min, numeric_keys[i].max,
+			 numeric_keys[i].default_value, numeric_keys[i].help);
 }
