Take no call in a shutdown that its end could cut

Callers saw requests, unsafe ones among them, that were taken up to 4.4 s after SIGTERM and cut without an answer 5.7 s after it (LOST).

An instance that was leaving took every call until the main loop ended, so it accepted work that might not end before an end that it knew. Now a shutdown has a rule for calls that have not run: one is started or queued, for the first time or again, only if its deadline does not lie behind the end. It then has its answer in time however long the endpoint takes. Any other call is refused at once as not run, which is true, and its caller goes to another instance. Calls that wait when the shutdown starts, repeats, and calls to be forwarded are treated alike. Once the shutdown is complete nothing is started while the last answers are written, and calls that were forwarded end as unknown instead of being cut. A reload does not move the end of a shutdown that has started.

--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -470,6 +470,7 @@
 		g_hash_table_size(entry->calls_by_ref);
 	entry_log_shutdown_started(entry, reason);
 	membership_leave(entry->membership);
+	entry_refuse_unstarted_calls(entry);
 }
 
 gboolean entry_is_leaving(const entry_t *entry)
@@ -500,7 +501,11 @@
 
 	if (!entry_is_leaving(entry))
 		return FALSE;
-	return is_drained(entry, now) || now >= entry_shutdown_deadline(entry);
+	if (!is_drained(entry, now) && now < entry_shutdown_deadline(entry))
+		return FALSE;
+	if (shutdown_complete(&entry->shutdown))
+		entry_end_forwarded_calls(entry);
+	return TRUE;
 }
 
 void entry_end_shutdown(entry_t *entry, guint connections)
--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -57,6 +57,11 @@
 	guint probe_fanout; /* endpoints probed per call, 0 for none */
 	/* Decides when a call is retried; NULL for retry_rule_at_most_once. */
 	const struct retry_rule *retry_rule;
+	/*
+	 * Decides which calls are started during a shutdown; NULL for
+	 * shutdown_rule_by_deadline.
+	 */
+	const struct shutdown_rule *shutdown_rule;
 } entry_limits_t;
 
 /* A call by service and method. Strings are copied, body is referenced. */
@@ -387,7 +392,7 @@
 /*
  * TRUE if a graceful shutdown is complete: the addresses and request ids
  * handed out to callers have expired and no call is in flight, or the shutdown
- * deadline has passed.
+ * deadline has passed. From then on no call is started.
  */
 gboolean entry_is_shutdown_complete(entry_t *entry);
 
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -180,6 +180,25 @@
  */
 void entry_probe_wait_tick(entry_t *entry, entry_service_t *service);
 
+/*
+ * FALSE if the call must be refused because of a shutdown. A call that may have
+ * run cannot be refused as not run, so it continues.
+ */
+gboolean entry_may_start(const entry_t *entry, const entry_service_t *service,
+			 const call_t *call);
+
+/* Refuses a call for which entry_may_start() returned FALSE. */
+void entry_refuse_for_shutdown(entry_t *entry, call_t *call);
+
+/* Refuses such calls among those without an attempt in flight. */
+void entry_refuse_unstarted_calls(entry_t *entry);
+
+/*
+ * TRUE if the wait for an answer that comes by that instant is over before the
+ * process ends.
+ */
+gboolean entry_may_wait_until(const entry_t *entry, GTimeSpan instant);
+
 /* Instant at which entry_probe_wait_tick() must be called next. */
 GTimeSpan entry_probe_wait_wakeup(const entry_service_t *service);
 
@@ -265,6 +284,9 @@
 /* Cancels a call forwarded for this caller. Returns FALSE if there is none. */
 gboolean entry_cancel_forwarded_call(entry_t *entry, void *caller_ref);
 
+/* Ends all forwarded calls with an unknown outcome. */
+void entry_end_forwarded_calls(entry_t *entry);
+
 /* TRUE while a call that this instance has forwarded has no answer. */
 gboolean entry_has_forwarded_calls(const entry_t *entry);
 
--- a/lib/entry/entry_measure.c
+++ b/lib/entry/entry_measure.c
@@ -261,6 +261,10 @@
 {
 	GTimeSpan now = entry_now(entry);
 
+	if (!entry_may_start(entry, service, call)) {
+		entry_refuse_for_shutdown(entry, call);
+		return;
+	}
 	if (call->routed && !call->queue.latest_start) {
 		call->queue.latest_start = latest_start(service, call, now);
 		call->stale_report_allowed_at = now + local_wait(call, now);
--- a/lib/entry/entry_peers.c
+++ b/lib/entry/entry_peers.c
@@ -187,6 +187,21 @@
 	return issuer;
 }
 
+/*
+ * The issuer may have received the call through another instance, so its outcome
+ * is not known here.
+ */
+static void refuse_to_forward(entry_t *entry, void *caller_ref)
+{
+	catk_error_t error;
+
+	catk_error_set(&error, CATK_UNAVAILABLE, OUTCOME_UNKNOWN,
+		       "this instance is shutting down and cannot wait for the "
+		       "issuer of the request id: send the call again with the "
+		       "same request id to another instance");
+	entry_answer_error(entry, caller_ref, &error);
+}
+
 gboolean entry_forward_call(entry_t *entry, const call_request_t *request,
 			    const request_id_t *id, GTimeSpan max_remaining)
 {
@@ -198,6 +213,11 @@
 	if (!issuer || g_hash_table_contains(entry->peers->peer_calls_by_ref,
 					     request->caller_ref))
 		return FALSE;
+	if (!entry_may_wait_until(entry, entry_now(entry) + remaining +
+						 FORWARD_GRACE)) {
+		refuse_to_forward(entry, request->caller_ref);
+		return TRUE;
+	}
 	forward = add_forward(entry, request->caller_ref, issuer, remaining);
 	counters_add(entry->counters, COUNTER_CALLS_FORWARDED, 1);
 	message.u.call.number = forward->number;
@@ -410,6 +430,14 @@
 	subscription_remove_connection(entry->subscription, connection);
 }
 
+void entry_end_forwarded_calls(entry_t *entry)
+{
+	while (!TAILQ_EMPTY(&entry->peers->forwards))
+		finish_forward_unknown(entry,
+				       TAILQ_FIRST(&entry->peers->forwards),
+				       CATK_OUTCOME_UNKNOWN);
+}
+
 void entry_outbound_peer_lost(entry_t *entry, const char *address)
 {
 	forward_t *forward, *next;
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -490,14 +490,86 @@
 {
 	fixture_t *f = *state;
 
+	call_method(f, 1, "status", 1, 1);
 	entry_shutdown(f->entry, "test");
 	f->now += SHUTDOWN_MAX;
-	call_method(f, 1, "status", 1, 1);
 	assert_true(entry_is_shutdown_complete(f->entry));
 	entry_end_shutdown(f->entry, 0);
 	assert_int_equal(f->counters.value[COUNTER_CALLS_CUT_AT_SHUTDOWN], 1);
 }
 
+/* Starts a shutdown that must end within that time. */
+static void shut_down_within(fixture_t *f, GTimeSpan max)
+{
+	const entry_limits_t limits = { .retry_percent = 100,
+					.resolve_ttl = RESOLVE_TTL,
+					.resolve_addresses = 1,
+					.shutdown_max = max };
+
+	entry_update_limits(f->entry, &limits);
+	entry_shutdown(f->entry, "test");
+}
+
+/* Fails if a call is taken that the end of a shutdown may cut. */
+static void late_call_in_a_shutdown_is_refused(void **state)
+{
+	fixture_t *f = *state;
+
+	shut_down_within(f, 2 * BOOK_DEADLINE);
+	advance(f, BOOK_DEADLINE);
+	call_book(f, 1, 1);
+	assert_int_equal(f->started, 1);
+	end_last_attempt(f, ATTEMPT_ANSWERED);
+	assert_answered(f, 1, CATK_OK, OUTCOME_RAN);
+	advance(f, 1);
+	call_book(f, 2, 2);
+	assert_answered(f, 2, CATK_UNAVAILABLE, OUTCOME_NOT_RUN);
+	call_book(f, 3, 2);
+	assert_answered(f, 3, CATK_CONFLICT, OUTCOME_NOT_RUN);
+	assert_int_equal(f->started, 1);
+}
+
+/* Fails if a call that waits when a shutdown starts is cut or held by it. */
+static void queued_call_is_refused_when_a_shutdown_starts(void **state)
+{
+	fixture_t *f = *state;
+
+	call_book(f, 1, 1);
+	call_book(f, 2, 2);
+	assert_int_equal(f->started, 1);
+	shut_down_within(f, BOOK_DEADLINE / 2);
+	assert_answered(f, 2, CATK_UNAVAILABLE, OUTCOME_NOT_RUN);
+	end_last_attempt(f, ATTEMPT_ANSWERED);
+	assert_answered(f, 1, CATK_OK, OUTCOME_RAN);
+	assert_int_equal(f->started, 1);
+}
+
+/* Fails if a call is sent again so late that a shutdown may cut it. */
+static void refused_attempt_is_not_repeated_late_in_a_shutdown(void **state)
+{
+	fixture_t *f = *state;
+
+	call_book(f, 1, 1);
+	shut_down_within(f, BOOK_DEADLINE / 2);
+	end_last_attempt(f, ATTEMPT_SHED);
+	advance(f, REFUSAL_BACKOFF_MAX);
+	assert_answered(f, 1, CATK_UNAVAILABLE, OUTCOME_NOT_RUN);
+	assert_int_equal(f->started, 1);
+}
+
+/* Fails if a reload that shortens a shutdown cuts the calls that it took. */
+static void reload_does_not_move_the_end_of_a_shutdown(void **state)
+{
+	fixture_t *f = *state;
+
+	shut_down_within(f, 4 * BOOK_DEADLINE);
+	call_book(f, 1, 1);
+	shut_down_within(f, 0);
+	assert_false(entry_is_shutdown_complete(f->entry));
+	end_last_attempt(f, ATTEMPT_ANSWERED);
+	assert_answered(f, 1, CATK_OK, OUTCOME_RAN);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
@@ -519,6 +591,10 @@
 		TEST(refusal_outlasts_a_schema_change),
 		TEST(shutdown_waits_for_calls),
 		TEST(shutdown_is_bounded),
+		TEST(late_call_in_a_shutdown_is_refused),
+		TEST(queued_call_is_refused_when_a_shutdown_starts),
+		TEST(refused_attempt_is_not_repeated_late_in_a_shutdown),
+		TEST(reload_does_not_move_the_end_of_a_shutdown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
