Answer every request in progress before a shutdown closes its connection

With several requests of a caller in progress on one connection, a shutdown closed it after the first answer. The others had been passed on to endpoints and were lost, safe requests only, as no other is sent behind an unanswered one.

The server ends a connection after the last request that it has taken: from the first answer in a shutdown on it takes no more, answers those in progress in order, and says Connection: close in the last answer.

test_platform/pipelined_requests_are_answered_in_a_shutdown fails before (the answers of the second and third request are missing) and passes; test_http_server/requests_in_progress_are_answered_before_a_close.

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -23,7 +23,7 @@
 	TAILQ_HEAD(exchange_list, http_exchange) exchanges; /* oldest first */
 	guint exchange_count;
 	GTimeSpan timer_start; /* last response or first byte of a request */
-	gboolean closing; /* no further requests are accepted */
+	gboolean closing; /* accepts no requests, ends with the last response */
 	gboolean lingering; /* the last response was written */
 	gboolean parsing; /* defers connection_free() */
 	gboolean closed; /* freed after parsing */
@@ -35,7 +35,7 @@
 	http_message_t *request;
 	void *user_data;
 	GString *response; /* NULL until the handler replied */
-	gboolean close_after; /* close the connection after the response */
+	gsize headers_end; /* offset in the response */
 };
 
 struct http_server {
@@ -111,25 +111,30 @@
 	stream_set_reading(connection->stream, TRUE);
 }
 
+/* Announces the end of the connection in its last response. */
+static void write_response(connection_t *connection, http_exchange_t *exchange)
+{
+	if (connection->closing && !TAILQ_NEXT(exchange, link))
+		g_string_insert(exchange->response,
+				(gssize)exchange->headers_end,
+				"Connection: close\r\n");
+	stream_write(connection->stream, exchange->response->str,
+		     exchange->response->len);
+	connection->timer_start = connection_now(connection);
+}
+
 /* Writes the responses that have no earlier one pending. */
 static void write_ready_responses(connection_t *connection)
 {
-	http_exchange_t *exchange;
-	gboolean close_after = FALSE;
-
-	while (!close_after &&
-	       (exchange = TAILQ_FIRST(&connection->exchanges)) &&
-	       exchange->response) {
-		stream_write(connection->stream, exchange->response->str,
-			     exchange->response->len);
-		close_after = exchange->close_after;
-		connection->timer_start = connection_now(connection);
+	http_exchange_t *exchange = TAILQ_FIRST(&connection->exchanges);
+
+	while (exchange && exchange->response) {
+		write_response(connection, exchange);
 		exchange_free(exchange);
+		exchange = TAILQ_FIRST(&connection->exchanges);
 	}
-	if (close_after && !connection->lingering) {
-		connection->closing = TRUE;
+	if (connection->closing && !exchange && !connection->lingering)
 		start_lingering(connection);
-	}
 }
 
 static void update_reading(connection_t *connection)
@@ -148,12 +153,13 @@
 	gconstpointer data = body ? g_bytes_get_data(body, &size) : NULL;
 
 	exchange->response = g_string_sized_new(size + 512);
-	g_string_append_printf(
-		exchange->response,
-		"HTTP/1.1 %u %s\r\n%sContent-Length: "
-		"%" G_GSIZE_FORMAT "\r\n%s\r\n",
-		status, http_reason_phrase(status), headers, size,
-		exchange->close_after ? "Connection: close\r\n" : "");
+	g_string_append_printf(exchange->response,
+			       "HTTP/1.1 %u %s\r\n%sContent-Length: "
+			       "%" G_GSIZE_FORMAT "\r\n",
+			       status, http_reason_phrase(status), headers,
+			       size);
+	exchange->headers_end = exchange->response->len;
+	g_string_append(exchange->response, "\r\n");
 	if (size)
 		g_string_append_len(exchange->response, data, (gssize)size);
 }
@@ -165,9 +171,8 @@
 	const http_server_events_t *events = &connection->server->events;
 
 	g_assert(!exchange->response);
-	if (events->closing(events->ctx) ||
-	    (exchange->request && !exchange->request->keep_alive))
-		exchange->close_after = TRUE;
+	if (events->closing(events->ctx))
+		connection->closing = TRUE;
 	format_response(exchange, status, headers, body);
 	if (connection->closed)
 		return;
@@ -211,7 +216,6 @@
 	http_exchange_t *exchange = add_exchange(connection, NULL);
 
 	connection->closing = TRUE;
-	exchange->close_after = TRUE;
 	http_exchange_reply(exchange, status, "", NULL);
 }
 
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -29,7 +29,10 @@
 	void (*disconnected)(void *ctx, http_exchange_t *exchange);
 	/* Returns the limits for the next request. */
 	schema_request_limits_t (*limits)(void *ctx);
-	/* TRUE if each connection must be closed with its next response. */
+	/*
+	 * TRUE if a connection accepts no more requests from its next response
+	 * on, and is closed after those in progress are answered.
+	 */
 	gboolean (*closing)(void *ctx);
 	void *ctx;
 } http_server_events_t;
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -18,13 +18,15 @@
 
 #define IDLE_TIMEOUT_MS 300
 #define TIMEOUT_CHECK_MS 300 /* a little above the server's interval */
+#define REQUESTS_MAX 4
 #define LARGE_BODY_BYTES (16 << 20) /* more than the kernel's buffers hold */
 #define REQUEST "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 
 typedef struct {
 	http_server_t *server;
 	GSocket *client;
-	http_exchange_t *exchange; /* the last request, without its response */
+	/* Without a response, in the order of arrival. */
+	http_exchange_t *exchanges[REQUESTS_MAX];
 	guint requests;
 	gboolean closing;
 } fixture_t;
@@ -33,8 +35,7 @@
 {
 	fixture_t *f = ctx;
 
-	f->requests++;
-	f->exchange = exchange;
+	f->exchanges[f->requests++] = exchange;
 }
 
 static void on_disconnected(void *ctx, http_exchange_t *exchange)
@@ -110,12 +111,11 @@
 			 strlen(text));
 }
 
-static void reply_with(fixture_t *f, gsize size)
+static void reply_with(fixture_t *f, guint index, gsize size)
 {
 	GBytes *body = g_bytes_new_take(g_malloc0(size), size);
 
-	http_exchange_reply(f->exchange, 200, "", body);
-	f->exchange = NULL;
+	http_exchange_reply(f->exchanges[index], 200, "", body);
 	g_bytes_unref(body);
 }
 
@@ -145,7 +145,7 @@
 	send_text(f, REQUEST);
 	run_loop_for(100);
 	assert_int_equal(f->requests, 1);
-	reply_with(f, 1);
+	reply_with(f, 0, 1);
 }
 
 /* Fails if a stop discards a request that has just arrived. */
@@ -159,7 +159,7 @@
 	run_loop_for(100);
 	assert_int_equal(f->requests, 1);
 	assert_false(http_server_is_idle(f->server));
-	reply_with(f, 1);
+	reply_with(f, 0, 1);
 	assert_true(read_to_end(f) > 0);
 }
 
@@ -187,7 +187,7 @@
 	send_text(f, REQUEST);
 	run_loop_for(50);
 	http_server_stop(f->server);
-	reply_with(f, LARGE_BODY_BYTES);
+	reply_with(f, 0, LARGE_BODY_BYTES);
 	run_loop_for(50);
 	assert_false(http_server_is_idle(f->server));
 	assert_true(read_to_end(f) > LARGE_BODY_BYTES);
@@ -196,6 +196,25 @@
 	assert_true(http_server_is_idle(f->server));
 }
 
+/* Fails if a close after one response drops the requests behind it. */
+static void requests_in_progress_are_answered_before_a_close(void **state)
+{
+	fixture_t *f = *state;
+
+	send_text(f, REQUEST REQUEST REQUEST);
+	run_loop_for(50);
+	assert_int_equal(f->requests, 3);
+	f->closing = TRUE;
+	reply_with(f, 0, 1000);
+	reply_with(f, 2, 1000);
+	run_loop_for(50);
+	send_text(f, REQUEST);
+	run_loop_for(50);
+	assert_int_equal(f->requests, 3);
+	reply_with(f, 1, 1000);
+	assert_true(read_to_end(f) > 3 * 1000);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
@@ -205,6 +224,7 @@
 		TEST(request_that_meets_a_stop_is_read),
 		TEST(stop_closes_idle_connections),
 		TEST(stop_waits_until_the_last_response_is_read),
+		TEST(requests_in_progress_are_answered_before_a_close),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -949,6 +949,36 @@
 	g_free(answer);
 }
 
+/* Fails if a shutdown answers only the first of several requests in progress. */
+static void pipelined_requests_are_answered_in_a_shutdown(void **state)
+{
+	static const char *const paths[] = { "/safe/1", "/safe/slow",
+					     "/safe/2" };
+	fixture_t *f = *state;
+	GSocketConnection *connection = open_connection(test_port(PROXY_PORT));
+	const char *closing;
+	char *answers;
+	guint i;
+
+	process_signal(f->daemon, SIGTERM);
+	run_loop_for(100);
+	for (i = 0; i < G_N_ELEMENTS(paths); i++) {
+		char *request = request_text(f, "GET", paths[i], "");
+
+		send_bytes(connection, request);
+		g_free(request);
+	}
+	answers = read_answers(connection, G_N_ELEMENTS(paths));
+	closing = strstr(answers, "Connection: close");
+	assert_non_null(strstr(answers, "GET /safe/2"));
+	assert_non_null(closing);
+	assert_null(strstr(closing + 1, "Connection: close"));
+	assert_true(closing > strstr(answers, "GET /safe/slow"));
+	assert_int_equal(process_wait(f->daemon), 0);
+	g_object_unref(connection);
+	g_free(answers);
+}
+
 /* Fails if a signal or a reload in a shutdown moves its end or cuts a call. */
 static void signals_during_a_shutdown_cut_no_call(void **state)
 {
@@ -1071,6 +1101,7 @@
 		TEST(shutdown_under_traffic_meets_its_deadline),
 		TEST(every_request_during_a_shutdown_is_answered),
 		TEST(operator_drain_closes_kept_connections),
+		TEST(pipelined_requests_are_answered_in_a_shutdown),
 		TEST(signals_during_a_shutdown_cut_no_call),
 		TEST(shutdown_before_the_first_configuration_ends),
 		TEST(restarted_instance_serves_requests),
