--- a/codec/settings_json.c
+++ b/codec/settings_json.c
@@ -115,7 +115,7 @@
 	{ "termination_grace_s", offsetof(settings_t, termination_grace),
 	  FIELD_SECONDS, 0, 3600, 0, "s",
 	  "time after SIGTERM at which the process is killed, 0 for unknown; a "
-	  "shutdown ends 0.5 s before" },
+	  "shutdown ends 0.5 s before, or an eighth of it if that is less" },
 	{ "resolve_ttl_max_s", offsetof(settings_t, resolve_ttl_max),
 	  FIELD_SECONDS, 0, 600, 0, "s",
 	  "longest time for which callers use resolved addresses, 0 for "
@@ -140,7 +140,8 @@
  * Time between the end of a shutdown and the kill of the process: the last
  * answers are written, and the process frees its memory and exits.
  */
-#define TERMINATION_RESERVE (500 * G_TIME_SPAN_MILLISECOND)
+#define TERMINATION_RESERVE_MAX (500 * G_TIME_SPAN_MILLISECOND)
+#define TERMINATION_RESERVE_DIVISOR 8 /* of a short grace */
 
 static void set_integer(settings_t *settings, const numeric_key_t *key,
 			gint64 value)
@@ -218,12 +219,13 @@
 static void limit_times(settings_t *settings)
 {
 	entry_limits_t *entry = &settings->entry;
+	GTimeSpan grace = settings->termination_grace;
 
-	if (settings->termination_grace)
-		entry->shutdown_max = MIN(
-			entry->shutdown_max,
-			MAX(settings->termination_grace - TERMINATION_RESERVE,
-			    0));
+	if (grace)
+		entry->shutdown_max =
+			MIN(entry->shutdown_max,
+			    grace - MIN(TERMINATION_RESERVE_MAX,
+					grace / TERMINATION_RESERVE_DIVISOR));
 	if (settings->resolve_ttl_max)
 		entry->resolve_ttl =
 			MIN(entry->resolve_ttl, settings->resolve_ttl_max);
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -141,7 +141,7 @@
 	fixture_t *f = *state;
 
 	/* The loop does not run meanwhile, so both are due in one iteration. */
-	g_usleep((IDLE_TIMEOUT_MS + TIMEOUT_CHECK_MS) * 1000);
+	g_usleep((gulong)(IDLE_TIMEOUT_MS + TIMEOUT_CHECK_MS) * 1000);
 	send_text(f, REQUEST);
 	run_loop_for(100);
 	assert_int_equal(f->requests, 1);
@@ -212,7 +212,7 @@
 	run_loop_for(50);
 	assert_int_equal(f->requests, 3);
 	reply_with(f, 1, 1000);
-	assert_true(read_to_end(f) > 3 * 1000);
+	assert_true(read_to_end(f) > 3000);
 }
 
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
--- a/tests/test_settings_json.c
+++ b/tests/test_settings_json.c
@@ -37,8 +37,9 @@
 	(void)state;
 	assert_shutdown_max("", 60000 * MS);
 	assert_shutdown_max(",\"termination_grace_s\":6", 5500 * MS);
-	assert_shutdown_max(",\"termination_grace_s\":2.75", 2250 * MS);
-	assert_shutdown_max(",\"termination_grace_s\":0.2", 0);
+	assert_shutdown_max(",\"termination_grace_s\":4.5", 4000 * MS);
+	assert_shutdown_max(",\"termination_grace_s\":2", 1750 * MS);
+	assert_shutdown_max(",\"termination_grace_s\":0.2", 175 * MS);
 	assert_shutdown_max(
 		",\"termination_grace_s\":6,\"shutdown_max_ms\":3000",
 		3000 * MS);
