Report a reset that a write noticed as a reset

A caller could get a 200 with a short body, framed as whole: an endpoint answers before it has read a long request, its answer has no length, and it resets the connection in the middle of the answer.

The kernel reports the error of a socket once. When the answer and the reset have arrived, one dispatch reads the answer and then writes more of the request; send() gets ECONNRESET, and the next recv() returns 0, which was taken as the end of a response without a length. The new test got HTTP_CLIENT_COMPLETED for the body "short", in the first of its three cases.

The stream remembers that a write failed with another error than EPIPE, and reports the 0 of the read as a reset. EPIPE means that the peer had closed its sending side before, so that the response has ended. The test now gets HTTP_CLIENT_DISCONNECTED in all cases.

--- a/net/stream.c
+++ b/net/stream.c
@@ -31,6 +31,7 @@
 	gboolean reading;
 	gboolean shutdown_pending; /* shut down writing after a flush */
 	gboolean write_failed; /* reported by the next dispatch */
+	gboolean write_was_reset; /* a read no longer reports the reset */
 	gboolean ended;
 	gboolean dispatching;
 	gboolean free_pending; /* freed at the end of the dispatch */
@@ -92,6 +93,8 @@
 	if (size < 0 && errno != EAGAIN && errno != EINTR) {
 		/* Reported from the loop: a write must not call back. */
 		stream->write_failed = TRUE;
+		/* EPIPE: the peer had closed its sending side before. */
+		stream->write_was_reset = errno != EPIPE;
 	} else if (size > 0) {
 		stream->bytes_sent += (guint64)size;
 		g_byte_array_remove_range(stream->write_buffer, 0, (guint)size);
@@ -124,7 +127,8 @@
 	if (size > 0)
 		stream->events.received(stream->events.ctx, data, (gsize)size);
 	else if (size == 0)
-		end_stream(stream, STREAM_EOF);
+		end_stream(stream,
+			   stream->write_was_reset ? STREAM_RESET : STREAM_EOF);
 	else if (errno != EAGAIN && errno != EINTR)
 		end_stream(stream, STREAM_RESET);
 }
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -8,18 +8,23 @@
 #include <stdint.h>
 #include <cmocka.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "net/address.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/system_clock.h"
 #include "tests/support.h"
+#include "tests/support_answers.h"
 
-enum { SERVER_PORT = 720, CLOSED_PORT = 721 };
+enum { SERVER_PORT = 720, CLOSED_PORT = 721, ANSWER_PORT = 722 };
 
 #define REQUESTS_MAX 8
 #define HEADER_BYTES_MAX 1000
 #define BODY_BYTES_MAX 5000
+#define LARGE_REQUEST_BYTES (16 << 20) /* more than the kernel buffers */
+#define SMALL_PIECE_BYTES 7
+#define SIGNATURE "3e1b.07.5a2"
 
 typedef struct {
 	http_server_t *server;
@@ -33,6 +38,10 @@
 	guint ended;
 	http_client_end_t ends[REQUESTS_MAX]; /* by request id */
 	gboolean reused[REQUESTS_MAX];
+	const char *response_id; /* that responses must have, NULL for any */
+	answer_server_t *answers; /* NULL unless a test starts it */
+	GBytes *body; /* of the last response, NULL if it is not complete */
+	gboolean has_signature; /* it has the whole signature */
 } fixture_t;
 
 static void reply(const fixture_t *f, http_exchange_t *exchange)
@@ -74,17 +83,28 @@
 	f->ended++;
 	f->ends[id] = result->end;
 	f->reused[id] = result->reused;
+	g_clear_pointer(&f->body, g_bytes_unref);
+	f->has_signature = FALSE;
+	if (!result->response)
+		return;
+	f->body = g_bytes_ref(result->response->body);
+	f->has_signature =
+		g_strcmp0(http_message_header(result->response,
+					      "X-Response-Signature"),
+			  SIGNATURE) == 0;
 }
 
 static gboolean on_response_matches(void *ctx, guint64 id,
 				    const http_message_t *response,
 				    gboolean reused)
 {
-	(void)ctx;
+	const fixture_t *f = ctx;
+
 	(void)id;
-	(void)response;
 	(void)reused;
-	return TRUE;
+	return !f->response_id ||
+	       g_strcmp0(http_message_header(response, "X-Request-Id"),
+			 f->response_id) == 0;
 }
 
 static gchar *address_of(guint offset)
@@ -124,6 +144,8 @@
 
 	http_client_free(f->client);
 	http_server_free(f->server);
+	answer_server_free(f->answers);
+	g_clear_pointer(&f->body, g_bytes_unref);
 	g_free(f);
 	return 0;
 }
@@ -264,6 +286,69 @@
 	assert_int_equal(f->ended, 0);
 }
 
+/* Sends a request whose body the kernel cannot buffer as a whole. */
+static void send_large_request(fixture_t *f)
+{
+	gchar *address = address_of(ANSWER_PORT);
+	gchar *body = g_strnfill(LARGE_REQUEST_BYTES, 'x');
+	http_client_request_t request = {
+		.id = 1,
+		.address = address,
+		.message = g_string_new(NULL),
+	};
+
+	g_string_printf(request.message,
+			"PUT /x HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s",
+			LARGE_REQUEST_BYTES, body);
+	http_client_send(f->client, &request);
+	g_string_free(request.message, TRUE);
+	g_free(body);
+	g_free(address);
+}
+
+/*
+ * Answers before the request was read, and resets the connection so that the
+ * client finds answer and reset at once.
+ */
+static void answer_and_reset(GSocket *listener, const char *answer)
+{
+	const struct linger linger = { .l_onoff = 1 };
+	GSocket *socket = g_socket_accept(listener, NULL, NULL);
+
+	run_loop_for(20);
+	assert_true(g_socket_send(socket, answer, strlen(answer), NULL, NULL) >
+		    0);
+	setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &linger,
+		   sizeof(linger));
+	g_object_unref(socket);
+}
+
+/*
+ * Fails if a response without a length counts as complete after a reset that
+ * the client learns of from a write.
+ */
+static void reset_during_a_write_is_no_end_of_a_response(void **state)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 200 OK\r\n\r\nshort",
+		"HTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Le",
+	};
+	gchar *address = address_of(ANSWER_PORT);
+	GSocket *listener = address_listen(address, NULL);
+	fixture_t *f = *state;
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(answers); i++) {
+		send_large_request(f);
+		answer_and_reset(listener, answers[i]);
+		run_until_ended(f, i + 1);
+		assert_int_equal(f->ends[1], HTTP_CLIENT_DISCONNECTED);
+	}
+	g_object_unref(listener);
+	g_free(address);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
@@ -276,6 +361,7 @@
 		TEST(silent_server_times_out),
 		TEST(large_response_is_rejected),
 		TEST(cancelled_request_closes_its_connection),
+		TEST(reset_during_a_write_is_no_end_of_a_response),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
