Test the client of the store with answers cut at every byte

A cut list that counts as a whole, shorter one would remove endpoints, and a cut watch would lose changes. Lists and watches with a length, with chunks and without either, cut at every byte by close and by reset, read at once or in pieces of 7 bytes: each was FEED_FAILED, with no objects, unless it was whole. The tests land as guards. A list without a length that ends with its connection is whole only if its JSON is.

--- a/tests/support_answers.c
+++ b/tests/support_answers.c
@@ -81,6 +81,10 @@
 
 static void start_answer(connection_t *connection)
 {
+	/* The reader was faster than the end of the last answer. */
+	if (connection->sender)
+		g_source_remove(connection->sender);
+	connection->sender = 0;
 	connection->answer = connection->server->answer;
 	connection->sent = 0;
 	if (connection->answer.piece) {
