Test what the HTTP server leaves when it ends within a response

A response of 16 MiB that the end of the server cuts has its whole length in its head and is shorter, and a response that waits for an earlier one is not sent in its place. The tests land as guards.

--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -22,7 +22,7 @@
 #define REQUESTS_MAX 8
 #define HEADER_BYTES_MAX 1000
 #define BODY_BYTES_MAX 5000
-#define LARGE_REQUEST_BYTES (16 << 20) /* more than the kernel buffers */
+#define LARGE_BODY_BYTES (16 << 20) /* more than the kernel buffers */
 #define SMALL_PIECE_BYTES 7
 #define SIGNATURE "3e1b.07.5a2"
 
@@ -290,7 +290,7 @@
 static void send_large_request(fixture_t *f)
 {
 	gchar *address = address_of(ANSWER_PORT);
-	gchar *body = g_strnfill(LARGE_REQUEST_BYTES, 'x');
+	gchar *body = g_strnfill(LARGE_BODY_BYTES, 'x');
 	http_client_request_t request = {
 		.id = 1,
 		.address = address,
@@ -299,7 +299,7 @@
 
 	g_string_printf(request.message,
 			"PUT /x HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s",
-			LARGE_REQUEST_BYTES, body);
+			LARGE_BODY_BYTES, body);
 	http_client_send(f->client, &request);
 	g_string_free(request.message, TRUE);
 	g_free(body);
@@ -497,6 +497,78 @@
 	}
 }
 
+/* Sends text to the HTTP server and serves for 50 ms. */
+static GSocket *send_to_server(const char *text)
+{
+	gchar *address = address_of(SERVER_PORT);
+	GSocketAddress *to = address_parse(address, NULL);
+	GSocket *socket = g_socket_new(G_SOCKET_FAMILY_IPV4,
+				       G_SOCKET_TYPE_STREAM,
+				       G_SOCKET_PROTOCOL_TCP, NULL);
+
+	assert_true(g_socket_connect(socket, to, NULL, NULL));
+	assert_int_equal(g_socket_send(socket, text, strlen(text), NULL, NULL),
+			 strlen(text));
+	run_loop_for(50);
+	g_object_unref(to);
+	g_free(address);
+	return socket;
+}
+
+/* Reads to the end of the connection and frees the socket. */
+static GString *read_to_end(GSocket *socket)
+{
+	GString *text = g_string_new(NULL);
+	char data[65536];
+	gssize size;
+
+	while ((size = g_socket_receive(socket, data, sizeof(data), NULL,
+					NULL)) > 0)
+		g_string_append_len(text, data, size);
+	g_object_unref(socket);
+	return text;
+}
+
+#define GET "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+/* Fails if a response looks complete that the end of the server cuts. */
+static void response_cut_by_the_server_has_its_full_length(void **state)
+{
+	fixture_t *f = *state;
+	GSocket *socket;
+	GString *text;
+
+	f->body_size = LARGE_BODY_BYTES;
+	socket = send_to_server(GET);
+	http_server_free(f->server);
+	f->server = NULL;
+	text = read_to_end(socket);
+	assert_true(text->len > 0 && text->len < LARGE_BODY_BYTES);
+	assert_non_null(strstr(text->str, "\r\nContent-Length: 16777216\r\n"));
+	assert_null(strstr(text->str, "Transfer-Encoding"));
+	g_string_free(text, TRUE);
+}
+
+/* Fails if a later response takes the place of one that is missing. */
+static void missing_response_is_not_replaced_by_a_later_one(void **state)
+{
+	fixture_t *f = *state;
+	GSocket *socket;
+	GString *text;
+
+	f->silent = TRUE;
+	socket = send_to_server(GET GET GET);
+	assert_int_equal(f->served, 3);
+	reply(f, f->exchanges[1]);
+	reply(f, f->exchanges[2]);
+	run_loop_for(50);
+	http_server_free(f->server);
+	f->server = NULL;
+	text = read_to_end(socket);
+	assert_int_equal(text->len, 0);
+	g_string_free(text, TRUE);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
@@ -511,6 +583,8 @@
 		TEST(cancelled_request_closes_its_connection),
 		TEST(cut_response_is_never_complete),
 		TEST(response_in_single_bytes_is_complete),
+		TEST(response_cut_by_the_server_has_its_full_length),
+		TEST(missing_response_is_not_replaced_by_a_later_one),
 		TEST(reset_during_a_write_is_no_end_of_a_response),
 	};
 
