Reject cut responses that libsoup takes for whole ones

Callers of the API got a success with a short body, framed as whole, when an endpoint stopped within a chunked response and closed the connection: libsoup takes the end of the connection between two chunks, or within the line of a chunk, for the end of the body. It also takes the end of the connection behind a line of a head for the end of the head: an empty response counted as whole though its head was cut, a cut head of a 503 as proof that the call has not run, and the load in a cut head as a report.

The new tests cut responses at every byte. Before, 6 places of a chunked 200 ended as ATTEMPT_ANSWERED, 3 of a 503 as ATTEMPT_SHED, 2 of a 500 without a body as ATTEMPT_ANSWERED, and cut responses to attempts and probes gave a load. All by close; none by reset.

libsoup offers no sign of what it read last, but the connection does: it has ended when libsoup took its end for that of the response. A response without a body or with chunks is whole only if its connection is still open when its body has been read, which one recv() with MSG_PEEK tells. A response with a length and a body needs no check. The cost: a whole response, chunked or empty, is rejected if the endpoint closes its connection so early that the end is seen with it; its outcome is then unknown.

--- a/net/upstream_client.c
+++ b/net/upstream_client.c
@@ -6,6 +6,7 @@
 
 #include "codec/json_untrusted.h"
 #include "lib/common/intrusive.h"
+#include "net/soup_sockets.h"
 #include "net/system_clock.h"
 #include "net/upstream_pools.h"
 
@@ -46,6 +47,7 @@
 	guint write_count; /* times that libsoup began to write the request */
 	gboolean headers_received; /* of the response */
 	gboolean body_ended; /* the body was read to its end */
+	gboolean is_whole; /* and the response was not cut */
 	gboolean rejected; /* the response is mismatched or too large */
 	gboolean attempt_unknown; /* a cancel query returned this state */
 	gboolean abandoned; /* the result was reported or is not needed */
@@ -58,6 +60,7 @@
 	char *instance;
 	gsize response_bytes_max;
 	upstream_pools_t *pools;
+	soup_sockets_t *sockets; /* of all sessions */
 	SoupSession *cancel_query_session; /* a connection for each query */
 	TAILQ_HEAD(exchange_list, exchange) exchanges;
 	guint timer; /* source that is active while there are exchanges */
@@ -73,6 +76,7 @@
 	client->instance = g_strdup(instance);
 	client->response_bytes_max = response_bytes_max;
 	client->pools = upstream_pools_new();
+	client->sockets = soup_sockets_new();
 	client->cancel_query_session =
 		soup_session_new_with_options("proxy-resolver", NULL, NULL);
 	TAILQ_INIT(&client->exchanges);
@@ -111,6 +115,7 @@
 	soup_session_abort(client->cancel_query_session);
 	g_object_unref(client->cancel_query_session);
 	upstream_pools_free(client->pools);
+	soup_sockets_free(client->sockets);
 	g_free(client->instance);
 	g_free(client);
 }
@@ -191,17 +196,12 @@
 
 static gboolean is_body_complete(const exchange_t *exchange)
 {
-	SoupMessageHeaders *headers =
-		soup_message_get_response_headers(exchange->message);
+	SoupEncoding encoding = soup_message_headers_get_encoding(
+		soup_message_get_response_headers(exchange->message));
 
-	if (!exchange->body_ended)
-		return FALSE;
-	if (soup_message_headers_get_encoding(headers) !=
-	    SOUP_ENCODING_CONTENT_LENGTH)
-		return soup_message_headers_get_encoding(headers) ==
-		       SOUP_ENCODING_CHUNKED;
-	return (goffset)exchange->body->len ==
-	       soup_message_headers_get_content_length(headers);
+	return exchange->body_ended && exchange->is_whole &&
+	       (encoding == SOUP_ENCODING_CONTENT_LENGTH ||
+		encoding == SOUP_ENCODING_CHUNKED);
 }
 
 static gboolean is_shed(const exchange_t *exchange)
@@ -249,7 +249,7 @@
 		.body = body,
 	};
 
-	result.has_report = exchange->body_ended && !exchange->rejected &&
+	result.has_report = is_body_complete(exchange) && !exchange->rejected &&
 			    read_report(exchange->message, &result.report);
 	exchange->abandoned = TRUE;
 	client->events.attempt_ended(client->events.ctx, &result);
@@ -268,7 +268,8 @@
 {
 	upstream_client_t *client = exchange->client;
 	load_report_t report;
-	gboolean has_report = exchange->body_ended && !exchange->rejected &&
+	gboolean has_report = is_body_complete(exchange) &&
+			      !exchange->rejected &&
 			      read_report(exchange->message, &report);
 
 	client->events.probe_ended(client->events.ctx, exchange->service,
@@ -365,6 +366,10 @@
 		return;
 	}
 	exchange->body_ended = size == 0;
+	exchange->is_whole = exchange->client &&
+			     soup_sockets_has_whole_response(
+				     exchange->client->sockets,
+				     exchange->message, exchange->body->len);
 	close_body(exchange);
 }
 
@@ -447,6 +452,7 @@
 			 exchange);
 	g_signal_connect(exchange->message, "got-headers",
 			 G_CALLBACK(on_got_headers), exchange);
+	soup_sockets_track(client->sockets, exchange->message);
 	TAILQ_INSERT_TAIL(&client->exchanges, exchange, link);
 	if (!client->timer)
 		client->timer =
--- a/tests/test_upstream_client.c
+++ b/tests/test_upstream_client.c
@@ -22,6 +22,7 @@
 typedef enum {
 	SERVER_RESPONDS,
 	SERVER_RESPONDS_AND_CLOSES,
+	SERVER_RESPONDS_AND_RESETS,
 	SERVER_CLOSES_UNREAD, /* once a request arrives, without reading it */
 	SERVER_CLOSES_HALFWAY, /* after reading the first bytes */
 	SERVER_CLOSES_AFTER_READ, /* with FIN */
@@ -43,6 +44,7 @@
 	char address[32];
 	behaviour_t behaviour;
 	const char *response_format; /* raw, with %s for the attempt id */
+	gsize response_bytes; /* send at most that many of the response */
 	const char *attempt_state; /* in the response to a cancellation */
 	guint connection_count; /* connections accepted */
 	char *last_request; /* the last request that got a response */
@@ -86,12 +88,18 @@
 
 static void send_response(connection_t *connection, const char *format)
 {
+	const fixture_t *fixture = connection->fixture;
+	/* Probes have none. */
 	const char *id = strstr(connection->request->str, "Attempt-Id: ");
-	gchar **parts = g_strsplit_set(id + strlen("Attempt-Id: "), "\r", 2);
+	gchar **parts =
+		g_strsplit_set(id ? id + strlen("Attempt-Id: ") : "", "\r", 2);
 	GString *text = g_string_new(format);
 
-	g_string_replace(text, "%s", parts[0], 0);
-	g_socket_send(connection->socket, text->str, text->len, NULL, NULL);
+	g_string_replace(text, "%s", parts[0] ? parts[0] : "", 0);
+	g_string_truncate(text, MIN(text->len, fixture->response_bytes));
+	if (text->len)
+		g_socket_send(connection->socket, text->str, text->len, NULL,
+			      NULL);
 	g_string_free(text, TRUE);
 	g_strfreev(parts);
 }
@@ -127,8 +135,10 @@
 		fixture->last_request = g_strdup(connection->request->str);
 		send_response(connection, fixture->response_format);
 	}
-	if (fixture->behaviour == SERVER_RESPONDS_AND_CLOSES) {
-		connection_free(connection, FALSE);
+	if (fixture->behaviour == SERVER_RESPONDS_AND_CLOSES ||
+	    fixture->behaviour == SERVER_RESPONDS_AND_RESETS) {
+		connection_free(connection, fixture->behaviour ==
+						    SERVER_RESPONDS_AND_RESETS);
 		return FALSE;
 	}
 	g_string_truncate(connection->request, 0);
@@ -196,10 +206,22 @@
 	fixture->report = result->report;
 }
 
+static void on_probe_ended(void *ctx, const char *service, const char *endpoint,
+			   const load_report_t *report)
+{
+	fixture_t *fixture = ctx;
+
+	(void)service;
+	(void)endpoint;
+	fixture->ended = TRUE;
+	fixture->has_report = report != NULL;
+}
+
 static int set_up(void **state)
 {
 	fixture_t *fixture = g_new0(fixture_t, 1);
 	upstream_client_events_t events = { .attempt_ended = on_attempt_ended,
+					    .probe_ended = on_probe_ended,
 					    .ctx = fixture };
 	GSocketAddress *address = g_inet_socket_address_new_from_string(
 		"127.0.0.1", test_port(120));
@@ -214,6 +236,7 @@
 	g_snprintf(fixture->address, sizeof(fixture->address), "127.0.0.1:%u",
 		   test_port(120));
 	fixture->response_format = good_response;
+	fixture->response_bytes = G_MAXSIZE;
 	fixture->attempt_state = "started";
 	fixture->client =
 		upstream_client_new(&events, "e1", RESPONSE_BYTES_MAX);
@@ -385,6 +408,149 @@
 			 ATTEMPT_BAD_ANSWER);
 }
 
+static void run_until_ended(const fixture_t *fixture)
+{
+	gint64 limit = g_get_monotonic_time() +
+		       WAIT_TIMEOUT_MS * G_TIME_SPAN_MILLISECOND;
+
+	while (!fixture->ended && g_get_monotonic_time() < limit)
+		g_main_context_iteration(NULL, FALSE);
+	assert_true(fixture->ended);
+}
+
+static void run_cut_attempt(fixture_t *fixture, behaviour_t behaviour,
+			    gsize size)
+{
+	fixture->behaviour = behaviour;
+	fixture->response_bytes = size;
+	start_attempt(fixture, 1, 9 * G_TIME_SPAN_SECOND);
+	run_until_ended(fixture);
+}
+
+/* Size of the response to the last attempt. */
+static gsize response_size(const fixture_t *fixture)
+{
+	gchar **parts =
+		g_strsplit_set(strstr(fixture->last_request, "Attempt-Id: ") +
+				       strlen("Attempt-Id: "),
+			       "\r", 2);
+	gsize size = strlen(fixture->response_format) - strlen("%s") +
+		     strlen(parts[0]);
+
+	g_strfreev(parts);
+	return size;
+}
+
+#define LOAD "Attempt-Id: %s\r\nLoad: 1/20\r\n"
+
+static const char *const cut_responses[] = {
+	HEAD LOAD "Content-Length: 15\r\n\r\n0123456789abcde",
+	HEAD "Content-Length: 15\r\n" LOAD "\r\n0123456789abcde",
+	HEAD LOAD "Transfer-Encoding: chunked\r\n\r\n"
+		  "5\r\n01234\r\na\r\n56789abcde\r\n0\r\n\r\n",
+	"HTTP/1.1 201 Created\r\n" LOAD "Content-Length: 5\r\n\r\n01234",
+	"HTTP/1.1 503 Busy\r\nNot-Started: 1\r\n" LOAD
+	"Content-Length: 0\r\n\r\n",
+	"HTTP/1.1 500 Error\r\n" LOAD "\r\n",
+	"HTTP/1.1 204 No Content\r\n" LOAD "\r\n",
+};
+
+static const char *const cut_empty_responses[] = {
+	"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nNot-Started: 1\r\n" LOAD
+	"\r\n",
+	"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n" LOAD "\r\n",
+};
+
+static void check_cuts(fixture_t *fixture, const char *const *formats,
+		       gsize count)
+{
+	static const behaviour_t behaviours[] = { SERVER_RESPONDS_AND_CLOSES,
+						  SERVER_RESPONDS_AND_RESETS };
+	gsize i, size;
+
+	for (i = 0; i < 2 * count; i++) {
+		fixture->response_format = formats[i / 2];
+		size = 0;
+		do {
+			run_cut_attempt(fixture, behaviours[i % 2], size);
+			if (size < response_size(fixture) &&
+			    (fixture->has_report ||
+			     (fixture->end != ATTEMPT_FAILED &&
+			      fixture->end != ATTEMPT_BAD_ANSWER)))
+				fail_msg("end %d, report %d, behaviour %zu, "
+					 "after %zu bytes of: %s",
+					 fixture->end, fixture->has_report,
+					 i % 2, size, formats[i / 2]);
+		} while (size++ < response_size(fixture));
+	}
+}
+
+/* Fails if a response with a body that is cut at any byte is used. */
+static void cut_response_is_rejected(void **state)
+{
+	check_cuts(*state, cut_responses, G_N_ELEMENTS(cut_responses));
+}
+
+/* Fails if headers are used behind which the head of a response was cut. */
+static void cut_empty_response_is_rejected(void **state)
+{
+	check_cuts(*state, cut_empty_responses,
+		   G_N_ELEMENTS(cut_empty_responses));
+}
+
+/* Fails if a whole response on a connection that is kept is taken for a cut. */
+static void whole_response_is_used(void **state)
+{
+	static const struct {
+		const char *format;
+		attempt_end_t end;
+	} whole[] = {
+		{ HEAD LOAD "Content-Length: 1\r\n\r\nx", ATTEMPT_ANSWERED },
+		{ HEAD LOAD "Transfer-Encoding: chunked\r\n\r\n"
+			    "1\r\nx\r\n0\r\n\r\n",
+		  ATTEMPT_ANSWERED },
+		{ "HTTP/1.1 500 Error\r\n" LOAD "Content-Length: 0\r\n\r\n",
+		  ATTEMPT_ANSWERED },
+		{ "HTTP/1.1 503 Busy\r\nNot-Started: 1\r\n" LOAD
+		  "Content-Length: 0\r\n\r\n",
+		  ATTEMPT_SHED },
+	};
+	fixture_t *fixture = *state;
+	gsize i;
+
+	for (i = 0; i < 3 * G_N_ELEMENTS(whole); i++) {
+		fixture->response_format = whole[i / 3].format;
+		assert_int_equal(run_attempt(fixture, SERVER_RESPONDS, 1),
+				 whole[i / 3].end);
+		assert_true(fixture->has_report);
+	}
+	assert_int_equal(fixture->connection_count, 1);
+}
+
+/* Fails if a load is read from a response to a probe that is cut. */
+static void cut_probe_response_is_no_report(void **state)
+{
+	fixture_t *fixture = *state;
+	gsize size;
+
+	fixture->response_format = HEAD
+		"Content-Length: 0\r\nLoad: 1/20\r\n\r\n";
+	for (size = 0; size <= strlen(fixture->response_format); size++) {
+		fixture->behaviour = size < strlen(fixture->response_format) ?
+					     SERVER_RESPONDS_AND_CLOSES :
+					     SERVER_RESPONDS;
+		fixture->response_bytes = size;
+		fixture->ended = FALSE;
+		upstream_client_send_probe(fixture->client, "s",
+					   fixture->address);
+		run_until_ended(fixture);
+		if (fixture->has_report !=
+		    (size == strlen(fixture->response_format)))
+			fail_msg("report %d after %zu bytes",
+				 fixture->has_report, size);
+	}
+}
+
 /* Fails if a response of unknown length is read without a limit. */
 static void chunked_response_is_limited(void **state)
 {
@@ -479,6 +645,10 @@
 		TEST(connection_is_reused),
 		TEST(bad_responses_are_rejected),
 		TEST(response_needs_a_length),
+		TEST(cut_response_is_rejected),
+		TEST(cut_empty_response_is_rejected),
+		TEST(whole_response_is_used),
+		TEST(cut_probe_response_is_no_report),
 		TEST(chunked_response_is_limited),
 		TEST(draining_is_read_without_load),
 		TEST(cancel_query_ends_unresponsive_attempt),
