Reject cut answers of the object API

The client checks answers with soup_sockets_has_whole_response(). Status 204 is exempt: it means only that nothing changed, and libsoup servers close the connection behind it.

--- a/net/object_api.c
+++ b/net/object_api.c
@@ -3,6 +3,7 @@
 #include <libsoup/soup.h>
 
 #include "lib/common/intrusive.h"
+#include "net/soup_sockets.h"
 
 #define VERSION_HEADER "Object-Version"
 
@@ -19,7 +20,7 @@
 	GCancellable *cancellable;
 	GInputStream *stream; /* of the answer's body, NULL before it starts */
 	GOutputStream *body; /* read so far */
-	gboolean body_ended; /* it was read to its end */
+	gboolean body_ended; /* it was read to its end, and is whole */
 	guint timeout_timer; /* GLib source, 0 if none */
 	gboolean is_watch;
 	object_api_done_fn_t done;
@@ -32,6 +33,7 @@
 	GTimeSpan timeout;
 	counters_t *counters;
 	SoupSession *session;
+	soup_sockets_t *sockets; /* of the session */
 	/*
 	 * A call has timed out and none was answered since: idle connections
 	 * may be dead.
@@ -53,6 +55,7 @@
 	api->session = soup_session_new_with_options("proxy-resolver", NULL,
 						     "max-conns-per-host",
 						     CONNECTIONS_MAX, NULL);
+	api->sockets = soup_sockets_new();
 	TAILQ_INIT(&api->calls);
 	return api;
 }
@@ -88,6 +91,7 @@
 		object_api_cancel(call);
 	soup_session_abort(api->session);
 	g_object_unref(api->session);
+	soup_sockets_free(api->sockets);
 	g_free(api->address);
 	g_free(api->client_name);
 	g_free(api);
@@ -153,12 +157,27 @@
 	end_call(data);
 }
 
+/*
+ * Status 204 says all that is used of such an answer, and servers may close the
+ * connection behind it.
+ */
+static gboolean is_whole(const object_api_call_t *call, gsize body_size)
+{
+	return soup_message_get_status(call->message) ==
+		       SOUP_STATUS_NO_CONTENT ||
+	       (call->api &&
+		soup_sockets_has_whole_response(call->api->sockets,
+						call->message, body_size));
+}
+
 static void on_body_read(GObject *source, GAsyncResult *async, gpointer data)
 {
 	object_api_call_t *call = data;
 
-	call->body_ended = g_output_stream_splice_finish(
-				   G_OUTPUT_STREAM(source), async, NULL) >= 0;
+	gssize size = g_output_stream_splice_finish(G_OUTPUT_STREAM(source),
+						    async, NULL);
+
+	call->body_ended = size >= 0 && is_whole(call, (gsize)size);
 	/* Closes the connection instead of reading on. */
 	if (!call->body_ended)
 		g_cancellable_cancel(call->cancellable);
@@ -228,6 +247,7 @@
 			call->message, "application/json", body);
 	call->timeout_timer = g_timeout_add(
 		(guint)(timeout / G_TIME_SPAN_MILLISECOND), on_timeout, call);
+	soup_sockets_track(api->sockets, call->message);
 	TAILQ_INSERT_TAIL(&api->calls, call, link);
 	counters_add(api->counters, COUNTER_OBJECT_API_CALLS, 1);
 	soup_session_send_async(api->session, call->message, G_PRIORITY_DEFAULT,
--- a/tests/test_object_api.c
+++ b/tests/test_object_api.c
@@ -13,9 +13,12 @@
 
 #include "net/config_store.h"
 #include "tests/support.h"
+#include "tests/support_answers.h"
 
 #define CALL_TIMEOUT (300 * G_TIME_SPAN_MILLISECOND)
 #define STEP_TIMEOUT_MS 8000
+#define ANSWER_PORT 31
+#define SMALL_PIECE_BYTES 7
 
 typedef struct {
 	guint port;
@@ -25,6 +28,8 @@
 	counters_t counters;
 	gboolean ended; /* the call or change in progress */
 	object_api_status_t status; /* of the last call */
+	guint64 version; /* that it returned */
+	gsize body_size; /* of its answer */
 	config_store_result_t applied; /* result of the last change */
 } fixture_t;
 
@@ -87,6 +92,8 @@
 	fixture_t *fixture = ctx;
 
 	fixture->status = result->status;
+	fixture->version = result->version;
+	fixture->body_size = result->body ? g_bytes_get_size(result->body) : 0;
 	fixture->ended = TRUE;
 }
 
@@ -233,6 +240,90 @@
 		fail_msg("memory grew by %zu bytes", peak_memory() - before);
 }
 
+typedef struct {
+	const char *text;
+	object_api_status_t status; /* of the whole answer */
+	gsize body_size;
+} answer_case_t;
+
+#define VERSION "Object-Version: 12\r\n"
+
+static const answer_case_t answers[] = {
+	{ "HTTP/1.1 200 OK\r\n" VERSION "Content-Length: 15\r\n\r\n"
+	  "0123456789abcde",
+	  OBJECT_API_OK, 15 },
+	{ "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n" VERSION "\r\n"
+	  "0123456789abcde",
+	  OBJECT_API_OK, 15 },
+	{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" VERSION "\r\n"
+	  "5\r\n01234\r\na\r\n56789abcde\r\n0\r\n\r\n",
+	  OBJECT_API_OK, 15 },
+	{ "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" VERSION "\r\n",
+	  OBJECT_API_OK, 0 },
+	{ "HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n{}",
+	  OBJECT_API_NOT_FOUND, 2 },
+	{ "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n" VERSION "\r\n",
+	  OBJECT_API_CONFLICT, 0 },
+	{ "HTTP/1.1 429 Slow\r\nContent-Length: 0\r\nX-Last: 1\r\n\r\n",
+	  OBJECT_API_RATE_LIMITED, 0 },
+};
+
+static void check_answer(fixture_t *fixture, object_api_t *api,
+			 const answer_case_t *expected,
+			 const raw_answer_t *answer)
+{
+	gboolean whole = answer->size == strlen(answer->text);
+
+	object_api_get(api, "k", on_call_ended, fixture);
+	while (!fixture->ended)
+		g_main_context_iteration(NULL, TRUE);
+	fixture->ended = FALSE;
+	if (fixture->status !=
+	    (whole ? expected->status : OBJECT_API_UNAVAILABLE))
+		fail_msg("status %d, end %d, after %zu bytes of: %s",
+			 fixture->status, answer->end, answer->size,
+			 answer->text);
+	if (!whole)
+		return;
+	assert_int_equal(fixture->body_size, expected->body_size);
+	assert_int_equal(fixture->version,
+			 strstr(answer->text, VERSION) ? 12 : 0);
+}
+
+static void check_cuts(fixture_t *fixture, const answer_case_t *expected)
+{
+	static const answer_end_t ends[] = { ANSWER_CLOSE, ANSWER_RESET };
+	gchar *address =
+		g_strdup_printf("127.0.0.1:%u", test_port(ANSWER_PORT));
+	answer_server_t *server = answer_server_new(test_port(ANSWER_PORT));
+	object_api_t *api =
+		object_api_new(address, "t", CALL_TIMEOUT, &fixture->counters);
+	raw_answer_t answer = { .text = expected->text };
+	gsize i;
+
+	for (i = 0; i < 2 * (strlen(answer.text) + 1); i++) {
+		answer.size = i / 2;
+		answer.piece = answer.size % 2 ? SMALL_PIECE_BYTES : 0;
+		/* libsoup may notice a reset before the answer. */
+		answer.end = answer.size < strlen(answer.text) ? ends[i % 2] :
+								 ANSWER_KEEP;
+		answer_server_set(server, &answer);
+		check_answer(fixture, api, expected, &answer);
+	}
+	object_api_free(api);
+	answer_server_free(server);
+	g_free(address);
+}
+
+/* Fails if an answer that is cut at any byte counts as an answer. */
+static void cut_answer_is_no_answer(void **state)
+{
+	gsize i;
+
+	for (i = 0; i < G_N_ELEMENTS(answers); i++)
+		check_cuts(*state, &answers[i]);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -241,6 +332,7 @@
 		cmocka_unit_test(outage_is_reported_as_not_written),
 		cmocka_unit_test(endless_answer_is_bounded),
 		cmocka_unit_test(silent_watch_is_replaced),
+		cmocka_unit_test(cut_answer_is_no_answer),
 	};
 
 	return cmocka_run_group_tests(tests, set_up, tear_down);
