Refuse calls whose request was cut

A call ran with a part of its body: libsoup servers take the end of a connection between two chunks for the end of the body, and behind a line of the head for the end of the head. A caller that stopped there and closed its sending side had the call run with what had arrived.

A request without a body or with chunks is refused with 400, not run, when its connection has ended by the time that it has been read, as for responses. A request with a length and a body is not concerned: libsoup drops it.

--- a/net/caller_api.c
+++ b/net/caller_api.c
@@ -5,6 +5,7 @@
 #include "codec/resolve_json.h"
 #include "lib/common/intrusive.h"
 #include "net/http_reply.h"
+#include "net/soup_sockets.h"
 
 #define CALL_PATH "/v1/call"
 #define RESOLVE_PATH "/v1/resolve"
@@ -196,6 +197,12 @@
 			       "a call must be a POST request");
 		return FALSE;
 	}
+	if (!soup_sockets_has_whole_request(message)) {
+		catk_error_set(err, CATK_INVALID_ARGUMENT, OUTCOME_NOT_RUN,
+			       "the connection ended before the request, or "
+			       "with it: send a length, or keep it open");
+		return FALSE;
+	}
 	if ((gsize)body->length > api->body_bytes_max) {
 		catk_error_set(err, CATK_TOO_LARGE, OUTCOME_NOT_RUN,
 			       "the body has %" G_GOFFSET_FORMAT
--- a/net/soup_sockets.c
+++ b/net/soup_sockets.c
@@ -78,20 +78,24 @@
 			      unref_table, G_CONNECT_DEFAULT);
 }
 
+static gboolean has_ended(GSocket *socket)
+{
+	char byte;
+	ssize_t size = recv(g_socket_get_fd(socket), &byte, 1,
+			    MSG_PEEK | MSG_DONTWAIT);
+
+	return size == 0 || (size < 0 && errno != EAGAIN);
+}
+
 /* A connection that is not known counts as ended. */
-static gboolean has_ended(const soup_sockets_t *sockets, SoupMessage *message)
+static gboolean connection_has_ended(const soup_sockets_t *sockets,
+				     SoupMessage *message)
 {
 	guint64 connection = soup_message_get_connection_id(message);
 	const entry_t *entry =
 		g_hash_table_lookup(sockets->by_connection, &connection);
-	ssize_t size;
-	char byte;
 
-	if (!entry)
-		return TRUE;
-	size = recv(g_socket_get_fd(entry->socket), &byte, 1,
-		    MSG_PEEK | MSG_DONTWAIT);
-	return size == 0 || (size < 0 && errno != EAGAIN);
+	return !entry || has_ended(entry->socket);
 }
 
 gboolean soup_sockets_has_whole_response(const soup_sockets_t *sockets,
@@ -104,5 +108,16 @@
 				 SOUP_ENCODING_CONTENT_LENGTH)
 		return (goffset)body_size ==
 		       soup_message_headers_get_content_length(headers);
-	return !has_ended(sockets, message);
+	return !connection_has_ended(sockets, message);
+}
+
+gboolean soup_sockets_has_whole_request(SoupServerMessage *message)
+{
+	SoupMessageHeaders *headers =
+		soup_server_message_get_request_headers(message);
+	goffset size = soup_server_message_get_request_body(message)->length;
+
+	return (size && soup_message_headers_get_encoding(headers) ==
+				SOUP_ENCODING_CONTENT_LENGTH) ||
+	       !has_ended(soup_server_message_get_socket(message));
 }
--- a/net/soup_sockets.h
+++ b/net/soup_sockets.h
@@ -1,5 +1,5 @@
 /*
- * The sockets of a libsoup client, to tell a whole response from a cut one.
+ * The sockets of libsoup, to tell a whole message from a cut one.
  *
  * libsoup takes the end of a connection within a head for the end of the head,
  * and between two chunks for the end of the body.
@@ -27,4 +27,7 @@
 gboolean soup_sockets_has_whole_response(const soup_sockets_t *sockets,
 					 SoupMessage *message, gsize body_size);
 
+/* The same of a request to a libsoup server, when its handler is called. */
+gboolean soup_sockets_has_whole_request(SoupServerMessage *message);
+
 #endif
--- a/tests/test_http_message.c
+++ b/tests/test_http_message.c
@@ -172,8 +172,7 @@
 	"",
 	"HTTP/1.1 100 Continue\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
-	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-	"3\r\nabc\r\n0\r\n\r\n",
+	CHUNKED_HEAD "3\r\nabc\r\n0\r\n\r\n",
 	"HTTP/1.1 204 No Content\r\n\r\n",
 };
 
--- a/tests/test_whole_path.c
+++ b/tests/test_whole_path.c
@@ -9,6 +9,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 #include <signal.h>
+#include <string.h>
 
 #include "tests/support.h"
 
@@ -193,6 +194,46 @@
 	assert_run_count(fixture, "refused", "0");
 }
 
+/*
+ * Sends the first size bytes of a request and, unless keep is TRUE, ends the
+ * sending side of the connection; reads the answer.
+ */
+static void send_cut(const fixture_t *fixture, const char *text, gsize size,
+		     gboolean keep)
+{
+	GSocketClient *client = g_socket_client_new();
+	GSocketConnection *connection = g_socket_client_connect_to_host(
+		client, "127.0.0.1", (guint16)fixture->entry_port, NULL, NULL);
+	GSocket *socket = g_socket_connection_get_socket(connection);
+	char answer[4096];
+
+	g_socket_send(socket, text, size, NULL, NULL);
+	if (!keep)
+		g_socket_shutdown(socket, FALSE, TRUE, NULL);
+	g_socket_receive(socket, answer, sizeof(answer), NULL, NULL);
+	g_object_unref(connection);
+	g_object_unref(client);
+}
+
+/* Fails if a call runs with the part of a body that arrived before a close. */
+static void cut_call_does_not_run(void **state)
+{
+	static const char text[] =
+		"POST /v1/call/booking/status HTTP/1.1\r\nHost: a\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n"
+		"5\r\npart1\r\n5\r\npart2\r\n0\r\n\r\n";
+	const fixture_t *fixture = *state;
+	gsize size;
+
+	for (size = 1; size < strlen(text); size++)
+		send_cut(fixture, text, size, FALSE);
+	assert_run_count(fixture, "", "0");
+	assert_run_count(fixture, "part1", "0");
+	assert_run_count(fixture, "part1part2", "0");
+	send_cut(fixture, text, strlen(text), TRUE);
+	assert_run_count(fixture, "part1part2", "1");
+}
+
 /* Fails if a body above body_bytes_max is held in memory and forwarded. */
 static void oversized_body_is_rejected(void **state)
 {
@@ -241,6 +282,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(repeated_call_runs_once),
 		cmocka_unit_test(invalid_input_is_rejected_as_not_run),
+		cmocka_unit_test(cut_call_does_not_run),
 		cmocka_unit_test(oversized_body_is_rejected),
 		cmocka_unit_test(shutdown_completes_calls),
 	};
