--- a/tests/test_http_message.c
+++ b/tests/test_http_message.c
@@ -167,12 +167,14 @@
 	{ "HTTP/1.1 200 OK\nX-Last: 1\n\n01234", TRUE },
 };
 
+static const char chunked_prefix[] = CHUNKED_HEAD "3\r\nabc\r\n0\r\n\r\n";
+
 /* Parsed before a response, as on a connection that is kept. */
 static const char *const prefixes[] = {
 	"",
 	"HTTP/1.1 100 Continue\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
-	CHUNKED_HEAD "3\r\nabc\r\n0\r\n\r\n",
+	chunked_prefix,
 	"HTTP/1.1 204 No Content\r\n\r\n",
 };
 
