Let a planned stop excuse no lost request in the soak

LOST excused each disconnect that overlapped a recorded fault of an instance that was restarted since, and SIGTERM was recorded as one. An answer of the instance in place of a run that it cut counts as lost.

The endpoint logs how each run ended. A pause or a kill during a stop no longer leaves an interval open that excuses all later faults, because a start ends all intervals of the process.

--- a/tests/fakes/fake_endpoint.c
+++ b/tests/fakes/fake_endpoint.c
@@ -2,6 +2,7 @@
  * A fake endpoint of a service with routes, for tests. A word in the path of a
  * request selects its behaviour:
  *   slow     responds after SLOW_RUN_MS
+ *   long     responds after LONG_RUN_MS
  *   reset    executes the request, then resets the connection
  *   shed     refuses the request as not executed
  *   replay   refuses the first attempt of the request as not executed, and sends
@@ -19,9 +20,11 @@
  *
  * GET /stats returns the number of executions of each request id, and the
  * number of requests whose caller disconnected before the response. With --log,
- * each execution, shed request and probe is appended to a file as "TIME EVENT
- * ID", where TIME is CLOCK_BOOTTIME in microseconds, which continues while the
- * process is stopped.
+ * each event is appended to a file as "TIME EVENT ID", where TIME is
+ * CLOCK_BOOTTIME in microseconds, which continues while the process is stopped.
+ * The events are probe, shed and run (an execution begins), and of the end of an
+ * execution: answered, broken (no complete response was sent) and cut (the
+ * caller closed the connection).
  *
  *   fake_endpoint --port PORT --id ID [--log FILE]
  */
@@ -40,6 +43,7 @@
 #include "net/system_clock.h"
 
 #define SLOW_RUN_MS 400
+#define LONG_RUN_MS 1200
 #define RUN_MS 5
 #define ENDLESS_BLOCK_BYTES 65536 /* once a millisecond */
 
@@ -69,6 +73,14 @@
 	TAILQ_HEAD(connection_list, connection) connections;
 } endpoint;
 
+/* One write() per line: no line is lost when the process is killed. */
+static void log_event(const char *event, const char *id)
+{
+	if (endpoint.log >= 0)
+		dprintf(endpoint.log, "%" G_GINT64_FORMAT " %s %s\n",
+			catk_clock_now(&system_clock), event, id);
+}
+
 static void connection_free(connection_t *connection)
 {
 	TAILQ_REMOVE(&endpoint.connections, connection, link);
@@ -77,6 +89,8 @@
 	if (connection->endless_timer)
 		g_source_remove(connection->endless_timer);
 	if (connection->request) {
+		log_event("cut", http_message_header(connection->request,
+						     "X-Request-Id"));
 		endpoint.abandoned++;
 		endpoint.running--;
 	}
@@ -88,14 +102,6 @@
 	g_free(connection);
 }
 
-/* One write() per line: no line is lost when the process is killed. */
-static void log_event(const char *event, const char *id)
-{
-	if (endpoint.log >= 0)
-		dprintf(endpoint.log, "%" G_GINT64_FORMAT " %s %s\n",
-			catk_clock_now(&system_clock), event, id);
-}
-
 static void send_text(connection_t *connection, const char *text)
 {
 	stream_write(connection->stream, text, strlen(text));
@@ -148,6 +154,19 @@
 	return strstr(request->target, word) != NULL;
 }
 
+static gboolean is_broken_off(const http_message_t *request)
+{
+	return target_contains(request, "reset") ||
+	       target_contains(request, "early");
+}
+
+static guint run_ms(const http_message_t *request)
+{
+	if (target_contains(request, "long"))
+		return LONG_RUN_MS;
+	return target_contains(request, "slow") ? SLOW_RUN_MS : RUN_MS;
+}
+
 static void handle_input(connection_t *connection);
 
 static void finish_request(connection_t *connection)
@@ -162,6 +181,7 @@
 
 	connection->request = NULL;
 	endpoint.running--;
+	log_event(is_broken_off(request) ? "broken" : "answered", id);
 	if (target_contains(request, "reset")) {
 		reset_connection(connection);
 	} else if (target_contains(request, "early")) {
@@ -253,9 +273,8 @@
 			g_timeout_add(1, on_endless_tick, connection);
 		return;
 	}
-	connection->timer = g_timeout_add(
-		target_contains(request, "slow") ? SLOW_RUN_MS : RUN_MS,
-		on_run_end, connection);
+	connection->timer =
+		g_timeout_add(run_ms(request), on_run_end, connection);
 }
 
 static char *format_refusal(const char *id)
@@ -385,7 +404,8 @@
 	{ "port", 'p', "PORT", 0, "Listen on 127.0.0.1:PORT", 0 },
 	{ "id", 'i', "ID", 0, "Instance id sent in responses", 0 },
 	{ "log", 'l', "FILE", 0,
-	  "Append executions, shed requests and probes to FILE", 0 },
+	  "Append executions, their ends, shed requests and probes to FILE",
+	  0 },
 	{ 0 }
 };
 
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -60,7 +60,8 @@
 
 void soak_record_stall(soak_t *soak)
 {
-	fault_interval_t stall = { .from = soak->loop_ran_at,
+	fault_interval_t stall = { .cause = FAULT_STALL,
+				   .from = soak->loop_ran_at,
 				   .to = soak_now() };
 
 	soak->loop_ran_at = stall.to;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -15,6 +15,7 @@
 #define CHANGE_PROPAGATION_MAX (2 * G_TIME_SPAN_SECOND) /* drain, config */
 #define RECONNECT_MAX (3 * G_TIME_SPAN_SECOND) /* after the last fault */
 #define SHUTDOWN_MAX_MS 5000
+#define ROUTE_TIMEOUT_MS 2000 /* shorter than the callers' deadline */
 #define PROBES_PER_SECOND 20 /* to one endpoint, from all instances */
 #define RETRY_PERCENT 20
 #define RETRY_SAVED 56
@@ -31,8 +32,18 @@
 	const char *directory; /* of settings and logs */
 } soak_options_t;
 
-/* The period of one fault at an instance or at the store. */
+typedef enum {
+	FAULT_CONNECTION = 1 << 0,
+	FAULT_PAUSE = 1 << 1,
+	FAULT_DOWN = 1 << 2, /* killed or crashed, until the next start */
+	FAULT_STOP = 1 << 3, /* planned, from its request to the next start */
+	FAULT_STORE = 1 << 4,
+	FAULT_STALL = 1 << 5 /* see soak_record_stall() */
+} fault_cause_t;
+
+/* The period of one fault at an instance, an endpoint or the store. */
 typedef struct {
+	fault_cause_t cause;
 	GTimeSpan from;
 	GTimeSpan to; /* CATK_NEVER while the fault lasts */
 } fault_interval_t;
@@ -44,7 +55,7 @@
 	gboolean ending; /* killed, and not gone yet */
 	guint incarnation; /* number of starts so far */
 	gboolean paused;
-	GTimeSpan sigterm_at; /* 0 without SIGTERM */
+	GTimeSpan sigterm_at; /* or the operator's drain; 0 for none */
 	GTimeSpan restart_at; /* while down */
 	soak_proxy_t *store_proxy;
 	soak_proxy_t *peer_proxy;
@@ -61,6 +72,7 @@
 	process_t *process; /* NULL after it ended */
 	gboolean paused;
 	soak_proxy_t *proxy;
+	GArray *fault_intervals; /* of fault_interval_t, connections only */
 	guint sequence; /* of its last entry in the store */
 	GTimeSpan started_at;
 	gboolean ending; /* killed, and not gone yet */
@@ -81,8 +93,28 @@
 	GTimeSpan ended_at; /* 0 while in flight */
 	http_client_end_t end;
 	guint status; /* of the HTTP response, 0 without one */
+	gboolean endpoint_answered; /* the response has a signature */
 } soak_request_t;
 
+typedef enum {
+	RUN_NONE, /* the endpoint refused it */
+	RUN_OPEN, /* the endpoint was killed */
+	RUN_ANSWERED,
+	RUN_BROKEN, /* the endpoint sent no complete response */
+	RUN_CUT /* the instance closed the connection */
+} run_end_t;
+
+/* What all endpoints together logged about one request. */
+typedef struct {
+	guint runs;
+	guint arrivals;
+	/* Of the last arrival: */
+	const endpoint_t *endpoint; /* NULL without one */
+	GTimeSpan arrived_at;
+	GTimeSpan ended_at; /* 0 with RUN_NONE and RUN_OPEN */
+	run_end_t end;
+} deliveries_t;
+
 typedef struct {
 	soak_options_t options;
 	GRand *fault_random; /* used for faults only */
@@ -155,9 +187,16 @@
 /* The port on which the instance accepts the callers' requests. */
 guint fleet_proxy_port(const soak_t *soak, guint instance);
 
-/* Records the start and the end of a fault. */
-void fault_interval_begin(GArray *fault_intervals);
-void fault_interval_end(GArray *fault_intervals);
+/* Records the start of a fault, and the end of the oldest with that cause. */
+void fault_interval_begin(GArray *fault_intervals, fault_cause_t cause);
+void fault_interval_end(GArray *fault_intervals, fault_cause_t cause);
+/*
+ * The first fault with one of the causes between from and to, or NULL. causes
+ * is a set of fault_cause_t.
+ */
+const fault_interval_t *fault_interval_find(const GArray *fault_intervals,
+					    guint causes, GTimeSpan from,
+					    GTimeSpan to);
 /*
  * TRUE when neither the instance nor the store had a fault between to and
  * RECONNECT_MAX before from.
@@ -183,6 +222,9 @@
 
 /* soak_checks.c: checks the endpoints' logs after the run. */
 void checks_run(soak_t *soak);
+/* soak_lost.c: reports a request that has lost its answer; end of it known. */
+void lost_check(soak_t *soak, const soak_request_t *request,
+		const deliveries_t *deliveries);
 /* The instance with an index, or NULL. */
 instance_t *soak_instance(const soak_t *soak, guint index);
 
--- a/tests/soak/soak_checks.c
+++ b/tests/soak/soak_checks.c
@@ -7,12 +7,6 @@
 /* Added to the measured time, for bursts when an endpoint starts or ends. */
 #define PROBE_SLACK_S 3
 
-/* How often one request arrived, and ran, at all endpoints together. */
-typedef struct {
-	guint runs;
-	guint arrivals;
-} deliveries_t;
-
 typedef struct {
 	soak_t *soak;
 	GHashTable *deliveries_by_id; /* request id -> deliveries_t */
@@ -63,6 +57,12 @@
 
 	deliveries->arrivals++;
 	deliveries->runs += ran;
+	if (time >= deliveries->arrived_at) {
+		deliveries->endpoint = endpoint;
+		deliveries->arrived_at = time;
+		deliveries->ended_at = 0;
+		deliveries->end = ran ? RUN_OPEN : RUN_NONE;
+	}
 	checker->arrivals++;
 	if (request)
 		check_drain(checker, endpoint, request, time);
@@ -72,6 +72,39 @@
 			       endpoint->id, id);
 }
 
+static run_end_t run_end_from_event(const char *event)
+{
+	if (strcmp(event, "answered") == 0)
+		return RUN_ANSWERED;
+	if (strcmp(event, "broken") == 0)
+		return RUN_BROKEN;
+	return strcmp(event, "cut") == 0 ? RUN_CUT : RUN_NONE;
+}
+
+static void record_run_end(checker_t *checker, const endpoint_t *endpoint,
+			   GTimeSpan time, const char *id, run_end_t end)
+{
+	deliveries_t *deliveries = get_deliveries(checker, id);
+
+	if (deliveries->endpoint != endpoint)
+		return;
+	deliveries->ended_at = time;
+	deliveries->end = end;
+}
+
+static void record_event(checker_t *checker, const endpoint_t *endpoint,
+			 gchar **fields)
+{
+	GTimeSpan time = g_ascii_strtoll(fields[0], NULL, 10);
+	run_end_t end = run_end_from_event(fields[1]);
+
+	if (end != RUN_NONE)
+		record_run_end(checker, endpoint, time, fields[2], end);
+	else
+		record_arrival(checker, endpoint, time, fields[2],
+			       strcmp(fields[1], "run") == 0);
+}
+
 static void check_probes(soak_t *soak, const endpoint_t *endpoint, guint probes)
 {
 	GTimeSpan end = endpoint->ended_at ? endpoint->ended_at : soak_now();
@@ -105,10 +138,7 @@
 		else if (strcmp(fields[1], "probe") == 0)
 			probes++;
 		else
-			record_arrival(checker, endpoint,
-				       g_ascii_strtoll(fields[0], NULL, 10),
-				       fields[2],
-				       strcmp(fields[1], "run") == 0);
+			record_event(checker, endpoint, fields);
 		g_strfreev(fields);
 	}
 	check_probes(checker->soak, endpoint, probes);
@@ -124,37 +154,14 @@
 		request->status == 408 || request->status == 421);
 }
 
-/* The connection was closed without a response, and no restart explains it. */
-static gboolean is_unexplained_disconnect(const soak_t *soak,
-					  const soak_request_t *request)
-{
-	const instance_t *instance = soak_instance(soak, request->instance);
-	guint i;
-
-	if (request->end != HTTP_CLIENT_DISCONNECTED)
-		return FALSE;
-	/*
-	 * A fault during the request explains it when the instance has been
-	 * restarted since. SIGHUP is not recorded as a fault.
-	 */
-	for (i = 0; i < instance->fault_intervals->len; i++) {
-		const fault_interval_t *interval = &g_array_index(
-			instance->fault_intervals, fault_interval_t, i);
-
-		if (interval->from <= request->ended_at &&
-		    interval->to >= request->sent_at &&
-		    instance->incarnation != request->incarnation)
-			return FALSE;
-	}
-	return TRUE;
-}
-
 static void check_request(checker_t *checker, const soak_request_t *request)
 {
 	const deliveries_t *deliveries =
 		g_hash_table_lookup(checker->deliveries_by_id, request->id);
+	const deliveries_t none = { 0 };
 	soak_t *soak = checker->soak;
 
+	lost_check(soak, request, deliveries ? deliveries : &none);
 	if (!deliveries)
 		return;
 	if (!request->idempotent && deliveries->runs > 1)
@@ -164,10 +171,6 @@
 		soak_violation(soak, "REFUSED",
 			       "%s ran, but was answered %u (not run)",
 			       request->id, request->status);
-	if (deliveries->runs && is_unexplained_disconnect(soak, request))
-		soak_violation(soak, "LOST",
-			       "%s ran, but e%u disconnected without an answer",
-			       request->id, request->instance);
 }
 
 static void check_retry_budget(checker_t *checker)
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -22,7 +22,8 @@
 typedef struct {
 	soak_t *soak;
 	soak_proxy_t *proxy; /* to set to PROXY_PASS */
-	instance_t *instance; /* of the proxy, or else to resume */
+	GArray *fault_intervals; /* of the proxy */
+	instance_t *instance; /* to resume */
 	guint incarnation; /* of the paused instance */
 	endpoint_t *endpoint; /* to resume */
 	gboolean store; /* to set to "none" */
@@ -68,18 +69,19 @@
 
 static void recover(recovery_t *recovery)
 {
-	if (recovery->proxy)
+	if (recovery->proxy) {
 		soak_proxy_set(recovery->proxy, PROXY_PASS, 0);
-	if (recovery->proxy && recovery->instance)
-		fault_interval_end(recovery->instance->fault_intervals);
-	else if (recovery->instance &&
-		 recovery->instance->incarnation == recovery->incarnation)
+		fault_interval_end(recovery->fault_intervals, FAULT_CONNECTION);
+	}
+	if (recovery->instance &&
+	    recovery->instance->incarnation == recovery->incarnation)
 		fleet_pause(recovery->instance, FALSE);
 	if (recovery->endpoint && recovery->endpoint->process)
 		process_signal(recovery->endpoint->process, SIGCONT);
 	if (recovery->store) {
 		fleet_store_fault(recovery->soak, "none");
-		fault_interval_end(recovery->soak->store_fault_intervals);
+		fault_interval_end(recovery->soak->store_fault_intervals,
+				   FAULT_STORE);
 	}
 }
 
@@ -101,7 +103,8 @@
 }
 
 static void disturb_proxy(soak_t *soak, soak_proxy_t *proxy,
-			  instance_t *instance, const char *label, guint index)
+			  GArray *fault_intervals, const char *label,
+			  guint index)
 {
 	proxy_mode_t mode =
 		(proxy_mode_t)draw(soak, PROXY_DELAY, PROXY_MODE_COUNT - 1);
@@ -111,18 +114,17 @@
 		return;
 	soak_log("%s %u: %s", label, index, proxy_mode_name(mode));
 	soak_proxy_set(proxy, mode, draw(soak, 10, DELAY_MAX_MS));
-	if (instance)
-		fault_interval_begin(instance->fault_intervals);
+	fault_interval_begin(fault_intervals, FAULT_CONNECTION);
 	recovery = schedule_recovery(soak);
 	recovery->proxy = proxy;
-	recovery->instance = instance;
+	recovery->fault_intervals = fault_intervals;
 }
 
 static void disturb_store_connection(soak_t *soak)
 {
 	instance_t *instance = draw_instance(soak);
 
-	disturb_proxy(soak, instance->store_proxy, instance,
+	disturb_proxy(soak, instance->store_proxy, instance->fault_intervals,
 		      "store connection of e", instance->index);
 }
 
@@ -130,7 +132,7 @@
 {
 	instance_t *instance = draw_instance(soak);
 
-	disturb_proxy(soak, instance->peer_proxy, instance,
+	disturb_proxy(soak, instance->peer_proxy, instance->fault_intervals,
 		      "peer connections of e", instance->index);
 }
 
@@ -139,8 +141,8 @@
 	endpoint_t *endpoint = draw_endpoint(soak);
 
 	if (endpoint)
-		disturb_proxy(soak, endpoint->proxy, NULL, "connections to i-",
-			      endpoint->index);
+		disturb_proxy(soak, endpoint->proxy, endpoint->fault_intervals,
+			      "connections to i-", endpoint->index);
 }
 
 static void pause_instance(soak_t *soak)
@@ -222,7 +224,7 @@
 
 	soak_log("store: %s", mode);
 	fleet_store_fault(soak, mode);
-	fault_interval_begin(soak->store_fault_intervals);
+	fault_interval_begin(soak->store_fault_intervals, FAULT_STORE);
 	schedule_recovery(soak)->store = TRUE;
 }
 
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -54,15 +54,17 @@
 	return catk_clock_now(&system_clock);
 }
 
-void fault_interval_begin(GArray *fault_intervals)
+void fault_interval_begin(GArray *fault_intervals, fault_cause_t cause)
 {
-	fault_interval_t interval = { .from = soak_now(), .to = CATK_NEVER };
+	fault_interval_t interval = { .cause = cause,
+				      .from = soak_now(),
+				      .to = CATK_NEVER };
 
 	g_array_append_val(fault_intervals, interval);
 }
 
 /* Faults may overlap; this ends the oldest one that is still open. */
-void fault_interval_end(GArray *fault_intervals)
+void fault_interval_end(GArray *fault_intervals, fault_cause_t cause)
 {
 	guint i;
 
@@ -70,15 +72,16 @@
 		fault_interval_t *interval =
 			&g_array_index(fault_intervals, fault_interval_t, i);
 
-		if (interval->to != CATK_NEVER)
+		if (interval->to != CATK_NEVER || interval->cause != cause)
 			continue;
 		interval->to = soak_now();
 		return;
 	}
 }
 
-static gboolean is_fault_free(const GArray *fault_intervals, GTimeSpan from,
-			      GTimeSpan to)
+const fault_interval_t *fault_interval_find(const GArray *fault_intervals,
+					    guint causes, GTimeSpan from,
+					    GTimeSpan to)
 {
 	guint i;
 
@@ -86,11 +89,18 @@
 		const fault_interval_t *interval =
 			&g_array_index(fault_intervals, fault_interval_t, i);
 
-		if (interval->from <= to &&
-		    interval->to >= from - RECONNECT_MAX)
-			return FALSE;
+		if ((interval->cause & causes) && interval->from <= to &&
+		    interval->to >= from)
+			return interval;
 	}
-	return TRUE;
+	return NULL;
+}
+
+static gboolean is_fault_free(const GArray *fault_intervals, GTimeSpan from,
+			      GTimeSpan to)
+{
+	return !fault_interval_find(fault_intervals, ~0u, from - RECONNECT_MAX,
+				    to);
 }
 
 gboolean soak_is_fault_free(const soak_t *soak, const instance_t *instance,
@@ -178,10 +188,10 @@
 		text,
 		"{\"entry_kind\":\"routes\",\"metadata\":{\"name\":\"%s\"},"
 		"\"spec\":{\"host\":\"a.example\",\"path_prefix\":\"%s\","
-		"\"route_type\":\"%s\",\"timeout_ms\":2000,"
+		"\"route_type\":\"%s\",\"timeout_ms\":%u,"
 		"\"target_latency_ms\":1000,\"priority\":1,"
 		"\"max_attempts\":2,\"service\":\"s\"}},",
-		name, prefix, type);
+		name, prefix, type, ROUTE_TIMEOUT_MS);
 }
 
 /* Version N adds the route /vN/, which shows callers that it is in force. */
@@ -263,6 +273,8 @@
 	endpoint->proxy =
 		soak_proxy_new(endpoint_port(soak, endpoint->index, TRUE),
 			       endpoint_port(soak, endpoint->index, FALSE));
+	endpoint->fault_intervals =
+		g_array_new(FALSE, FALSE, sizeof(fault_interval_t));
 	TAILQ_INSERT_TAIL(&soak->endpoints, endpoint, link);
 	put_endpoint(soak, endpoint, "ready");
 	g_free(port);
@@ -429,7 +441,7 @@
 	instance->ending = FALSE;
 }
 
-/* The fault interval, opened by the caller, lasts until the next start. */
+/* The fault intervals of the process last until the next start. */
 static void mark_down(instance_t *instance, GTimeSpan downtime)
 {
 	process_t *process = g_steal_pointer(&instance->process);
@@ -445,7 +457,7 @@
 {
 	if (!instance->process)
 		return;
-	fault_interval_begin(instance->fault_intervals);
+	fault_interval_begin(instance->fault_intervals, FAULT_DOWN);
 	mark_down(instance, downtime);
 }
 
@@ -453,7 +465,7 @@
 {
 	if (!instance->process || instance->sigterm_at)
 		return;
-	fault_interval_begin(instance->fault_intervals);
+	fault_interval_begin(instance->fault_intervals, FAULT_STOP);
 	instance->sigterm_at = soak_now();
 	process_signal(instance->process, SIGTERM);
 }
@@ -463,9 +475,9 @@
 	if (!instance->process || instance->paused == paused)
 		return;
 	if (paused)
-		fault_interval_begin(instance->fault_intervals);
+		fault_interval_begin(instance->fault_intervals, FAULT_PAUSE);
 	else
-		fault_interval_end(instance->fault_intervals);
+		fault_interval_end(instance->fault_intervals, FAULT_PAUSE);
 	instance->paused = paused;
 	process_signal(instance->process, paused ? SIGSTOP : SIGCONT);
 }
@@ -497,7 +509,7 @@
 			       "e%u exited with status %d after SIGTERM",
 			       instance->index, status);
 	if (!planned)
-		fault_interval_begin(instance->fault_intervals);
+		fault_interval_begin(instance->fault_intervals, FAULT_DOWN);
 	mark_down(instance, 0);
 }
 
@@ -515,7 +527,9 @@
 	if (!instance->process && !instance->ending &&
 	    soak_now() >= instance->restart_at) {
 		start_instance(soak, instance);
-		fault_interval_end(instance->fault_intervals);
+		fault_interval_end(instance->fault_intervals, FAULT_PAUSE);
+		fault_interval_end(instance->fault_intervals, FAULT_DOWN);
+		fault_interval_end(instance->fault_intervals, FAULT_STOP);
 	}
 }
 
@@ -549,6 +563,7 @@
 	TAILQ_REMOVE(&soak->endpoints, endpoint, link);
 	process_free(endpoint->process);
 	soak_proxy_free(endpoint->proxy);
+	g_array_unref(endpoint->fault_intervals);
 	g_free(endpoint->id);
 	g_free(endpoint->log);
 	g_free(endpoint);
--- a/tests/soak/soak_outages.c
+++ b/tests/soak/soak_outages.c
@@ -100,7 +100,7 @@
 
 	soak_log("the store is back");
 	fleet_store_fault(soak, "none");
-	fault_interval_end(soak->store_fault_intervals);
+	fault_interval_end(soak->store_fault_intervals, FAULT_STORE);
 	g_timeout_add(LATER_CHANGE_MS, on_later_change, soak);
 	return G_SOURCE_REMOVE;
 }
@@ -118,7 +118,7 @@
 	mode = modes[draw(soak, 0, G_N_ELEMENTS(modes) - 1)];
 	endpoint = faults_draw_endpoint(soak, soak->outage_random);
 	soak_log("store after a change: %s", mode);
-	fault_interval_begin(soak->store_fault_intervals);
+	fault_interval_begin(soak->store_fault_intervals, FAULT_STORE);
 	fleet_store_fault(soak, mode);
 	if (endpoint)
 		fleet_rewrite(soak, endpoint);
--- a/tests/soak/soak_traffic.c
+++ b/tests/soak/soak_traffic.c
@@ -6,7 +6,7 @@
 
 #define TICK_MS 10
 #define DEADLINE_MS 3000
-/* The timeout of the routes is 2 s; the rest is for a busy CPU. */
+/* Longer than ROUTE_TIMEOUT_MS, for a busy CPU. */
 #define CALLER_TIMEOUT (6 * G_TIME_SPAN_SECOND)
 #define IDLE_MAX (10 * G_TIME_SPAN_SECOND)
 /* Requests sent this long after a version was served must find it, too. */
@@ -95,6 +95,9 @@
 	if (result->end != HTTP_CLIENT_COMPLETED)
 		return;
 	request->status = result->response->status;
+	request->endpoint_answered =
+		http_message_header(result->response, "X-Response-Signature") !=
+		NULL;
 	if (request->status / 100 == 2)
 		check_success(soak, request, result->response);
 	if (request->config_version)
