Stop instances in series in the soak

soak_stops.c stops a quarter of the fleet at once, several times, so that the stops overlap: by SIGTERM or the operator's drain, with further SIGTERM, SIGHUP and configurations during a stop. Callers send requests of 5, 400 and 1,200 ms, safe and unsafe, on kept and on new connections, to a stopping instance until it is gone. In 60% of the series the random faults pause, as they excuse what a stop does not. The series have a random stream of their own, and --no-stop-series leaves them out; the seeds of test_soak keep their plans.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -2,7 +2,7 @@
  * Randomized soak test of the whole system.
  *   soak --seed N [--seconds N] [--instances N] [--endpoints N] [--rate N]
  *        [--daemon PROGRAM] [--port-base PORT] [--no-outage-series]
- *        [--verbose]
+ *        [--no-stop-series] [--verbose]
  * The exit status is 0 without violations and 1 otherwise. After a violation
  * the settings and logs are kept in the build directory, in soak-SEED-PORT.
  */
@@ -127,6 +127,8 @@
 	{ "port-base", 'p', "PORT", 0, "First port to use, default 24000", 0 },
 	{ "no-outage-series", 'o', NULL, 0,
 	  "Leave out the outages of the store between changes", 0 },
+	{ "no-stop-series", 'S', NULL, 0,
+	  "Leave out the planned stops in series", 0 },
 	{ "verbose", 'v', NULL, 0, "Log faults and statistics", 0 },
 	{ 0 }
 };
@@ -151,6 +153,8 @@
 		options->port_base = (guint)atoi(argument);
 	else if (key == 'o')
 		options->outage_series = FALSE;
+	else if (key == 'S')
+		options->stop_series = FALSE;
 	else if (key == 'v')
 		verbose = TRUE;
 	else
@@ -170,6 +174,7 @@
 				     .requests_per_second = 100,
 				     .port_base = 24000,
 				     .outage_series = TRUE,
+				     .stop_series = TRUE,
 				     .daemon = "catkinstalld" } };
 	gchar *directory;
 
@@ -186,6 +191,7 @@
 		g_rand_new_with_seed((guint32)soak.options.seed + 1);
 	soak.outage_random =
 		g_rand_new_with_seed((guint32)soak.options.seed + 2);
+	soak.stop_random = g_rand_new_with_seed((guint32)soak.options.seed + 3);
 	soak.store_fault_intervals =
 		g_array_new(FALSE, FALSE, sizeof(fault_interval_t));
 	soak.config_acked_at = g_array_new(FALSE, TRUE, sizeof(GTimeSpan));
@@ -203,6 +209,7 @@
 	g_rand_free(soak.fault_random);
 	g_rand_free(soak.traffic_random);
 	g_rand_free(soak.outage_random);
+	g_rand_free(soak.stop_random);
 	g_free(directory);
 	return soak.violations ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -28,6 +28,7 @@
 	guint requests_per_second;
 	guint port_base;
 	gboolean outage_series; /* see soak_outages.c */
+	gboolean stop_series; /* see soak_stops.c */
 	const char *daemon; /* program that the instances run */
 	const char *directory; /* of settings and logs */
 } soak_options_t;
@@ -81,6 +82,16 @@
 	GTimeSpan stop_at; /* planned end after a drain, 0 for none */
 } endpoint_t;
 
+/* What a request is to be, before it is sent. */
+typedef struct {
+	guint instance; /* index */
+	gboolean idempotent;
+	const char *method;
+	const char *behaviour; /* word for fake_endpoint */
+	guint config_version; /* first one with the route, 0: any */
+	gboolean new_connection; /* does not use a kept connection */
+} soak_request_plan_t;
+
 /* A request of a caller. Callers do not retry. */
 typedef struct {
 	gchar *id;
@@ -120,6 +131,7 @@
 	GRand *fault_random; /* used for faults only */
 	GRand *traffic_random; /* used for requests only */
 	GRand *outage_random; /* used for soak_outages.c only */
+	GRand *stop_random; /* used for soak_stops.c only */
 	GTimeSpan faults_end_at;
 	GTimeSpan quiet_until; /* no other faults before */
 	process_t *store;
@@ -166,6 +178,8 @@
 void fleet_kill(instance_t *instance, GTimeSpan downtime);
 /* Sends SIGTERM; the instance is restarted when it has exited. */
 void fleet_terminate(instance_t *instance);
+/* Stops the instance like fleet_terminate(), through the operator API. */
+void fleet_drain_instance(soak_t *soak, instance_t *instance);
 /* Sends SIGSTOP or SIGCONT. */
 void fleet_pause(instance_t *instance, gboolean paused);
 /* Starts an endpoint and registers it in the store. */
@@ -216,8 +230,12 @@
 /* soak_outages.c: outages of the store between changes, for that time. */
 void outages_start(soak_t *soak);
 
+/* soak_stops.c: planned stops in series, for that time. */
+void stops_start(soak_t *soak);
+
 /* soak_traffic.c: sends requests and checks each response. */
 void traffic_start(soak_t *soak);
+void traffic_send(soak_t *soak, const soak_request_plan_t *plan);
 void traffic_stop(soak_t *soak);
 
 /* soak_checks.c: checks the endpoints' logs after the run. */
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -303,6 +303,8 @@
 	g_timeout_add(REGULAR_CHANGE_MS, on_regular_change, soak);
 	if (soak->options.outage_series)
 		outages_start(soak);
+	if (soak->options.stop_series)
+		stops_start(soak);
 }
 
 void faults_wait_cleared(void)
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -120,38 +120,58 @@
 	return NULL;
 }
 
-/* A pending write to the store; on_write_ended() records its confirmation. */
+/* A pending request of the operator; on_operation_ended() records its success. */
 typedef struct {
 	soak_t *soak;
 	guint64 request_id;
+	instance_t *drained; /* which the request stops, NULL for none */
+	guint incarnation; /* of the instance */
 	endpoint_t *endpoint; /* whose drain is stored, NULL for none */
 	guint version; /* of the configuration stored, 0 for none */
-} store_write_t;
+} operation_t;
 
-static GHashTable *pending_writes; /* request id -> store_write_t */
+static GHashTable *pending_operations; /* request id -> operation_t */
 
-static void on_write_ended(void *ctx, guint64 id,
-			   const http_client_result_t *result)
+/* An instance that did not confirm its drain gets SIGTERM instead. */
+static void on_operation_failed(const operation_t *operation)
+{
+	instance_t *instance = operation->drained;
+
+	if (!instance) {
+		soak_log("the store did not confirm a write");
+		return;
+	}
+	soak_log("e%u did not confirm its drain", instance->index);
+	if (!instance->process ||
+	    instance->incarnation != operation->incarnation)
+		return;
+	instance->sigterm_at = soak_now();
+	process_signal(instance->process, SIGTERM);
+}
+
+static void on_operation_ended(void *ctx, guint64 id,
+			       const http_client_result_t *result)
 {
 	soak_t *soak = ctx;
-	store_write_t *write = g_hash_table_lookup(pending_writes, &id);
+	operation_t *operation = g_hash_table_lookup(pending_operations, &id);
 
 	if (result->end != HTTP_CLIENT_COMPLETED ||
 	    result->response->status != 200)
-		soak_log("the store did not confirm a write");
-	else if (write->endpoint)
-		write->endpoint->drain_acked_at = soak_now();
-	else if (write->version)
+		on_operation_failed(operation);
+	else if (operation->endpoint)
+		operation->endpoint->drain_acked_at = soak_now();
+	else if (operation->version)
 		g_array_index(soak->config_acked_at, GTimeSpan,
-			      write->version) = soak_now();
-	g_hash_table_remove(pending_writes, &id);
+			      operation->version) = soak_now();
+	g_hash_table_remove(pending_operations, &id);
 }
 
-static store_write_t *write_store(soak_t *soak, const char *method,
-				  const char *path, const char *body)
+static operation_t *send_operator_request(soak_t *soak, guint port,
+					  const char *method, const char *path,
+					  const char *body)
 {
-	store_write_t *write = g_new0(store_write_t, 1);
-	gchar *address = g_strdup_printf("127.0.0.1:%u", store_port(soak));
+	operation_t *operation = g_new0(operation_t, 1);
+	gchar *address = g_strdup_printf("127.0.0.1:%u", port);
 	http_client_request_t request = {
 		.id = ++soak->last_request_id,
 		.address = address,
@@ -160,9 +180,10 @@
 		.idle_max = G_TIME_SPAN_SECOND,
 	};
 
-	write->soak = soak;
-	write->request_id = request.id;
-	g_hash_table_insert(pending_writes, &write->request_id, write);
+	operation->soak = soak;
+	operation->request_id = request.id;
+	g_hash_table_insert(pending_operations, &operation->request_id,
+			    operation);
 	g_string_printf(request.message,
 			"%s %s HTTP/1.1\r\nHost: %s\r\n"
 			"Content-Length: %zu\r\n\r\n%s",
@@ -170,7 +191,14 @@
 	http_client_send(soak->operator_client, &request);
 	g_string_free(request.message, TRUE);
 	g_free(address);
-	return write;
+	return operation;
+}
+
+static operation_t *write_store(soak_t *soak, const char *method,
+				const char *path, const char *body)
+{
+	return send_operator_request(soak, store_port(soak), method, path,
+				     body);
 }
 
 void fleet_store_fault(soak_t *soak, const char *mode)
@@ -228,8 +256,8 @@
 	g_string_free(text, TRUE);
 }
 
-static store_write_t *put_endpoint(soak_t *soak, endpoint_t *endpoint,
-				   const char *state)
+static operation_t *put_endpoint(soak_t *soak, endpoint_t *endpoint,
+				 const char *state)
 {
 	gchar *path = g_strdup_printf("/-/objects/servers/%s", endpoint->id);
 	gchar *body = g_strdup_printf(
@@ -239,20 +267,20 @@
 		"\"born\":%u}",
 		endpoint_port(soak, endpoint->index, TRUE), endpoint->index % 2,
 		state, ++endpoint->sequence, endpoint->index + 1);
-	store_write_t *write = write_store(soak, "PUT", path, body);
+	operation_t *operation = write_store(soak, "PUT", path, body);
 
 	g_free(body);
 	g_free(path);
-	return write;
+	return operation;
 }
 
-static store_write_t *remove_entry(soak_t *soak, const endpoint_t *endpoint)
+static operation_t *remove_entry(soak_t *soak, const endpoint_t *endpoint)
 {
 	gchar *path = g_strdup_printf("/-/objects/servers/%s", endpoint->id);
-	store_write_t *write = write_store(soak, "DELETE", path, "");
+	operation_t *operation = write_store(soak, "DELETE", path, "");
 
 	g_free(path);
-	return write;
+	return operation;
 }
 
 endpoint_t *fleet_add_endpoint(soak_t *soak)
@@ -322,7 +350,7 @@
 
 static gboolean on_entry_expired(gpointer data)
 {
-	const store_write_t *expiry = data;
+	const operation_t *expiry = data;
 
 	remove_entry(expiry->soak, expiry->endpoint);
 	g_free(data);
@@ -331,7 +359,7 @@
 
 void fleet_crash_endpoint(soak_t *soak, endpoint_t *endpoint)
 {
-	store_write_t *expiry = g_new0(store_write_t, 1);
+	operation_t *expiry = g_new0(operation_t, 1);
 
 	expiry->soak = soak;
 	expiry->endpoint = endpoint;
@@ -411,13 +439,14 @@
 
 void fleet_start(soak_t *soak)
 {
-	http_client_events_t events = { .ended = on_write_ended, .ctx = soak };
+	http_client_events_t events = { .ended = on_operation_ended,
+					.ctx = soak };
 	const http_message_limits_t limits = { 0 };
 	gchar *port = g_strdup_printf("%u", store_port(soak));
 	guint i;
 
-	pending_writes = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-					       NULL, g_free);
+	pending_operations = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						   NULL, g_free);
 	soak->operator_client =
 		http_client_new(&events, &limits, &system_clock);
 	soak->store = process_start("fake_store", "--port", port, NULL);
@@ -461,13 +490,32 @@
 	mark_down(instance, downtime);
 }
 
-void fleet_terminate(instance_t *instance)
+static gboolean begin_stop(instance_t *instance)
 {
 	if (!instance->process || instance->sigterm_at)
-		return;
+		return FALSE;
 	fault_interval_begin(instance->fault_intervals, FAULT_STOP);
 	instance->sigterm_at = soak_now();
-	process_signal(instance->process, SIGTERM);
+	return TRUE;
+}
+
+void fleet_terminate(instance_t *instance)
+{
+	if (begin_stop(instance))
+		process_signal(instance->process, SIGTERM);
+}
+
+void fleet_drain_instance(soak_t *soak, instance_t *instance)
+{
+	guint port = instance_port(soak, instance->index, CALLER_PORT);
+	operation_t *operation;
+
+	if (!begin_stop(instance))
+		return;
+	operation = send_operator_request(soak, port, "POST",
+					  "/v1/operator/drain", "");
+	operation->drained = instance;
+	operation->incarnation = instance->incarnation;
 }
 
 void fleet_pause(instance_t *instance, gboolean paused)
@@ -595,5 +643,5 @@
 		endpoint_free(soak, TAILQ_FIRST(&soak->endpoints));
 	process_free(soak->store);
 	http_client_free(soak->operator_client);
-	g_hash_table_unref(pending_writes);
+	g_hash_table_unref(pending_operations);
 }
--- a/tests/soak/soak_traffic.c
+++ b/tests/soak/soak_traffic.c
@@ -115,53 +115,75 @@
 	return g_rand_int_range(random, 0, 100) < 20 ? "slow" : "plain";
 }
 
-static void send_request(soak_t *soak)
+static void draw_plan(const soak_t *soak, soak_request_plan_t *plan)
 {
 	GRand *random = soak->traffic_random;
-	soak_request_t *request = g_new0(soak_request_t, 1);
-	guint64 number = ++soak->last_request_id;
-	const char *method = "GET";
-	gchar *target, *body, *address;
-	http_client_request_t sent = { .id = number,
-				       .message = g_string_new(NULL),
-				       .timeout = CALLER_TIMEOUT,
-				       .idle_max = IDLE_MAX };
-
-	request->id = g_strdup_printf("q%" G_GUINT64_FORMAT, number);
-	request->instance = (guint)g_rand_int_range(
+
+	plan->instance = (guint)g_rand_int_range(
 		random, 0, (gint32)soak->options.instances);
-	request->incarnation =
-		soak_instance(soak, request->instance)->incarnation;
-	request->sent_at = soak_now();
-	request->idempotent = g_rand_int_range(random, 0, 100) < 60;
-	if (request->idempotent && g_rand_int_range(random, 0, 100) < 20)
-		request->config_version = (guint)g_rand_int_range(
+	plan->idempotent = g_rand_int_range(random, 0, 100) < 60;
+	plan->method = "GET";
+	if (plan->idempotent && g_rand_int_range(random, 0, 100) < 20)
+		plan->config_version = (guint)g_rand_int_range(
 			random, (gint32)MAX(soak->config_version, 3) - 2,
 			(gint32)soak->config_version + 1);
-	if (!request->idempotent)
-		method = g_rand_boolean(random) ? "PUT" : "POST";
-	body = request->idempotent ?
-		       g_strdup("") :
-		       g_strdup_printf("b%" G_GUINT64_FORMAT, number);
-	target =
-		request->config_version ?
-			g_strdup_printf("/v%u/plain", request->config_version) :
-			g_strdup_printf("/%s/%s?n=%" G_GUINT64_FORMAT,
-					request->idempotent ? "safe" : "once",
-					draw_endpoint_behaviour(random),
-					number);
-	request->expected_body = g_strdup_printf("%s %s %s %s", method, target,
-						 request->id, body);
-	address = g_strdup_printf("127.0.0.1:%u",
-				  fleet_proxy_port(soak, request->instance));
+	if (!plan->idempotent)
+		plan->method = g_rand_boolean(random) ? "PUT" : "POST";
+	if (!plan->config_version)
+		plan->behaviour = draw_endpoint_behaviour(random);
+}
+
+static soak_request_t *request_new(soak_t *soak,
+				   const soak_request_plan_t *plan)
+{
+	soak_request_t *request = g_new0(soak_request_t, 1);
+
+	request->id =
+		g_strdup_printf("q%" G_GUINT64_FORMAT, ++soak->last_request_id);
+	request->instance = plan->instance;
+	request->incarnation = soak_instance(soak, plan->instance)->incarnation;
+	request->sent_at = soak_now();
+	request->idempotent = plan->idempotent;
+	request->config_version = plan->config_version;
+	g_hash_table_insert(soak->requests, request->id, request);
+	return request;
+}
+
+static gchar *format_target(const soak_request_plan_t *plan, guint64 number)
+{
+	if (plan->config_version)
+		return g_strdup_printf("/v%u/plain", plan->config_version);
+	return g_strdup_printf("/%s/%s?n=%" G_GUINT64_FORMAT,
+			       plan->idempotent ? "safe" : "once",
+			       plan->behaviour, number);
+}
+
+void traffic_send(soak_t *soak, const soak_request_plan_t *plan)
+{
+	soak_request_t *request = request_new(soak, plan);
+	guint64 number = soak->last_request_id;
+	gchar *target = format_target(plan, number);
+	gchar *body = plan->idempotent ?
+			      g_strdup("") :
+			      g_strdup_printf("b%" G_GUINT64_FORMAT, number);
+	gchar *address = g_strdup_printf(
+		"127.0.0.1:%u", fleet_proxy_port(soak, plan->instance));
+	http_client_request_t sent = {
+		.id = number,
+		.address = address,
+		.message = g_string_new(NULL),
+		.timeout = CALLER_TIMEOUT,
+		.idle_max = plan->new_connection ? 0 : IDLE_MAX,
+	};
+
+	request->expected_body = g_strdup_printf("%s %s %s %s", plan->method,
+						 target, request->id, body);
 	g_string_printf(sent.message,
 			"%s %s HTTP/1.1\r\nHost: a.example\r\n"
 			"X-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n"
 			"Content-Length: %zu\r\n\r\n%s",
-			method, target, request->id, DEADLINE_MS, strlen(body),
-			body);
-	sent.address = address;
-	g_hash_table_insert(soak->requests, request->id, request);
+			plan->method, target, request->id, DEADLINE_MS,
+			strlen(body), body);
 	http_client_send(soak->client, &sent);
 	g_string_free(sent.message, TRUE);
 	g_free(address);
@@ -174,8 +196,12 @@
 	soak_t *soak = data;
 
 	due_requests += soak->options.requests_per_second * TICK_MS / 1000.0;
-	for (; due_requests >= 1; due_requests -= 1)
-		send_request(soak);
+	for (; due_requests >= 1; due_requests -= 1) {
+		soak_request_plan_t plan = { 0 };
+
+		draw_plan(soak, &plan);
+		traffic_send(soak, &plan);
+	}
 	return G_SOURCE_CONTINUE;
 }
 
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -13,20 +13,30 @@
 #define PORT_OFFSET 4000 /* above the ports of the other tests */
 #define FAULT_SECONDS "6" /* unless a seed needs longer to show its fault */
 
+/* What a run has beside its random faults, see soak_outages.c, soak_stops.c. */
+enum { OUTAGE_SERIES = 1 << 0, STOP_SERIES = 1 << 1 };
+
 /*
- * Runs the faults of a seed with or without the outages of the store between
- * changes. Returns the exit status: 0 without violations, 1 otherwise.
+ * Runs the faults of a seed with a set of series. Returns the exit status: 0
+ * without violations, 1 otherwise.
  */
 static int run_soak(const char *seed, const char *seconds, const char *daemon,
-		    gboolean outage_series)
+		    guint series)
 {
+	const char *left_out[] = { NULL, NULL };
+	guint count = 0;
 	gchar *port = g_strdup_printf("%u", test_port(0) + PORT_OFFSET);
-	process_t *process = process_start(
-		"soak", "--seed", seed, "--seconds", seconds, "--port-base",
-		port, "--daemon", daemon,
-		outage_series ? NULL : "--no-outage-series", NULL);
-	int status = process_wait(process);
+	process_t *process;
+	int status;
 
+	if (!(series & OUTAGE_SERIES))
+		left_out[count++] = "--no-outage-series";
+	if (!(series & STOP_SERIES))
+		left_out[count] = "--no-stop-series";
+	process = process_start("soak", "--seed", seed, "--seconds", seconds,
+				"--port-base", port, "--daemon", daemon,
+				left_out[0], left_out[1], NULL);
+	status = process_wait(process);
 	process_free(process);
 	g_free(port);
 	return status;
@@ -36,8 +46,7 @@
 static void guarantees_hold_under_faults(void **state)
 {
 	(void)state;
-	assert_int_equal(run_soak("1", FAULT_SECONDS, "catkinstalld", FALSE),
-			 0);
+	assert_int_equal(run_soak("1", FAULT_SECONDS, "catkinstalld", 0), 0);
 }
 
 /*
@@ -47,8 +56,7 @@
 static void shutdown_with_abandoned_request(void **state)
 {
 	(void)state;
-	assert_int_equal(run_soak("34", FAULT_SECONDS, "catkinstalld", FALSE),
-			 0);
+	assert_int_equal(run_soak("34", FAULT_SECONDS, "catkinstalld", 0), 0);
 }
 
 /*
@@ -59,22 +67,23 @@
 static void silent_store_watch_is_replaced(void **state)
 {
 	(void)state;
-	assert_int_equal(run_soak("140", "12", "catkinstalld", FALSE), 0);
+	assert_int_equal(run_soak("140", "12", "catkinstalld", 0), 0);
 }
 
 /* Fails if changes around outages are hidden, or a malformed entry is fatal. */
 static void changes_around_outages_are_learnt(void **state)
 {
 	(void)state;
-	assert_int_equal(run_soak("9101", "18", "catkinstalld", TRUE), 0);
+	assert_int_equal(run_soak("9101", "18", "catkinstalld", OUTAGE_SERIES),
+			 0);
 }
 
 /* Fails if the soak misses retries of requests that may have run. */
 static void retry_without_proof_is_detected(void **state)
 {
 	(void)state;
-	assert_int_equal(
-		run_soak("7", FAULT_SECONDS, "catkinstalld_naive", FALSE), 1);
+	assert_int_equal(run_soak("7", FAULT_SECONDS, "catkinstalld_naive", 0),
+			 1);
 }
 
 int main(void)
