Show that the soak finds a shutdown that takes calls to its end

catkinstalld_naive_shutdown runs with shutdown_rule_take_all, and the soak must exit with 1 on it; with the production rule the same seed must show no violation.

--- a/Makefile
+++ b/Makefile
@@ -86,8 +86,8 @@
 	@echo "LD $@"
 	@$(CC) -o $@ $^ $(LIBS)
 
-# The daemon with a faulty retry rule, whose faults the tests must detect; never
-# installed.
+# The daemon with a faulty retry rule or a faulty shutdown rule, whose faults the
+# tests must detect; never installed.
 $(BUILD)/catkinstalld_naive: programs/catkinstalld.c \
 		$(BUILD)/tests/naive/naive_rule.o \
 		$(BUILD)/programs/daemon.o $(LINK_ALL)
@@ -95,6 +95,13 @@
 	@$(CC) $(ALL_CFLAGS) $(ALL_FLAGS) -DCATK_RETRY_RULE=retry_rule_naive \
 	-o $@ $^ $(LIBS)
 
+$(BUILD)/catkinstalld_naive_shutdown: programs/catkinstalld.c \
+		$(BUILD)/tests/naive/naive_shutdown_rule.o \
+		$(BUILD)/programs/daemon.o $(LINK_ALL)
+	@echo "LD $@"
+	@$(CC) $(ALL_CFLAGS) $(ALL_FLAGS) \
+	-DCATK_SHUTDOWN_RULE=shutdown_rule_take_all -o $@ $^ $(LIBS)
+
 $(BUILD)/catkinctl: $(BUILD)/programs/catkinctl.o $(CTL_OBJECTS) $(LINK_ALL)
 	@echo "LD $@"
 	@$(CC) -o $@ $^ $(LIBS)
@@ -130,6 +137,7 @@
 build-all: deps
 	$(MAKE) all $(FAKES) $(TESTS) $(BUILD)/soak \
 	$(BUILD)/catkinstalld_naive \
+	$(BUILD)/catkinstalld_naive_shutdown \
 	$(BUILD)/lib_links_alone
 
 check: build-all
--- a/programs/catkinstalld.c
+++ b/programs/catkinstalld.c
@@ -7,13 +7,18 @@
 #include "programs/daemon.h"
 
 /*
- * Tests build the daemon with a faulty retry rule, whose faults they must
- * detect; see catkinstalld_naive in the Makefile.
+ * Tests build the daemon with a faulty retry rule or shutdown rule, whose faults
+ * they must detect; see catkinstalld_naive and catkinstalld_naive_shutdown in
+ * the Makefile.
  */
 #ifdef CATK_RETRY_RULE
 #include "lib/call/call.h"
 extern const retry_rule_t CATK_RETRY_RULE;
 #endif
+#ifdef CATK_SHUTDOWN_RULE
+#include "lib/shutdown/shutdown.h"
+extern const shutdown_rule_t CATK_SHUTDOWN_RULE;
+#endif
 
 const char *argp_program_version = "catkinstalld 0.1.0";
 
@@ -116,6 +121,9 @@
 		return EXIT_FAILURE;
 #ifdef CATK_RETRY_RULE
 	settings->entry.retry_rule = &CATK_RETRY_RULE;
+#endif
+#ifdef CATK_SHUTDOWN_RULE
+	settings->entry.shutdown_rule = &CATK_SHUTDOWN_RULE;
 #endif
 	reload.ctx = (void *)options.settings_path;
 	if (options.check_only || daemon_run(settings, &reload, &error))
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -1,6 +1,6 @@
 /*
  * Short runs of the randomized soak test: a fixed seed, seeds that found faults
- * before, and catkinstalld_naive, whose violations the soak must detect.
+ * before, and daemons with a faulty rule, whose violations the soak must detect.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -12,6 +12,7 @@
 
 #define PORT_OFFSET 4000 /* above the ports of the other tests */
 #define FAULT_SECONDS "6" /* unless a seed needs longer to show its fault */
+#define STOP_SECONDS "8" /* some stops end before the faults do */
 
 /* What a run has beside its random faults, see soak_outages.c, soak_stops.c. */
 enum { OUTAGE_SERIES = 1 << 0, STOP_SERIES = 1 << 1 };
@@ -78,6 +79,23 @@
 			 0);
 }
 
+/* Fails if overlapping planned stops cut requests that reached an endpoint. */
+static void planned_stops_lose_no_request(void **state)
+{
+	(void)state;
+	assert_int_equal(
+		run_soak("4", STOP_SECONDS, "catkinstalld", STOP_SERIES), 0);
+}
+
+/* Fails if the soak misses requests that a planned stop cuts. */
+static void requests_cut_by_a_stop_are_detected(void **state)
+{
+	(void)state;
+	assert_int_equal(run_soak("4", STOP_SECONDS,
+				  "catkinstalld_naive_shutdown", STOP_SERIES),
+			 1);
+}
+
 /* Fails if the soak misses retries of requests that may have run. */
 static void retry_without_proof_is_detected(void **state)
 {
@@ -93,7 +111,9 @@
 		cmocka_unit_test(shutdown_with_abandoned_request),
 		cmocka_unit_test(silent_store_watch_is_replaced),
 		cmocka_unit_test(changes_around_outages_are_learnt),
+		cmocka_unit_test(planned_stops_lose_no_request),
 		cmocka_unit_test(retry_without_proof_is_detected),
+		cmocka_unit_test(requests_cut_by_a_stop_are_detected),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
