Keep the plan of the soak's stops apart from its requests

The requests to stopping instances draw from the random stream of the traffic, and the kind of an event is drawn with its time, so that the plan of the stops depends on the seed alone.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -222,6 +222,8 @@
 void faults_start(soak_t *soak);
 /* Waits until the last fault has cleared. */
 void faults_wait_cleared(void);
+/* TRUE once the time for faults has passed. */
+gboolean faults_are_over(const soak_t *soak);
 /* A number from min to max. */
 guint faults_draw(GRand *random, guint min, guint max);
 /* A running endpoint that does not drain; NULL when too few are left. */
@@ -240,7 +242,7 @@
 
 /* soak_checks.c: checks the endpoints' logs after the run. */
 void checks_run(soak_t *soak);
-/* soak_lost.c: reports a request that has lost its answer; end of it known. */
+/* soak_lost.c: reports a request that ended without its endpoint's answer. */
 void lost_check(soak_t *soak, const soak_request_t *request,
 		const deliveries_t *deliveries);
 /* The instance with an index, or NULL. */
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -35,6 +35,11 @@
 	void (*apply)(soak_t *soak);
 } fault_kind_t;
 
+gboolean faults_are_over(const soak_t *soak)
+{
+	return soak_now() >= soak->faults_end_at;
+}
+
 guint faults_draw(GRand *random, guint min, guint max)
 {
 	return (guint)g_rand_int_range(random, (gint32)min, (gint32)max + 1);
@@ -267,7 +272,7 @@
 	soak_t *soak = data;
 	guint interval_ms = draw(soak, INTERVAL_MIN_MS, INTERVAL_MAX_MS);
 
-	if (soak_now() >= soak->faults_end_at)
+	if (faults_are_over(soak))
 		return G_SOURCE_REMOVE;
 	if (soak_now() >= soak->quiet_until)
 		draw_kind(soak)->apply(soak);
@@ -285,7 +290,7 @@
 {
 	soak_t *soak = data;
 
-	if (soak_now() >= soak->faults_end_at)
+	if (faults_are_over(soak))
 		return G_SOURCE_REMOVE;
 	if (soak_now() < soak->quiet_until)
 		return G_SOURCE_CONTINUE;
--- a/tests/soak/soak_lost.c
+++ b/tests/soak/soak_lost.c
@@ -29,7 +29,7 @@
 				   request->ended_at);
 }
 
-/* A fault, or a planned stop, and a restart since. */
+/* A fault or a planned stop during the request was followed by a restart. */
 static gboolean is_restart_expected(const instance_t *instance,
 				    const soak_request_t *request)
 {
@@ -78,7 +78,7 @@
 	       request->sent_at <= stop->from + EARLY_REQUEST;
 }
 
-/* The instance gave an answer of its own while the endpoint was at work. */
+/* The instance answered in place of an endpoint that was still at work. */
 static gboolean is_broken_off(const soak_request_t *request,
 			      const deliveries_t *deliveries)
 {
--- a/tests/soak/soak_outages.c
+++ b/tests/soak/soak_outages.c
@@ -25,11 +25,6 @@
 	return faults_draw(soak->outage_random, min, max);
 }
 
-static gboolean is_over(const soak_t *soak)
-{
-	return soak_now() >= soak->faults_end_at;
-}
-
 static void put_malformed_entry(soak_t *soak)
 {
 	static const char *const specs[] = {
@@ -76,7 +71,7 @@
 {
 	soak_t *soak = data;
 
-	if (!is_over(soak))
+	if (!faults_are_over(soak))
 		g_timeout_add(draw(soak, FIRST_MIN_MS, FIRST_MAX_MS),
 			      on_series_due, soak);
 	return G_SOURCE_REMOVE;
@@ -86,7 +81,7 @@
 {
 	soak_t *soak = data;
 
-	if (is_over(soak))
+	if (faults_are_over(soak))
 		return G_SOURCE_REMOVE;
 	change_endpoint(soak);
 	fleet_put_config(soak);
@@ -113,7 +108,7 @@
 	soak_t *soak = data;
 	endpoint_t *endpoint;
 
-	if (is_over(soak))
+	if (faults_are_over(soak))
 		return G_SOURCE_REMOVE;
 	mode = modes[draw(soak, 0, G_N_ELEMENTS(modes) - 1)];
 	endpoint = faults_draw_endpoint(soak, soak->outage_random);
@@ -132,7 +127,7 @@
 {
 	soak_t *soak = data;
 
-	if (is_over(soak))
+	if (faults_are_over(soak))
 		return G_SOURCE_REMOVE;
 	if (draw(soak, 0, 99) < QUIET_PERCENT)
 		soak->quiet_until =
--- a/tests/soak/soak_stops.c
+++ b/tests/soak/soak_stops.c
@@ -2,8 +2,8 @@
  * Planned stops in series that overlap: a part of the fleet is stopped at once,
  * several times, by SIGTERM or by an operator, with further signals and changes
  * of the configuration during the stops. Callers send long requests to a
- * stopping instance until it is gone. All of it draws from a random stream of
- * its own, so that a seed has the same other faults with and without it.
+ * stopping instance until it is gone. The stops draw from a random stream of
+ * their own, so that a seed has the same other faults with and without them.
  */
 #include <signal.h>
 
@@ -23,15 +23,19 @@
 #define STOPS_PER_ROUND_MIN 2
 #define DRAIN_PERCENT 30 /* the other stops begin with SIGTERM */
 #define EVENTS_PER_STOP_MAX 3
-/* An event may come after the end of the process, or to its successor. */
+/* A signal that is due after the end of the process is left out. */
 #define EVENT_DELAY_MAX_MS (SHUTDOWN_MAX_MS + 500)
 #define REQUEST_INTERVAL_MIN_MS 50
 #define REQUEST_INTERVAL_MAX_MS 250
 
+typedef enum { EVENT_SIGTERM, EVENT_SIGHUP, EVENT_CONFIG, EVENT_KINDS } event_t;
+
+/* The stop of one incarnation, for a timer that frees it. */
 typedef struct {
 	soak_t *soak;
 	instance_t *instance;
 	guint incarnation;
+	event_t event; /* not used for requests */
 } stop_t;
 
 typedef struct {
@@ -44,11 +48,6 @@
 	return faults_draw(soak->stop_random, min, max);
 }
 
-static gboolean is_over(const soak_t *soak)
-{
-	return soak_now() >= soak->faults_end_at;
-}
-
 static gboolean is_gone(const stop_t *stop)
 {
 	return !stop->instance->process ||
@@ -66,37 +65,36 @@
 						  "plain" };
 	stop_t *stop = data;
 	soak_t *soak = stop->soak;
+	GRand *random = soak->traffic_random;
 	soak_request_plan_t plan = { .instance = stop->instance->index };
 
 	if (is_gone(stop)) {
 		g_free(stop);
 		return G_SOURCE_REMOVE;
 	}
-	plan.idempotent = draw(soak, 0, 1);
+	plan.idempotent = faults_draw(random, 0, 1);
 	plan.method = plan.idempotent ? "GET" : "POST";
 	plan.behaviour =
-		behaviours[draw(soak, 0, G_N_ELEMENTS(behaviours) - 1)];
-	plan.new_connection = draw(soak, 0, 1);
+		behaviours[faults_draw(random, 0, G_N_ELEMENTS(behaviours) - 1)];
+	plan.new_connection = faults_draw(random, 0, 1);
 	traffic_send(soak, &plan);
-	g_timeout_add(draw(soak, REQUEST_INTERVAL_MIN_MS,
-			   REQUEST_INTERVAL_MAX_MS),
+	g_timeout_add(faults_draw(random, REQUEST_INTERVAL_MIN_MS,
+				  REQUEST_INTERVAL_MAX_MS),
 		      on_request_due, stop);
 	return G_SOURCE_REMOVE;
 }
 
 static gboolean on_event_due(gpointer data)
 {
-	static const int signals[] = { SIGTERM, SIGHUP };
 	stop_t *stop = data;
-	soak_t *soak = stop->soak;
-	guint kind = draw(soak, 0, G_N_ELEMENTS(signals));
+	int signal = stop->event == EVENT_SIGTERM ? SIGTERM : SIGHUP;
 
-	if (kind == G_N_ELEMENTS(signals)) {
-		fleet_put_config(soak);
+	if (stop->event == EVENT_CONFIG) {
+		fleet_put_config(stop->soak);
 	} else if (!is_gone(stop)) {
-		soak_log("signal %d to e%u during its stop", signals[kind],
+		soak_log("signal %d to e%u during its stop", signal,
 			 stop->instance->index);
-		process_signal(stop->instance->process, signals[kind]);
+		process_signal(stop->instance->process, signal);
 	}
 	g_free(stop);
 	return G_SOURCE_REMOVE;
@@ -104,7 +102,9 @@
 
 static void stop_instance(soak_t *soak, instance_t *instance)
 {
-	stop_t stop = { soak, instance, instance->incarnation };
+	stop_t stop = { .soak = soak,
+			.instance = instance,
+			.incarnation = instance->incarnation };
 	gboolean drains = draw(soak, 0, 99) < DRAIN_PERCENT;
 	guint events = draw(soak, 0, EVENTS_PER_STOP_MAX);
 
@@ -116,9 +116,11 @@
 		fleet_drain_instance(soak, instance);
 	else
 		fleet_terminate(instance);
-	while (events--)
+	while (events--) {
+		stop.event = (event_t)draw(soak, 0, EVENT_KINDS - 1);
 		g_timeout_add(draw(soak, 0, EVENT_DELAY_MAX_MS), on_event_due,
 			      stop_copy(&stop));
+	}
 	on_request_due(stop_copy(&stop));
 }
 
@@ -142,7 +144,7 @@
 	series_t *series = data;
 	soak_t *soak = series->soak;
 
-	if (is_over(soak)) {
+	if (faults_are_over(soak)) {
 		g_free(series);
 		return G_SOURCE_REMOVE;
 	}
