--- a/tests/soak/soak_outages.c
+++ b/tests/soak/soak_outages.c
@@ -25,11 +25,6 @@
 	return faults_draw(soak->outage_random, min, max);
 }
 
-static gboolean is_over(const soak_t *soak)
-{
-	return soak_now() >= soak->faults_end_at;
-}
-
 static void put_malformed_entry(soak_t *soak)
 {
 	static const char *const specs[] = {
@@ -76,7 +71,7 @@
 {
 	soak_t *soak = data;
 
-	if (!is_over(soak))
+	if (!faults_are_over(soak))
 		g_timeout_add(draw(soak, FIRST_MIN_MS, FIRST_MAX_MS),
 			      on_series_due, soak);
 	return G_SOURCE_REMOVE;
@@ -86,7 +81,7 @@
 {
 	soak_t *soak = data;
 
-	if (is_over(soak))
+	if (faults_are_over(soak))
 		return G_SOURCE_REMOVE;
 	change_endpoint(soak);
 	fleet_put_config(soak);
@@ -100,7 +95,7 @@
 
 	soak_log("the store is back");
 	fleet_store_fault(soak, "none");
-	fault_interval_end(soak->store_fault_intervals);
+	fault_interval_end(soak->store_fault_intervals, FAULT_STORE);
 	g_timeout_add(LATER_CHANGE_MS, on_later_change, soak);
 	return G_SOURCE_REMOVE;
 }
@@ -113,12 +108,12 @@
 	soak_t *soak = data;
 	endpoint_t *endpoint;
 
-	if (is_over(soak))
+	if (faults_are_over(soak))
 		return G_SOURCE_REMOVE;
 	mode = modes[draw(soak, 0, G_N_ELEMENTS(modes) - 1)];
 	endpoint = faults_draw_endpoint(soak, soak->outage_random);
 	soak_log("store after a change: %s", mode);
-	fault_interval_begin(soak->store_fault_intervals);
+	fault_interval_begin(soak->store_fault_intervals, FAULT_STORE);
 	fleet_store_fault(soak, mode);
 	if (endpoint)
 		fleet_rewrite(soak, endpoint);
@@ -132,7 +127,7 @@
 {
 	soak_t *soak = data;
 
-	if (is_over(soak))
+	if (faults_are_over(soak))
 		return G_SOURCE_REMOVE;
 	if (draw(soak, 0, 99) < QUIET_PERCENT)
 		soak->quiet_until =
