Refuse callers at once when every endpoint pauses or leaves

While all endpoints of a service asked for a pause, or had said that they leave, a routed call waited in the queue until its latest start, or until the end of its retries, and its 503 named a time within the pause. A refused call was sent on to nobody and then told to return after 10 to 30 ms.

The upstream now tells the instant from which an endpoint accepts work. A routed call whose latest start is before that instant is refused, on arrival, in the queue and after an attempt, with the earliest end of a pause, spread by up to a tenth of it, as its Retry-After. If all endpoints are leaving, the time is a part of the time left, as before. A call that can start in time after a short pause waits for it. The outcome comes from the attempts of the call, so one that may have run gets 502, not 503. Nothing changes for other services, and for a service without any listed endpoint, whose list may not have been read yet.

Six new tests of test_routed_calls and test_platform/callers_are_refused_at_once_in_a_pause_of_all failed before the change; request_waits_for_the_end_of_a_short_pause passed and fails if any pause refuses.

--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -170,6 +170,13 @@
 GTimeSpan entry_retry_after(entry_t *entry, const entry_service_t *service,
 			    const call_t *call, gboolean has_capacity);
 
+/*
+ * FALSE for a routed call that can find no endpoint in time: all of them are
+ * leaving, or paused beyond its latest start.
+ */
+gboolean entry_can_start_in_time(const entry_service_t *service,
+				 const call_t *call, GTimeSpan now);
+
 /* Resumes the calls that waited only for this probe, answered or failed. */
 void entry_probe_wait_report(entry_t *entry, entry_service_t *service,
 			     const char *endpoint);
--- a/lib/entry/entry_measure.c
+++ b/lib/entry/entry_measure.c
@@ -48,6 +48,8 @@
 #define SHORT_RETRY_AFTER_MAX (30 * G_TIME_SPAN_MILLISECOND)
 #define RETRY_AFTER_FRACTION_MIN 0.08
 #define RETRY_AFTER_FRACTION_MAX 0.3
+/* Callers return after the end of a pause, spread over this part of it. */
+#define PAUSE_SPREAD 0.1
 
 /*
  * TRUE if the call may use another data centre although it will miss its
@@ -108,8 +110,14 @@
 	GTimeSpan now = entry_now(entry);
 	double needed = SERVICE_TIME_MARGIN *
 			service->service_time[call->queue.priority];
+	GTimeSpan available_at =
+		upstream_accepts_work_at(service->upstream, now);
 	double part;
 
+	if (available_at > now && available_at != CATK_NEVER)
+		return (GTimeSpan)((double)(available_at - now) *
+				   g_rand_double_range(entry->random, 1,
+						       1 + PAUSE_SPREAD));
 	if (has_capacity &&
 	    call->objective - now - SHORT_RETRY_AFTER_MAX > (GTimeSpan)needed)
 		return g_rand_int_range(entry->random, SHORT_RETRY_AFTER_MIN,
@@ -119,6 +127,28 @@
 	return (GTimeSpan)(part * (double)(call->deadline - now));
 }
 
+gboolean entry_can_start_in_time(const entry_service_t *service,
+				 const call_t *call, GTimeSpan now)
+{
+	return !call->routed ||
+	       upstream_accepts_work_at(service->upstream, now) <=
+		       call->queue.latest_start;
+}
+
+/* Refuses a routed call for which entry_can_start_in_time() is FALSE. */
+static void refuse_no_endpoint(entry_t *entry, const entry_service_t *service,
+			       call_t *call)
+{
+	catk_error_t error;
+
+	catk_error_set(&error, CATK_UNAVAILABLE, OUTCOME_NOT_RUN,
+		       "every endpoint of %.64s is leaving or has asked for a "
+		       "pause: retry after the given time",
+		       call->service);
+	error.retry_after = entry_retry_after(entry, service, call, FALSE);
+	entry_finish_refused(entry, call, &error);
+}
+
 /* Refuses a routed call that found no endpoint with capacity in time. */
 static void refuse_no_capacity(entry_t *entry, call_t *call)
 {
@@ -210,8 +240,9 @@
 }
 
 /*
- * Continues when the probes of a scope have ended or timed out: sends the next
- * ones if no local endpoint meets the call's objective, otherwise queues it.
+ * Continues when the probes of a scope have ended, timed out or are not needed:
+ * sends the next ones if no local endpoint meets the call's objective, otherwise
+ * queues the call, or refuses it if no endpoint will accept it in time.
  */
 static void continue_call(entry_t *entry, entry_service_t *service,
 			  call_t *call)
@@ -227,7 +258,10 @@
 	     (criteria.remote_allowed &&
 	      send_call_probes(entry, service, call, SCOPE_REMOTE))))
 		return;
-	queue_call(entry, service, call);
+	if (entry_can_start_in_time(service, call, now))
+		queue_call(entry, service, call);
+	else
+		refuse_no_endpoint(entry, service, call);
 }
 
 /*
@@ -350,18 +384,22 @@
 	}
 }
 
-/* Refuses the queued calls whose latest start has passed. */
+/* Refuses the queued calls that will not start in time. */
 static void refuse_overdue_calls(entry_t *entry, const entry_service_t *service,
 				 GTimeSpan now)
 {
 	const char *name = upstream_service(service->upstream);
 	call_t *call, *next;
 
-	TAILQ_FOREACH_SAFE (call, &entry->calls, by_deadline, next)
-		if (call->queue.lane && call->queue.latest_start &&
-		    now >= call->queue.latest_start &&
-		    strcmp(call->service, name) == 0)
+	TAILQ_FOREACH_SAFE (call, &entry->calls, by_deadline, next) {
+		if (!call->queue.lane || !call->queue.latest_start ||
+		    strcmp(call->service, name) != 0)
+			continue;
+		if (!entry_can_start_in_time(service, call, now))
+			refuse_no_endpoint(entry, service, call);
+		else if (now >= call->queue.latest_start)
 			refuse_no_capacity(entry, call);
+	}
 }
 
 void entry_probe_wait_tick(entry_t *entry, entry_service_t *service)
--- a/lib/upstream/health.c
+++ b/lib/upstream/health.c
@@ -52,9 +52,18 @@
 	       !endpoint->notices.leaving && !endpoint->draining;
 }
 
+GTimeSpan health_accepts_work_at(const endpoint_t *endpoint, GTimeSpan now)
+{
+	if (!is_in_service(endpoint))
+		return CATK_NEVER;
+	return now < endpoint->notices.paused_until ?
+		       endpoint->notices.paused_until :
+		       0;
+}
+
 gboolean health_accepts_work(const endpoint_t *endpoint, GTimeSpan now)
 {
-	return is_in_service(endpoint) && now >= endpoint->notices.paused_until;
+	return health_accepts_work_at(endpoint, now) == 0;
 }
 
 gboolean health_is_blocked(const endpoint_t *endpoint, GTimeSpan now)
@@ -355,10 +364,8 @@
 {
 	GTimeSpan earliest = CATK_NEVER;
 
-	if (!is_in_service(endpoint))
-		return earliest;
-	if (now < endpoint->notices.paused_until)
-		return endpoint->notices.paused_until;
+	if (!health_accepts_work(endpoint, now))
+		return health_accepts_work_at(endpoint, now);
 	lower_to_future_instant(&earliest, endpoint->backoff_until, now);
 	lower_to_future_instant(&earliest, endpoint->ejected_until, now);
 	lower_to_future_instant(&earliest, endpoint->next_trial_at, now);
--- a/lib/upstream/upstream.c
+++ b/lib/upstream/upstream.c
@@ -395,6 +395,21 @@
 	return earliest;
 }
 
+GTimeSpan upstream_accepts_work_at(const upstream_t *upstream, GTimeSpan now)
+{
+	GTimeSpan earliest = CATK_NEVER;
+	gboolean any_listed = FALSE;
+	const endpoint_t *endpoint;
+
+	TAILQ_FOREACH (endpoint, &upstream->endpoints, link) {
+		if (health_accepts_work(endpoint, now))
+			return 0;
+		any_listed |= endpoint->listed;
+		earliest = MIN(earliest, health_accepts_work_at(endpoint, now));
+	}
+	return any_listed ? earliest : 0;
+}
+
 void upstream_set_entry_counts(upstream_t *upstream, guint entries,
 			       guint local_entries, GTimeSpan now)
 {
--- a/lib/upstream/upstream.h
+++ b/lib/upstream/upstream.h
@@ -193,6 +193,13 @@
  */
 GTimeSpan upstream_next_available_at(const upstream_t *upstream, GTimeSpan now);
 
+/*
+ * Instant from which an endpoint accepts work: 0 if one does now or none is
+ * listed yet, the earliest end of a pause if all others are leaving, CATK_NEVER
+ * if all are leaving.
+ */
+GTimeSpan upstream_accepts_work_at(const upstream_t *upstream, GTimeSpan now);
+
 const char *endpoint_address(const endpoint_t *endpoint);
 
 /* Identifies the endpoint in the functions below. */
--- a/lib/upstream/upstream_internal.h
+++ b/lib/upstream/upstream_internal.h
@@ -218,6 +218,12 @@
  */
 gboolean health_accepts_work(const endpoint_t *endpoint, GTimeSpan now);
 
+/*
+ * Instant from which the endpoint accepts work: 0 if it does now, the end of
+ * its pause, or CATK_NEVER.
+ */
+GTimeSpan health_accepts_work_at(const endpoint_t *endpoint, GTimeSpan now);
+
 /* Returns TRUE if the endpoint is excluded as slow or ejected. */
 gboolean health_is_blocked(const endpoint_t *endpoint, GTimeSpan now);
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -860,6 +860,41 @@
 	assert_true(wait_until(is_used_again, f, 2000));
 }
 
+/*
+ * Fails if callers wait, or are not told when to return, while every endpoint
+ * asks for a pause.
+ */
+static void callers_are_refused_at_once_in_a_pause_of_all(void **state)
+{
+	const gint64 prompt = 100 * G_TIME_SPAN_MILLISECOND;
+	fixture_t *f = *state;
+	const char *retry_after;
+	gint64 started;
+	char *answer;
+
+	fill_retry_budget(f);
+	set_endpoint_mode(0, "pause");
+	set_endpoint_mode(1, "pause");
+	while (!count_in_pause(0) || !count_in_pause(1))
+		assert_int_equal(request_status(f, "PUT", "/once/1"), 503);
+	set_endpoint_mode(0, "plain");
+	set_endpoint_mode(1, "plain");
+	started = g_get_monotonic_time();
+	answer = send_request(f, "PUT", "/once/1");
+	assert_true(g_get_monotonic_time() - started < prompt);
+	assert_int_equal(status_of(answer), 503);
+	assert_int_equal(count_runs(f, FALSE), 0);
+	retry_after = strstr(answer, "Retry-After: ");
+	assert_non_null(retry_after);
+	assert_in_range(
+		1000 * g_ascii_strtod(retry_after + strlen("Retry-After: "),
+				      NULL),
+		PAUSE_MS / 2, PAUSE_MS * 6 / 5);
+	g_free(answer);
+	run_loop_for(PAUSE_MS);
+	assert_int_equal(request_status(f, "PUT", "/once/1"), 200);
+}
+
 /* Fails if an endpoint that says that it is leaving gets further requests. */
 static void leaving_is_learnt_from_an_answer(void **state)
 {
@@ -1124,6 +1159,7 @@
 		TEST(malformed_entry_hides_no_other_entry),
 		TEST(leaving_endpoint_gets_no_new_requests),
 		TEST(pausing_endpoint_gets_no_requests),
+		TEST(callers_are_refused_at_once_in_a_pause_of_all),
 		TEST(leaving_is_learnt_from_an_answer),
 		TEST(leaving_is_learnt_from_unusable_answers),
 		TEST(directory_returns_the_instance),
--- a/tests/test_routed_calls.c
+++ b/tests/test_routed_calls.c
@@ -84,18 +84,28 @@
 	g_strlcpy(f->probes[f->probe_count++], endpoint, sizeof(f->probes[0]));
 }
 
-/* Two routes of the most urgent priority, one of the priority below it. */
+static void add_service(schema_t *schema, const char *name)
+{
+	schema_service_t *service =
+		schema_add_service(schema, name, 1, 100, 60, NULL);
+
+	assert_true(schema_set_instance_list(service, name, NULL));
+}
+
+/*
+ * Two routes of the most urgent priority, two of the priority below it. The
+ * last one has a service of its own.
+ */
 static schema_t *new_schema(void)
 {
-	static const char *const names[] = { "safe", "once", "later" };
+	static const char *const names[] = { "safe", "once", "later", "apart" };
 	schema_t *schema = schema_new();
-	schema_service_t *service;
 	gsize i;
 
 	assert_true(schema_add_priority(schema, "urgent", 10, NULL));
 	assert_true(schema_add_priority(schema, "normal", 10, NULL));
-	service = schema_add_service(schema, "s", 1, 100, 60, NULL);
-	assert_true(schema_set_instance_list(service, "s", NULL));
+	add_service(schema, "s");
+	add_service(schema, "t");
 	for (i = 0; i < G_N_ELEMENTS(names); i++) {
 		gchar *prefix = g_strdup_printf("/%s/", names[i]);
 		schema_route_t attributes = {
@@ -110,7 +120,8 @@
 		schema_route_t *route = schema_add_route(
 			schema, &attributes, i < 2 ? "urgent" : "normal", NULL);
 
-		assert_true(schema_add_target(schema, route, "s", 1, NULL));
+		assert_true(schema_add_target(schema, route, i < 3 ? "s" : "t",
+					      1, NULL));
 		g_free(prefix);
 	}
 	return schema;
@@ -726,6 +737,162 @@
 	}
 }
 
+/* A notice in an answer to a request that was sent just now. */
+static void give_notice(fixture_t *f, const char *endpoint, gboolean leaving,
+			GTimeSpan pause)
+{
+	const endpoint_notice_t notice = { .source = NOTICE_IN_REFUSAL,
+					   .requested_at = f->now,
+					   .leaving = leaving,
+					   .pause = pause };
+
+	entry_endpoint_notice(f->entry, "s", endpoint, &notice);
+}
+
+/* The end of the pause, and later by the spread of returning callers. */
+static void assert_named_end_of_pause(const fixture_t *f, guint ref,
+				      GTimeSpan pause)
+{
+	assert_in_range(f->answers[ref].error.retry_after, pause,
+			pause + pause / 5);
+}
+
+/*
+ * Fails if a request waits although every endpoint is leaving or paused until
+ * it is too late, or if its caller is not told the earliest end of a pause.
+ */
+static void request_is_refused_at_once_in_a_pause_of_all(void **state)
+{
+	fixture_t *f = *state;
+
+	give_notice(f, "i-0", FALSE, 3 * G_TIME_SPAN_SECOND);
+	give_notice(f, "i-1", FALSE, 2 * G_TIME_SPAN_SECOND);
+	give_notice(f, "i-remote", TRUE, 0);
+	send_request(f, 1, "/once/");
+	assert_answered(f, 1, CATK_UNAVAILABLE, OUTCOME_NOT_RUN);
+	assert_named_end_of_pause(f, 1, 2 * G_TIME_SPAN_SECOND);
+	send_request(f, 2, "/later/");
+	assert_answered(f, 2, CATK_UNAVAILABLE, OUTCOME_NOT_RUN);
+	assert_int_equal(f->started + f->probe_count, 0);
+	advance(f, 2 * G_TIME_SPAN_SECOND);
+	send_request(f, 3, "/once/");
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->started, 1);
+	assert_string_equal(f->endpoint, "i-1");
+}
+
+/* Fails if a request waits for endpoints that have all said that they leave. */
+static void request_is_refused_at_once_if_all_endpoints_leave(void **state)
+{
+	fixture_t *f = *state;
+
+	give_notice(f, "i-0", TRUE, 0);
+	give_notice(f, "i-1", TRUE, 0);
+	give_notice(f, "i-remote", TRUE, 0);
+	send_request(f, 1, "/once/");
+	assert_answered(f, 1, CATK_UNAVAILABLE, OUTCOME_NOT_RUN);
+	assert_in_range(f->answers[1].error.retry_after, 1,
+			CALLER_DEADLINE / 3);
+}
+
+/* Fails if requests that are queued or wait for probes are held in a pause. */
+static void waiting_requests_are_refused_in_a_pause_of_all(void **state)
+{
+	static const char *const ids[] = { "i-0", "i-1", "i-remote" };
+	fixture_t *f = *state;
+	gsize i;
+
+	send_request(f, 1, "/once/");
+	while (f->probe_count)
+		answer_probe(f, f->probes[--f->probe_count], 3, 100);
+	advance(f, 10 * MS);
+	send_request(f, 2, "/once/");
+	assert_int_equal(f->answers[1].count + f->answers[2].count, 0);
+	for (i = 0; i < G_N_ELEMENTS(ids); i++)
+		give_notice(f, ids[i], FALSE, 2 * G_TIME_SPAN_SECOND);
+	advance(f, 20 * MS);
+	assert_answered(f, 1, CATK_UNAVAILABLE, OUTCOME_NOT_RUN);
+	assert_answered(f, 2, CATK_UNAVAILABLE, OUTCOME_NOT_RUN);
+	assert_named_end_of_pause(f, 1, 2 * G_TIME_SPAN_SECOND - 20 * MS);
+	assert_int_equal(f->started, 0);
+}
+
+/* Fails if a request is refused that can start in time after a short pause. */
+static void request_waits_for_the_end_of_a_short_pause(void **state)
+{
+	static const char *const ids[] = { "i-0", "i-1", "i-remote" };
+	fixture_t *f = *state;
+	gsize i;
+
+	for (i = 0; i < G_N_ELEMENTS(ids); i++)
+		give_notice(f, ids[i], FALSE, OBJECTIVE / 4);
+	send_request(f, 1, "/once/");
+	advance(f, OBJECTIVE / 4 - MS);
+	assert_int_equal(f->started + f->answers[1].count, 0);
+	advance(f, MS);
+	advance(f, 20 * MS);
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->started, 1);
+}
+
+/*
+ * Fails if a refused request is sent again to an endpoint that is leaving or
+ * paused, or is not told the end of the pause when there is no other.
+ */
+static void refused_request_is_not_retried_in_a_pause(void **state)
+{
+	fixture_t *f = *state;
+
+	give_notice(f, "i-remote", TRUE, 0);
+	give_notice(f, "i-1", TRUE, 0);
+	send_request(f, 1, "/once/");
+	answer_probes(f, "", 0, 0, 100);
+	assert_string_equal(f->endpoint, "i-0");
+	give_notice(f, "i-0", FALSE, 2 * G_TIME_SPAN_SECOND);
+	end_attempt(f, ATTEMPT_SHED, 503);
+	assert_answered(f, 1, CATK_UNAVAILABLE, OUTCOME_NOT_RUN);
+	assert_named_end_of_pause(f, 1, 2 * G_TIME_SPAN_SECOND);
+	assert_int_equal(f->started, 1);
+}
+
+/* Fails if the refusal in a pause denies a run that may have happened. */
+static void request_that_may_have_run_is_not_refused_in_a_pause(void **state)
+{
+	fixture_t *f = *state;
+
+	give_notice(f, "i-remote", TRUE, 0);
+	give_notice(f, "i-1", TRUE, 0);
+	send_request(f, 1, "/safe/");
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->started, 1);
+	give_notice(f, "i-0", FALSE, 2 * G_TIME_SPAN_SECOND);
+	end_attempt(f, ATTEMPT_FAILED, 0);
+	assert_answered(f, 1, CATK_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN);
+}
+
+/* Fails if requests to another service are refused, too. */
+static void pause_of_one_service_does_not_affect_another(void **state)
+{
+	endpoint_info_t info = { .id = "t-0",
+				 .address = "127.0.0.1:20",
+				 .data_centre = "here",
+				 .slots = 3 };
+	const load_report_t idle = { .slots = 3, .slowdown_percent = 100 };
+	fixture_t *f = *state;
+
+	assert_true(entry_set_endpoints(f->entry, "t", &info, 1));
+	advance(f, 10 * G_TIME_SPAN_SECOND);
+	give_notice(f, "i-0", FALSE, 3 * G_TIME_SPAN_SECOND);
+	give_notice(f, "i-1", FALSE, 3 * G_TIME_SPAN_SECOND);
+	give_notice(f, "i-remote", FALSE, 3 * G_TIME_SPAN_SECOND);
+	send_request(f, 1, "/once/");
+	assert_int_equal(f->answers[1].count, 1);
+	send_request(f, 2, "/apart/");
+	assert_int_equal(f->probe_count, 1);
+	entry_probe_ended(f->entry, "t", "t-0", &idle);
+	assert_string_equal(f->endpoint, "t-0");
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
@@ -751,6 +918,13 @@
 		TEST(route_timeout_ends_a_call),
 		TEST(unknown_path_has_no_route),
 		TEST(doubtful_endpoint_is_the_last_choice),
+		TEST(request_is_refused_at_once_in_a_pause_of_all),
+		TEST(request_is_refused_at_once_if_all_endpoints_leave),
+		TEST(waiting_requests_are_refused_in_a_pause_of_all),
+		TEST(request_waits_for_the_end_of_a_short_pause),
+		TEST(refused_request_is_not_retried_in_a_pause),
+		TEST(request_that_may_have_run_is_not_refused_in_a_pause),
+		TEST(pause_of_one_service_does_not_affect_another),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
