Use another data centre at once when no local endpoint takes work

A call of any but the most urgent priority waited up to 150 ms, or half of its time to the latest start, before endpoints of other data centres were probed for it, also when every endpoint of its own data centre was leaving or in a pause, where there is nothing to wait for.

Endpoints of other data centres are now allowed at once in that case. test_routed_calls/remote_endpoint_is_used_at_once_in_a_local_pause failed before the change.

--- a/lib/entry/entry_measure.c
+++ b/lib/entry/entry_measure.c
@@ -64,6 +64,14 @@
 	       now >= call->remote_allowed_at;
 }
 
+/* There is nothing to wait for if no local endpoint accepts work. */
+static gboolean is_remote_allowed(const entry_service_t *service,
+				  const call_t *call, GTimeSpan now)
+{
+	return now >= call->remote_allowed_at ||
+	       !upstream_accepts_local_work(service->upstream, now);
+}
+
 upstream_criteria_t entry_call_criteria(const entry_service_t *service,
 					const call_t *call, GTimeSpan now)
 {
@@ -73,7 +81,7 @@
 				 NULL,
 		.service_time =
 			(GTimeSpan)service->service_time[call->queue.priority],
-		.remote_allowed = now >= call->remote_allowed_at,
+		.remote_allowed = is_remote_allowed(service, call, now),
 		.remote_when_late = remote_allowed_when_late(call, now),
 		.stale_report_allowed = now >= call->stale_report_allowed_at,
 	};
@@ -355,8 +363,8 @@
 	const call_t *call;
 
 	TAILQ_FOREACH (call, &entry->calls, by_deadline)
-		if (call->queue.lane && now >= call->remote_allowed_at &&
-		    strcmp(call->service, name) == 0)
+		if (call->queue.lane && strcmp(call->service, name) == 0 &&
+		    is_remote_allowed(service, call, now))
 			return TRUE;
 	return FALSE;
 }
--- a/lib/upstream/routing_expected_latency.c
+++ b/lib/upstream/routing_expected_latency.c
@@ -265,8 +265,7 @@
 	return best;
 }
 
-/* Returns TRUE if any endpoint in this data centre accepts work. */
-static gboolean has_local_endpoint(const upstream_t *upstream, GTimeSpan now)
+gboolean upstream_accepts_local_work(const upstream_t *upstream, GTimeSpan now)
 {
 	const endpoint_t *endpoint;
 
@@ -292,7 +291,7 @@
 	if (local && meets_objective(upstream, local, criteria, now))
 		return local;
 	remote = cheapest(upstream, candidates, criteria, FALSE, now);
-	if (remote && (!has_local_endpoint(upstream, now) ||
+	if (remote && (!upstream_accepts_local_work(upstream, now) ||
 		       (!local && criteria->remote_when_late) ||
 		       meets_objective(upstream, remote, criteria, now)))
 		return remote;
--- a/lib/upstream/upstream.h
+++ b/lib/upstream/upstream.h
@@ -200,6 +200,9 @@
  */
 GTimeSpan upstream_accepts_work_at(const upstream_t *upstream, GTimeSpan now);
 
+/* TRUE if an endpoint in this entry's data centre accepts work. */
+gboolean upstream_accepts_local_work(const upstream_t *upstream, GTimeSpan now);
+
 const char *endpoint_address(const endpoint_t *endpoint);
 
 /* Identifies the endpoint in the functions below. */
--- a/tests/test_routed_calls.c
+++ b/tests/test_routed_calls.c
@@ -835,6 +835,26 @@
 	assert_int_equal(f->started, 1);
 }
 
+/*
+ * Fails if a request waits for the endpoints of its data centre, all of which
+ * are leaving or paused, while another data centre has capacity.
+ */
+static void remote_endpoint_is_used_at_once_in_a_local_pause(void **state)
+{
+	fixture_t *f = *state;
+
+	send_request(f, 1, "/later/");
+	answer_probes(f, "", 0, 0, 100);
+	end_attempt(f, ATTEMPT_ANSWERED, 200);
+	advance(f, 10 * G_TIME_SPAN_SECOND);
+	give_notice(f, "i-0", TRUE, 0);
+	give_notice(f, "i-1", FALSE, 3 * G_TIME_SPAN_SECOND);
+	send_request(f, 2, "/later/");
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->started, 2);
+	assert_string_equal(f->endpoint, "i-remote");
+}
+
 /*
  * Fails if a refused request is sent again to an endpoint that is leaving or
  * paused, or is not told the end of the pause when there is no other.
@@ -922,6 +942,7 @@
 		TEST(request_is_refused_at_once_if_all_endpoints_leave),
 		TEST(waiting_requests_are_refused_in_a_pause_of_all),
 		TEST(request_waits_for_the_end_of_a_short_pause),
+		TEST(remote_endpoint_is_used_at_once_in_a_local_pause),
 		TEST(refused_request_is_not_retried_in_a_pause),
 		TEST(request_that_may_have_run_is_not_refused_in_a_pause),
 		TEST(pause_of_one_service_does_not_affect_another),
