Close a connection only after its last response was sent

The second after which a lingering connection is closed counted from the moment that the response was handed to the stream, so a client that read a large last response slowly got a part of it (7.5 of 16 MB in a trial), with the connection closed before the whole was passed to the kernel. It counts from the last byte now; a client that reads nothing is bounded by TCP_USER_TIMEOUT.

test_http_server/slow_reader_gets_the_whole_last_response fails before.

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -11,7 +11,10 @@
 #define ACCEPTS_PER_ITERATION 32
 /* Interval of the check for connections whose timeout passed. */
 #define TIMEOUT_CHECK_INTERVAL_MS 250
-/* Time for the client to read the last response and close the connection. */
+/*
+ * Time for the client to close the connection after the last response was passed
+ * to the kernel.
+ */
 #define LINGER_TIMEOUT (1 * G_TIME_SPAN_SECOND)
 
 typedef struct connection {
@@ -385,7 +388,9 @@
 	GTimeSpan age = now - connection->timer_start;
 
 	if (connection->lingering) {
-		if (age > LINGER_TIMEOUT)
+		if (stream_bytes_buffered(connection->stream))
+			connection->timer_start = now;
+		else if (age > LINGER_TIMEOUT)
 			connection_close(connection);
 		return;
 	}
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -196,6 +196,20 @@
 	assert_true(http_server_is_idle(f->server));
 }
 
+/* Fails if a client that reads slowly loses the end of its last response. */
+static void slow_reader_gets_the_whole_last_response(void **state)
+{
+	fixture_t *f = *state;
+
+	f->closing = TRUE;
+	send_text(f, REQUEST);
+	run_loop_for(50);
+	reply_with(f, 0, LARGE_BODY_BYTES);
+	/* Longer than the server waits for a client that has read it all. */
+	run_loop_for(2000);
+	assert_true(read_to_end(f) > LARGE_BODY_BYTES);
+}
+
 /* Fails if a close after one response drops the requests behind it. */
 static void requests_in_progress_are_answered_before_a_close(void **state)
 {
@@ -224,6 +238,7 @@
 		TEST(request_that_meets_a_stop_is_read),
 		TEST(stop_closes_idle_connections),
 		TEST(stop_waits_until_the_last_response_is_read),
+		TEST(slow_reader_gets_the_whole_last_response),
 		TEST(requests_in_progress_are_answered_before_a_close),
 	};
 
