--- a/net/http_server.c
+++ b/net/http_server.c
@@ -9,6 +9,8 @@
 #define PIPELINE_MAX 32
 /* Connections accepted in one iteration of the main loop. */
 #define ACCEPTS_PER_ITERATION 32
+/* Connections accepted before a stop; the kernel's usual limit of a backlog. */
+#define ACCEPTS_BEFORE_STOP 4096
 /* Interval of the check for connections whose timeout passed. */
 #define TIMEOUT_CHECK_INTERVAL_MS 250
 /*
@@ -342,19 +344,18 @@
 	connection->stream = stream_new_from_socket(socket, &events);
 }
 
-static gboolean on_incoming_connection(GSocket *listener,
-				       GIOCondition condition, gpointer data)
+/* Accepts up to max connections that wait in the kernel. */
+static void accept_connections(http_server_t *server, guint max)
 {
 	GError *error = NULL;
 	GSocket *socket;
 	guint i;
 
-	(void)condition;
-	for (i = 0; i < ACCEPTS_PER_ITERATION; i++) {
-		socket = g_socket_accept(listener, NULL, &error);
+	for (i = 0; i < max; i++) {
+		socket = g_socket_accept(server->listener, NULL, &error);
 		if (!socket)
 			break;
-		accept_connection(data, socket);
+		accept_connection(server, socket);
 		g_object_unref(socket);
 	}
 	if (error &&
@@ -363,6 +364,14 @@
 			  "file limit if it is reached",
 			  error->message);
 	g_clear_error(&error);
+}
+
+static gboolean on_incoming_connection(GSocket *listener,
+				       GIOCondition condition, gpointer data)
+{
+	(void)listener;
+	(void)condition;
+	accept_connections(data, ACCEPTS_PER_ITERATION);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -470,6 +479,8 @@
 {
 	connection_t *connection, *next;
 
+	if (!server->stopped)
+		accept_connections(server, ACCEPTS_BEFORE_STOP);
 	stop_accepting(server);
 	TAILQ_FOREACH_SAFE (connection, &server->connections, link, next)
 		close_if_idle(connection);
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -49,8 +49,8 @@
 void http_server_free(http_server_t *server);
 
 /*
- * Accepts no more connections and closes the idle ones. Requests that have begun
- * or wait in the kernel are still handled.
+ * Accepts the connections that wait in the kernel and no more, and closes the
+ * idle ones. Requests that have begun or wait in the kernel are still handled.
  */
 void http_server_stop(http_server_t *server);
 
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -163,6 +163,22 @@
 	assert_true(read_to_end(f) > 0);
 }
 
+/* Fails if a stop discards a request on a connection not accepted yet. */
+static void connection_that_meets_a_stop_is_accepted(void **state)
+{
+	fixture_t *f = *state;
+
+	f->closing = TRUE;
+	g_object_unref(f->client);
+	f->client = connect_client();
+	send_text(f, REQUEST);
+	http_server_stop(f->server);
+	run_loop_for(100);
+	assert_int_equal(f->requests, 1);
+	reply_with(f, 0, 1);
+	assert_true(read_to_end(f) > 0);
+}
+
 /* Fails if idle connections outlast a stop, or new ones are accepted. */
 static void stop_closes_idle_connections(void **state)
 {
@@ -236,6 +252,7 @@
 	const struct CMUnitTest tests[] = {
 		TEST(request_that_meets_the_idle_timeout_is_read),
 		TEST(request_that_meets_a_stop_is_read),
+		TEST(connection_that_meets_a_stop_is_accepted),
 		TEST(stop_closes_idle_connections),
 		TEST(stop_waits_until_the_last_response_is_read),
 		TEST(slow_reader_gets_the_whole_last_response),
