Wait for the first request of a new connection before a shutdown closes it

A connection on which nothing was received yet stays open for 100 ms, which the stop waits for.

test_http_server/first_request_that_meets_a_stop_is_read.

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -9,6 +9,8 @@
 #define PIPELINE_MAX 32
 /* Connections accepted in one iteration of the main loop. */
 #define ACCEPTS_PER_ITERATION 32
+/* Time for the first bytes on a new connection, which a stop waits for. */
+#define FIRST_REQUEST_TIMEOUT (100 * G_TIME_SPAN_MILLISECOND)
 /* Connections accepted before a stop; the kernel's usual limit of a backlog. */
 #define ACCEPTS_BEFORE_STOP 4096
 /* Interval of the check for connections whose timeout passed. */
@@ -28,6 +30,7 @@
 	TAILQ_HEAD(exchange_list, http_exchange) exchanges; /* oldest first */
 	guint exchange_count;
 	GTimeSpan timer_start; /* last response or first byte of a request */
+	gboolean unused; /* has received nothing yet */
 	gboolean closing; /* accepts no requests, ends with the last response */
 	gboolean lingering; /* the last response was written */
 	gboolean parsing; /* defers connection_free() */
@@ -313,6 +316,7 @@
 {
 	connection_t *connection = ctx;
 
+	connection->unused = FALSE;
 	if (connection->closing)
 		return;
 	g_byte_array_append(connection->input, (const guint8 *)data,
@@ -338,6 +342,7 @@
 	connection->server = server;
 	connection->parser = http_message_parser_new(TRUE);
 	connection->input = g_byte_array_new();
+	connection->unused = TRUE;
 	connection->timer_start = catk_clock_now(server->clock);
 	TAILQ_INIT(&connection->exchanges);
 	TAILQ_INSERT_TAIL(&server->connections, connection, link);
@@ -382,10 +387,18 @@
 	       stream_bytes_buffered(connection->stream);
 }
 
+/* A client that has just connected is about to send its first request. */
+static gboolean expects_first_request(const connection_t *connection)
+{
+	return connection->unused &&
+	       connection_now(connection) - connection->timer_start <
+		       FIRST_REQUEST_TIMEOUT;
+}
+
 /* Not while a request waits in the kernel: it would be lost unread. */
 static void close_if_idle(connection_t *connection)
 {
-	if (!is_busy(connection) &&
+	if (!is_busy(connection) && !expects_first_request(connection) &&
 	    !http_message_parser_has_begun(connection->parser) &&
 	    !stream_has_input(connection->stream))
 		connection_close(connection);
@@ -491,7 +504,7 @@
 	const connection_t *connection;
 
 	TAILQ_FOREACH (connection, &server->connections, link)
-		if (is_busy(connection))
+		if (is_busy(connection) || expects_first_request(connection))
 			return FALSE;
 	return TRUE;
 }
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -18,6 +18,7 @@
 
 #define IDLE_TIMEOUT_MS 300
 #define TIMEOUT_CHECK_MS 300 /* a little above the server's interval */
+#define FIRST_REQUEST_MS 150 /* above the server's wait for it */
 #define REQUESTS_MAX 4
 #define LARGE_BODY_BYTES (16 << 20) /* more than the kernel's buffers hold */
 #define REQUEST "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -179,12 +180,32 @@
 	assert_true(read_to_end(f) > 0);
 }
 
+/* Fails if a stop closes a new connection whose first request is under way. */
+static void first_request_that_meets_a_stop_is_read(void **state)
+{
+	fixture_t *f = *state;
+
+	f->closing = TRUE;
+	g_object_unref(f->client);
+	f->client = connect_client();
+	run_loop_for(10);
+	http_server_stop(f->server);
+	assert_false(http_server_is_idle(f->server));
+	run_loop_for(10);
+	send_text(f, REQUEST);
+	run_loop_for(50);
+	assert_int_equal(f->requests, 1);
+	reply_with(f, 0, 1);
+	assert_true(read_to_end(f) > 0);
+}
+
 /* Fails if idle connections outlast a stop, or new ones are accepted. */
 static void stop_closes_idle_connections(void **state)
 {
 	fixture_t *f = *state;
 	GSocketClient *client = g_socket_client_new();
 
+	run_loop_for(FIRST_REQUEST_MS);
 	http_server_stop(f->server);
 	assert_int_equal(http_server_connection_count(f->server), 0);
 	assert_true(http_server_is_idle(f->server));
@@ -253,6 +274,7 @@
 		TEST(request_that_meets_the_idle_timeout_is_read),
 		TEST(request_that_meets_a_stop_is_read),
 		TEST(connection_that_meets_a_stop_is_accepted),
+		TEST(first_request_that_meets_a_stop_is_read),
 		TEST(stop_closes_idle_connections),
 		TEST(stop_waits_until_the_last_response_is_read),
 		TEST(slow_reader_gets_the_whole_last_response),
