Log and measure how late news of members arrives

Nothing showed when an instance had learnt of a leaving or an end, from whom, and how old the news was by then.

Messages between instances carry how long ago a member began to leave or was found gone, as a relative age, so that no clocks are compared. The field is optional: older builds skip it, and its absence means that the age is unknown. Lines member_state name the sender of the news, its age, and the time since the member itself was last heard from; the dump has both ages for each member; the metrics have a histogram and the maximum by state.

No decision depends on these values.

--- a/codec/peer_codec.c
+++ b/codec/peer_codec.c
@@ -6,6 +6,8 @@
 
 /* Limit of text fields. Services and methods of a schema are shorter. */
 #define TEXT_BYTES_MAX 1024
+/* Above MEMBERSHIP_GONE_RETENTION; keeps sums of times in range. */
+#define STATE_AGE_MAX G_TIME_SPAN_DAY
 
 static void member_to_wire(const member_t *member, Catk__Member *wire)
 {
@@ -18,6 +20,7 @@
 	wire->refutation = member->refutation;
 	wire->state = member->state;
 	wire->config_version = member->config_version;
+	wire->state_age_us = (guint64)member->state_age;
 }
 
 static gboolean copy_text(char *target, gsize size, const char *source)
@@ -34,6 +37,7 @@
 	member->refutation = wire->refutation;
 	member->state = (member_state_t)wire->state;
 	member->config_version = wire->config_version;
+	member->state_age = (GTimeSpan)MIN(wire->state_age_us, STATE_AGE_MAX);
 	return copy_text(member->name, sizeof(member->name), wire->name) &&
 	       copy_text(member->data_centre, sizeof(member->data_centre),
 			 wire->data_centre) &&
--- a/lib/membership/membership.c
+++ b/lib/membership/membership.c
@@ -55,6 +55,8 @@
 	node_t *node = g_new0(node_t, 1);
 
 	node->info = *source;
+	node->state_entered = CATK_NEVER;
+	node->heard_at = CATK_NEVER;
 	TAILQ_INSERT_TAIL(&membership->members, &node->info, link);
 	g_hash_table_insert(membership->by_name, node->info.name, node);
 	membership->count++;
@@ -115,8 +117,65 @@
 	return g_hash_table_lookup(membership->by_name, name);
 }
 
-void membership_set_state(membership_t *membership, node_t *node,
-			  member_state_t state, GTimeSpan now)
+static gboolean has_state_age(member_state_t state)
+{
+	return state == MEMBER_LEAVING || state == MEMBER_GONE;
+}
+
+/* Returns CATK_NEVER if the time is not known. */
+static GTimeSpan time_since(GTimeSpan time, GTimeSpan now)
+{
+	return time == CATK_NEVER ? CATK_NEVER : now - time;
+}
+
+void membership_copy(const membership_t *membership, const node_t *node,
+		     member_t *copy)
+{
+	GTimeSpan age = time_since(node->state_entered, membership->now);
+
+	*copy = node->info;
+	copy->state_age = 0;
+	if (has_state_age(copy->state) && age != CATK_NEVER)
+		copy->state_age = MAX(age, 1);
+}
+
+static void record_delay(membership_t *membership, const node_t *node,
+			 GTimeSpan now)
+{
+	if (node->state_entered == CATK_NEVER)
+		return;
+	if (node->info.state == MEMBER_LEAVING)
+		news_delay_record(&membership->leaving_delay,
+				  now - node->state_entered);
+	else if (node->info.state == MEMBER_GONE)
+		news_delay_record(&membership->gone_delay,
+				  now - node->state_entered);
+}
+
+static gint64 age_for_output(GTimeSpan time, GTimeSpan now)
+{
+	return time == CATK_NEVER ? -1 : now - time;
+}
+
+static void log_state(const membership_t *membership, const node_t *node,
+		      const char *learnt_from, GTimeSpan now)
+{
+	LOG_EVENT(&membership->log, "member_state",
+		  LOG_TEXT("member", node->info.name),
+		  LOG_TEXT("state", member_state_name(node->info.state)),
+		  LOG_NUMBER("incarnation", (gint64)node->info.incarnation),
+		  LOG_NUMBER("refutation", node->info.refutation),
+		  LOG_TEXT("learnt_from", learnt_from),
+		  LOG_NUMBER("state_age_us",
+			     age_for_output(node->state_entered, now)),
+		  LOG_NUMBER("heard_age_us",
+			     age_for_output(node->heard_at, now)));
+}
+
+/* The caller has set node->state_entered. */
+static void enter_state(membership_t *membership, node_t *node,
+			member_state_t state, const char *learnt_from,
+			GTimeSpan now)
 {
 	if (state == MEMBER_GONE && node->info.state != MEMBER_GONE)
 		TAILQ_REMOVE(&membership->ping_queue, node, ping_link);
@@ -124,14 +183,19 @@
 		insert_into_ping_queue(membership, node);
 	node->info.state = state;
 	node->state_since = now;
-	LOG_EVENT(&membership->log, "member_state",
-		  LOG_TEXT("member", node->info.name),
-		  LOG_TEXT("state", member_state_name(state)),
-		  LOG_NUMBER("incarnation", (gint64)node->info.incarnation),
-		  LOG_NUMBER("refutation", node->info.refutation));
+	log_state(membership, node, learnt_from, now);
+	record_delay(membership, node, now);
 	enqueue_gossip(membership, node);
 }
 
+void membership_set_state(membership_t *membership, node_t *node,
+			  member_state_t state, const char *learnt_from,
+			  GTimeSpan now)
+{
+	node->state_entered = now;
+	enter_state(membership, node, state, learnt_from, now);
+}
+
 /* Compares by incarnation, then refutation, then severity of the state. */
 static gboolean is_newer(const member_t *update, const member_t *known)
 {
@@ -151,8 +215,14 @@
 		self->refutation = update->refutation + 1;
 }
 
+static GTimeSpan state_entered(const member_t *update, GTimeSpan now)
+{
+	return update->state_age ? now - update->state_age : CATK_NEVER;
+}
+
 static void apply_update(membership_t *membership, node_t *node,
-			 const member_t *update, GTimeSpan now)
+			 const member_t *update, const char *learnt_from,
+			 GTimeSpan now)
 {
 	member_state_t old_state = node->info.state;
 	member_t *previous = TAILQ_PREV(&node->info, member_list, link);
@@ -164,11 +234,12 @@
 	node->info = *update;
 	node->info.state = old_state;
 	TAILQ_INSERT_AFTER(&membership->members, previous, &node->info, link);
-	membership_set_state(membership, node, update->state, now);
+	node->state_entered = state_entered(update, now);
+	enter_state(membership, node, update->state, learnt_from, now);
 }
 
 void membership_merge(membership_t *membership, const member_t *update,
-		      GTimeSpan now)
+		      const char *learnt_from, GTimeSpan now)
 {
 	node_t *node = membership_find_node(membership, update->name);
 
@@ -182,9 +253,10 @@
 	if (!node) {
 		node = add_node(membership, update);
 		insert_into_ping_queue(membership, node);
-		membership_set_state(membership, node, update->state, now);
+		node->state_entered = state_entered(update, now);
+		enter_state(membership, node, update->state, learnt_from, now);
 	} else if (is_newer(update, &node->info)) {
-		apply_update(membership, node, update, now);
+		apply_update(membership, node, update, learnt_from, now);
 	} else if (update->incarnation == node->info.incarnation) {
 		node->info.config_version =
 			MAX(node->info.config_version, update->config_version);
@@ -203,7 +275,7 @@
 	pending = MIN(pending, max);
 	for (i = 0; i < pending; i++) {
 		node = TAILQ_FIRST(&membership->gossip_queue);
-		updates[i] = node->info;
+		membership_copy(membership, node, &updates[i]);
 		TAILQ_REMOVE(&membership->gossip_queue, node, gossip_link);
 		if (--node->transmissions_left)
 			TAILQ_INSERT_TAIL(&membership->gossip_queue, node,
@@ -223,6 +295,14 @@
 			node_free(membership, node_of(member));
 }
 
+const news_delay_t *membership_news_delay(const membership_t *membership,
+					  member_state_t state)
+{
+	g_assert(has_state_age(state));
+	return state == MEMBER_LEAVING ? &membership->leaving_delay :
+					 &membership->gone_delay;
+}
+
 void membership_set_log(membership_t *membership, const event_log_t *log)
 {
 	membership->log = *log;
@@ -267,6 +347,12 @@
 		w->integer(w->ctx, "refutation", member->refutation);
 		w->integer(w->ctx, "config_version",
 			   (gint64)member->config_version);
+		w->integer(w->ctx, "state_age_us",
+			   age_for_output(node_of(member)->state_entered,
+					  membership->now));
+		w->integer(w->ctx, "heard_age_us",
+			   age_for_output(node_of(member)->heard_at,
+					  membership->now));
 		w->end_object(w->ctx);
 	}
 	w->end_array(w->ctx);
--- a/lib/membership/membership.h
+++ b/lib/membership/membership.h
@@ -14,6 +14,7 @@
 #include "lib/common/dump.h"
 #include "lib/common/event_log.h"
 #include "lib/common/intrusive.h"
+#include "lib/membership/news_delay.h"
 
 /* One ping per period. With 5 members a stopped one is gone within 4 s. */
 #define MEMBERSHIP_PERIOD (400 * G_TIME_SPAN_MILLISECOND)
@@ -64,6 +65,11 @@
 	guint32 refutation; /* incremented by the member itself */
 	member_state_t state;
 	guint64 config_version; /* in force there, as last reported */
+	/*
+	 * In messages, of a member that is leaving or gone: the time since it
+	 * entered that state, 0 if unknown.
+	 */
+	GTimeSpan state_age;
 } member_t;
 
 typedef struct membership membership_t;
@@ -105,6 +111,13 @@
 /* Frees all members. NULL is allowed. */
 void membership_free(membership_t *membership);
 
+/*
+ * Returns how long after the fact this instance learnt that other members were
+ * leaving (MEMBER_LEAVING) or found gone (MEMBER_GONE).
+ */
+const news_delay_t *membership_news_delay(const membership_t *membership,
+					  member_state_t state);
+
 /* Sets the log for state changes of the other members. */
 void membership_set_log(membership_t *membership, const event_log_t *log);
 
--- a/lib/membership/membership_internal.h
+++ b/lib/membership/membership_internal.h
@@ -9,7 +9,10 @@
 	TAILQ_ENTRY(node) ping_link; /* linked unless gone or this instance */
 	TAILQ_ENTRY(node) gossip_link; /* linked while transmissions_left > 0 */
 	guint transmissions_left;
-	GTimeSpan state_since;
+	GTimeSpan state_since; /* when this instance learnt of the state */
+	/* When the member entered the state, CATK_NEVER if unknown. */
+	GTimeSpan state_entered;
+	GTimeSpan heard_at; /* last message from it, CATK_NEVER if none */
 	GTimeSpan next_ping; /* earliest ping by membership_ping_now() */
 } node_t;
 
@@ -53,6 +56,10 @@
 	GTimeSpan next_full_list; /* CATK_NEVER if none is scheduled */
 	GTimeSpan full_list_wait; /* interval after the next request */
 	GTimeSpan last_tick;
+	GTimeSpan now; /* of the last message or tick */
+
+	news_delay_t leaving_delay;
+	news_delay_t gone_delay;
 };
 
 static inline node_t *node_of(const member_t *member)
@@ -63,13 +70,27 @@
 /* Returns the node with that name, or NULL. */
 node_t *membership_find_node(const membership_t *membership, const char *name);
 
-/* Changes the state and queues the node for dissemination. */
+/* Copies a node to a message. */
+void membership_copy(const membership_t *membership, const node_t *node,
+		     member_t *copy);
+
+/* This instance found out itself, because a ping was not answered. */
+#define LEARNT_FROM_PING "ping"
+
+/*
+ * Changes the state and queues the node for dissemination. learnt_from is the
+ * sender of the message with the news, or LEARNT_FROM_PING.
+ */
 void membership_set_state(membership_t *membership, node_t *node,
-			  member_state_t state, GTimeSpan now);
+			  member_state_t state, const char *learnt_from,
+			  GTimeSpan now);
 
-/* Merges an update about a member. One about this instance may be refuted. */
+/*
+ * Merges an update about a member from a message of learnt_from. One about this
+ * instance may be refuted.
+ */
 void membership_merge(membership_t *membership, const member_t *update,
-		      GTimeSpan now);
+		      const char *learnt_from, GTimeSpan now);
 
 /* Copies up to max queued updates to updates and returns their number. */
 guint membership_next_updates(membership_t *membership, member_t *updates,
--- a/lib/membership/membership_ping.c
+++ b/lib/membership/membership_ping.c
@@ -35,11 +35,13 @@
 			 membership_message_t *message, const node_t *subject,
 			 member_t *updates)
 {
-	message->sender = *membership->self;
+	membership_copy(membership, node_of(membership->self),
+			&message->sender);
 	message->updates = updates;
 	if (subject && (subject->info.state == MEMBER_SUSPECT ||
 			subject->info.state == MEMBER_GONE))
-		updates[message->update_count++] = subject->info;
+		membership_copy(membership, subject,
+				&updates[message->update_count++]);
 	message->update_count += membership_next_updates(
 		membership, updates + message->update_count,
 		MEMBERSHIP_UPDATES_MAX - message->update_count);
@@ -109,6 +111,7 @@
 void membership_leave(membership_t *membership)
 {
 	membership->self->state = MEMBER_LEAVING;
+	node_of(membership->self)->state_entered = membership->now;
 	announce(membership);
 }
 
@@ -139,7 +142,8 @@
 
 	TAILQ_FOREACH (member, &membership->members, link)
 		if (member != membership->self && member->state != MEMBER_GONE)
-			updates[count++] = *member;
+			membership_copy(membership, node_of(member),
+					&updates[count++]);
 	return count;
 }
 
@@ -206,11 +210,17 @@
 void membership_receive(membership_t *membership, guint64 connection,
 			const membership_message_t *message, GTimeSpan now)
 {
+	const char *from = message->sender.name;
+	node_t *sender;
 	guint i;
 
-	membership_merge(membership, &message->sender, now);
+	membership->now = now;
+	membership_merge(membership, &message->sender, from, now);
+	sender = membership_find_node(membership, from);
+	if (sender)
+		sender->heard_at = now;
 	for (i = 0; i < message->update_count; i++)
-		membership_merge(membership, &message->updates[i], now);
+		membership_merge(membership, &message->updates[i], from, now);
 	switch (message->kind) {
 	case MEMBERSHIP_PING:
 		send_ack(membership, connection, message->sequence,
@@ -268,9 +278,11 @@
 	if (!membership->pinged_sequence || !node)
 		return;
 	if (node->info.state == MEMBER_LIVE)
-		membership_set_state(membership, node, MEMBER_SUSPECT, now);
+		membership_set_state(membership, node, MEMBER_SUSPECT,
+				     LEARNT_FROM_PING, now);
 	else if (node->info.state == MEMBER_LEAVING)
-		membership_set_state(membership, node, MEMBER_GONE, now);
+		membership_set_state(membership, node, MEMBER_GONE,
+				     LEARNT_FROM_PING, now);
 }
 
 static void start_period(membership_t *membership, GTimeSpan now)
@@ -299,7 +311,7 @@
 		if (node->info.state == MEMBER_SUSPECT &&
 		    now >= node->state_since + MEMBERSHIP_SUSPECT_TIMEOUT)
 			membership_set_state(membership, node, MEMBER_GONE,
-					     now);
+					     LEARNT_FROM_PING, now);
 }
 
 static void expire_relays(membership_t *membership, GTimeSpan now)
@@ -445,6 +457,7 @@
 
 void membership_tick(membership_t *membership, GTimeSpan now)
 {
+	membership->now = now;
 	if (!membership->self->peer_address[0])
 		return;
 	if (!membership->last_tick)
--- a/net/metrics.c
+++ b/net/metrics.c
@@ -98,6 +98,54 @@
 	}
 }
 
+static void append_news_delay(const news_delay_t *news, const char *state,
+			      GString *text)
+{
+	const char *name = "catkinstall_member_news_seconds";
+	guint i;
+
+	for (i = 0; i < NEWS_DELAY_BUCKETS; i++)
+		g_string_append_printf(text,
+				       "%s_bucket{state=\"%s\",le=\"%g\"} "
+				       "%" G_GUINT64_FORMAT "\n",
+				       name, state,
+				       (double)news_delay_bound(i) /
+					       G_TIME_SPAN_SECOND,
+				       news->buckets[i]);
+	g_string_append_printf(
+		text,
+		"%s_bucket{state=\"%s\",le=\"+Inf\"} %" G_GUINT64_FORMAT "\n"
+		"%s_sum{state=\"%s\"} %.6f\n"
+		"%s_count{state=\"%s\"} %" G_GUINT64_FORMAT "\n",
+		name, state, news->count, name, state,
+		(double)news->sum / G_TIME_SPAN_SECOND, name, state,
+		news->count);
+}
+
+static void append_news_delays(const metrics_t *metrics, GString *text)
+{
+	static const member_state_t states[] = { MEMBER_LEAVING, MEMBER_GONE };
+	const membership_t *membership = entry_membership(metrics->entry);
+	guint i;
+
+	g_string_append(text,
+			"# TYPE catkinstall_member_news_seconds histogram\n");
+	for (i = 0; i < G_N_ELEMENTS(states); i++)
+		append_news_delay(membership_news_delay(membership, states[i]),
+				  member_state_name(states[i]), text);
+	g_string_append(text,
+			"# TYPE catkinstall_member_news_max_seconds gauge\n");
+	for (i = 0; i < G_N_ELEMENTS(states); i++)
+		g_string_append_printf(
+			text,
+			"catkinstall_member_news_max_seconds{state=\"%s\"} "
+			"%.6f\n",
+			member_state_name(states[i]),
+			(double)membership_news_delay(membership, states[i])
+					->max /
+				G_TIME_SPAN_SECOND);
+}
+
 static void on_metrics(SoupServer *server, SoupServerMessage *message,
 		       const char *path, GHashTable *query, gpointer data)
 {
@@ -111,6 +159,7 @@
 	(void)query;
 	append_counters(metrics, text);
 	append_known_ages(metrics, text);
+	append_news_delays(metrics, text);
 	g_string_append_printf(text,
 			       "# TYPE catkinstall_config_version gauge\n"
 			       "catkinstall_config_version %" G_GUINT64_FORMAT
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -637,7 +637,7 @@
   assert(message->base.descriptor == &catk__envelope__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor catk__member__field_descriptors[8] =
+static const ProtobufCFieldDescriptor catk__member__field_descriptors[9] =
 {
   {
     "name",
@@ -735,6 +735,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "state_age_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Catk__Member, state_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned catk__member__field_indices_by_name[] = {
   2,   /* field[2] = caller_address */
@@ -745,11 +757,12 @@
   3,   /* field[3] = peer_address */
   5,   /* field[5] = refutation */
   6,   /* field[6] = state */
+  8,   /* field[8] = state_age_us */
 };
 static const ProtobufCIntRange catk__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor catk__member__descriptor =
 {
@@ -759,7 +772,7 @@
   "Catk__Member",
   "catk",
   sizeof(Catk__Member),
-  8,
+  9,
   catk__member__field_descriptors,
   catk__member__field_indices_by_name,
   1,  catk__member__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -50,10 +50,14 @@
    */
   uint32_t state;
   uint64_t config_version;
+  /*
+   * How long ago the member began to leave or was found gone, 0 if unknown.
+   */
+  uint64_t state_age_us;
 };
 #define CATK__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&catk__member__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -274,6 +274,72 @@
 	assert_true(all_see(4, MEMBER_GONE));
 }
 
+typedef struct {
+	guint lines; /* about member n4 leaving or gone */
+	GTimeSpan left_at;
+	gboolean heard; /* a line has heard_age_us */
+} news_log_t;
+
+static const log_field_t *field(const log_field_t *fields, guint count,
+				const char *name)
+{
+	guint i;
+
+	for (i = 0; i < count; i++)
+		if (strcmp(fields[i].name, name) == 0)
+			return &fields[i];
+	fail_msg("no field %s", name);
+	return NULL;
+}
+
+static void on_news(void *ctx, const char *event, const log_field_t *fields,
+		    guint count)
+{
+	news_log_t *log = ctx;
+	GTimeSpan age = field(fields, count, "state_age_us")->number;
+	gint32 hops;
+
+	assert_string_equal(event, "member_state");
+	assert_string_equal(field(fields, count, "member")->text, "n4");
+	assert_string_equal(field(fields, count, "state")->text, "leaving");
+	assert_string_not_equal(field(fields, count, "learnt_from")->text, "");
+	log->heard |= field(fields, count, "heard_age_us")->number >= 0;
+	/* The age does not include the latency of the messages on the way. */
+	hops = (gint32)((net.now - log->left_at - age) / STEP);
+	assert_in_range(hops, 0, 12);
+	log->lines++;
+}
+
+/*
+ * Fails if an instance does not report how late it learnt that another one is
+ * leaving, from whom, and when it last heard from that one.
+ */
+static void delay_of_news_is_reported(void **state)
+{
+	news_log_t log = { 0 };
+	event_log_t event_log = { on_news, &log };
+	GTimeSpan max = 0;
+	guint i;
+
+	(void)state;
+	start_net(18);
+	for (i = 0; i < net.count; i++)
+		membership_set_log(net.nodes[i].membership, &event_log);
+	log.left_at = net.now;
+	membership_leave(net.nodes[4].membership);
+	run_for(2 * G_TIME_SPAN_SECOND);
+	assert_int_equal(log.lines, net.count - 1);
+	assert_true(log.heard);
+	for (i = 0; i < net.count; i++) {
+		const news_delay_t *delay = membership_news_delay(
+			net.nodes[i].membership, MEMBER_LEAVING);
+
+		assert_int_equal(delay->count, i != 4);
+		max = MAX(max, delay->max);
+	}
+	assert_in_range(max, 1, 2 * G_TIME_SPAN_SECOND);
+}
+
 /* Fails if a broken path between two members makes one suspect. */
 static void indirect_pings_bypass_broken_path(void **state)
 {
@@ -377,6 +443,7 @@
 		TEST(long_pause_restarts_suspect_timeout),
 		TEST(restart_has_higher_incarnation),
 		TEST(leaving_is_announced),
+		TEST(delay_of_news_is_reported),
 		TEST(indirect_pings_bypass_broken_path),
 		TEST(partition_heals),
 		TEST(load_does_not_grow_with_members),
--- a/tests/test_peer_codec.c
+++ b/tests/test_peer_codec.c
@@ -49,6 +49,7 @@
 	.refutation = 3,
 	.state = MEMBER_LEAVING,
 	.config_version = 12,
+	.state_age = 1700,
 };
 
 /* Fails if a field of a message is lost or changed by a round trip. */
@@ -137,6 +138,49 @@
 	g_byte_array_unref(bytes);
 }
 
+static void expect_ages(void *ctx, const peer_message_t *message)
+{
+	const GTimeSpan *expected = ctx;
+
+	assert_true(message->u.membership.sender.state_age == expected[0]);
+	assert_true(message->u.membership.updates[0].state_age == expected[1]);
+}
+
+/* Fails if the age of a state is lost, or one out of range is used. */
+static void state_ages_are_kept_in_range(void **state)
+{
+	const GTimeSpan expected[] = { 1700, G_TIME_SPAN_DAY };
+	member_t update = a_member;
+	peer_message_t message = { .kind = PEER_MEMBERSHIP };
+	GByteArray *bytes;
+
+	(void)state;
+	update.state_age = G_MAXINT64;
+	message.u.membership.sender = a_member;
+	message.u.membership.updates = &update;
+	message.u.membership.update_count = 1;
+	bytes = peer_codec_encode(&message);
+	assert_true(peer_codec_decode(bytes->data, bytes->len, expect_ages,
+				      (gpointer)expected));
+	g_byte_array_unref(bytes);
+}
+
+/*
+ * Fails if a message of a build that sends no state ages is refused. The bytes
+ * are an ack of a leaving member "a" with an update about a live member "b".
+ */
+static void messages_without_ages_are_understood(void **state)
+{
+	static const guint8 ack[] = { 0x2a, 0x10, 0x08, 0x07, 0x12, 0x05,
+				      0x0a, 0x01, 'a',	0x38, 0x02, 0x1a,
+				      0x05, 0x0a, 0x01, 'b',  0x28, 0x01 };
+	const GTimeSpan expected[] = { 0, 0 };
+
+	(void)state;
+	assert_true(peer_codec_decode(ack, sizeof(ack), expect_ages,
+				      (gpointer)expected));
+}
+
 static void assert_refused(const peer_message_t *message)
 {
 	GByteArray *bytes = peer_codec_encode(message);
@@ -242,6 +286,8 @@
 		cmocka_unit_test(messages_survive_round_trip),
 		cmocka_unit_test(refusal_keeps_its_outcome),
 		cmocka_unit_test(full_ping_is_within_budget),
+		cmocka_unit_test(state_ages_are_kept_in_range),
+		cmocka_unit_test(messages_without_ages_are_understood),
 		cmocka_unit_test(bad_members_are_refused),
 		cmocka_unit_test(endpoints_survive_round_trip),
 		cmocka_unit_test(corrupted_bytes_are_harmless),
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -940,7 +940,10 @@
 	assert_int_equal(request_status(f, "GET", "/safe/1"), 200);
 }
 
-/* Fails if the metrics lack a counter, a latency, or the age of the state. */
+/*
+ * Fails if the metrics lack a counter, a latency, the age of the state, or how
+ * late news of members came.
+ */
 static void metrics_are_served(void **state)
 {
 	fixture_t *f = *state;
@@ -960,6 +963,12 @@
 	assert_non_null(strstr(reply.body,
 			       "catkinstall_request_seconds_bucket{result="
 			       "\"answered\",le=\"+Inf\"}"));
+	assert_non_null(strstr(reply.body,
+			       "catkinstall_member_news_seconds_bucket{state="
+			       "\"leaving\",le=\"2\"} 0"));
+	assert_non_null(
+		strstr(reply.body,
+		       "catkinstall_member_news_max_seconds{state=\"gone\"} "));
 	reply_clear(&reply);
 }
 
