Announce leaving to every member

A leaving instance pinged two members at random. The others learnt from four updates a message, each sent 3 log2(n) times, so the news of 24 that leave, end and return queued for tens of seconds.

A leaving instance now pings all members itself, a fifth of the fleet each 100 ms, and again after 500 ms until they have acknowledged. Members that leave too come last, and only while most members are live, so the stop of a whole fleet sends at most one message a pair. Updates about members that are not live may take 64 places of a message; those that members get elsewhere (leaving, and the end of a suspect or of a member that had time to tell) are sent on 6 times instead of 21. Messages of older builds stay the same.

--- a/lib/membership/membership.c
+++ b/lib/membership/membership.c
@@ -6,6 +6,13 @@
  * It then reaches all members with high probability (SWIM, section 4.1).
  */
 #define GOSSIP_FACTOR 3
+/*
+ * The same for news that most members get in another way. It then misses one in
+ * e^6 = 400 of the others.
+ */
+#define BACKUP_TRANSMISSIONS 6
+/* After this time a leaving member has told all others several times. */
+#define LEAVE_TIME (3 * G_TIME_SPAN_SECOND)
 
 const char *member_state_name(member_state_t state)
 {
@@ -20,12 +27,17 @@
 	return names[state];
 }
 
-static void enqueue_gossip(membership_t *membership, node_t *node)
+/* Does not shorten the dissemination of earlier news about the member. */
+static void enqueue_gossip(membership_t *membership, node_t *node,
+			   gboolean backup_only)
 {
+	guint count = backup_only ?
+			      BACKUP_TRANSMISSIONS :
+			      GOSSIP_FACTOR * g_bit_storage(membership->count);
+
 	if (!node->transmissions_left)
 		TAILQ_INSERT_HEAD(&membership->gossip_queue, node, gossip_link);
-	node->transmissions_left =
-		GOSSIP_FACTOR * g_bit_storage(membership->count);
+	node->transmissions_left = MAX(node->transmissions_left, count);
 }
 
 static void stop_gossip(membership_t *membership, node_t *node)
@@ -71,6 +83,7 @@
 
 	membership->counters = counters;
 	membership->random = random;
+	membership->next_leave_batch = CATK_NEVER;
 	membership->actions = *actions;
 	TAILQ_INIT(&membership->members);
 	membership->by_name = g_hash_table_new(g_str_hash, g_str_equal);
@@ -172,20 +185,39 @@
 			     age_for_output(node->heard_at, now)));
 }
 
+/*
+ * Whether most members learn of a new state in another way: from the leaving
+ * member itself, if it lived long enough to tell them, or by their own timeout
+ * for a suspect.
+ */
+static gboolean is_known_otherwise(const node_t *node, member_state_t old_state)
+{
+	if (node->info.state == MEMBER_GONE && old_state == MEMBER_LEAVING)
+		return node->state_entered >= node->leaving_since + LEAVE_TIME;
+	return node->info.state == MEMBER_LEAVING ||
+	       (node->info.state == MEMBER_GONE && old_state == MEMBER_SUSPECT);
+}
+
 /* The caller has set node->state_entered. */
 static void enter_state(membership_t *membership, node_t *node,
 			member_state_t state, const char *learnt_from,
 			GTimeSpan now)
 {
+	member_state_t old_state = node->info.state;
+
 	if (state == MEMBER_GONE && node->info.state != MEMBER_GONE)
 		TAILQ_REMOVE(&membership->ping_queue, node, ping_link);
 	if (state != MEMBER_GONE && node->info.state == MEMBER_GONE)
 		insert_into_ping_queue(membership, node);
 	node->info.state = state;
 	node->state_since = now;
+	if (state == MEMBER_LEAVING)
+		node->leaving_since = MIN(node->state_entered, now);
+	else if (state != MEMBER_GONE)
+		node->leaving_since = 0;
 	log_state(membership, node, learnt_from, now);
 	record_delay(membership, node, now);
-	enqueue_gossip(membership, node);
+	enqueue_gossip(membership, node, is_known_otherwise(node, old_state));
 }
 
 void membership_set_state(membership_t *membership, node_t *node,
@@ -230,6 +262,10 @@
 	if (old_state == MEMBER_GONE && update->state != MEMBER_GONE &&
 	    update->incarnation == node->info.incarnation)
 		membership_detect_partition_end(membership, now);
+	if (update->incarnation != node->info.incarnation) {
+		node->knows_leaving = FALSE;
+		node->next_leave_ping = 0;
+	}
 	TAILQ_REMOVE(&membership->members, &node->info, link);
 	node->info = *update;
 	node->info.state = old_state;
@@ -263,25 +299,38 @@
 	}
 }
 
-guint membership_next_updates(membership_t *membership, member_t *updates,
-			      guint max)
+static gboolean is_urgent(const node_t *node)
 {
-	guint pending = 0;
-	node_t *node;
-	guint i;
+	return node->info.state != MEMBER_LIVE;
+}
 
-	TAILQ_FOREACH (node, &membership->gossip_queue, gossip_link)
-		pending++;
-	pending = MIN(pending, max);
-	for (i = 0; i < pending; i++) {
-		node = TAILQ_FIRST(&membership->gossip_queue);
-		membership_copy(membership, node, &updates[i]);
+/* Copies queued updates of that urgency; returns the new number of updates. */
+static guint take_updates(membership_t *membership, gboolean urgent,
+			  member_t *updates, guint count, guint max)
+{
+	node_t *last = TAILQ_LAST(&membership->gossip_queue, gossip_queue_head);
+	node_t *node = TAILQ_FIRST(&membership->gossip_queue), *next;
+
+	for (; node && count < max; node = node == last ? NULL : next) {
+		next = TAILQ_NEXT(node, gossip_link);
+		if (is_urgent(node) != urgent)
+			continue;
+		membership_copy(membership, node, &updates[count++]);
 		TAILQ_REMOVE(&membership->gossip_queue, node, gossip_link);
 		if (--node->transmissions_left)
 			TAILQ_INSERT_TAIL(&membership->gossip_queue, node,
 					  gossip_link);
 	}
-	return pending;
+	return count;
+}
+
+guint membership_take_updates(membership_t *membership, member_t *updates,
+			      guint count)
+{
+	count = take_updates(membership, TRUE, updates, count,
+			     MEMBERSHIP_UPDATES_BURST);
+	return take_updates(membership, FALSE, updates, count,
+			    MEMBERSHIP_UPDATES_MAX);
 }
 
 void membership_remove_expired(membership_t *membership, GTimeSpan now)
@@ -313,6 +362,18 @@
 	return membership->self;
 }
 
+gboolean membership_is_mostly_live(const membership_t *membership)
+{
+	const node_t *node;
+	guint live = 0, leaving = 0;
+
+	TAILQ_FOREACH (node, &membership->ping_queue, ping_link) {
+		live += node->info.state == MEMBER_LIVE;
+		leaving += node->info.state == MEMBER_LEAVING;
+	}
+	return live > leaving;
+}
+
 const member_t *membership_find(const membership_t *membership,
 				const char *name)
 {
--- a/lib/membership/membership.h
+++ b/lib/membership/membership.h
@@ -40,6 +40,11 @@
  * limit of 3 KB/s for all control traffic.
  */
 #define MEMBERSHIP_UPDATES_MAX 4
+/*
+ * The same for members that are suspect, leaving or gone, to which callers must
+ * not be sent. Each update is sent a limited number of times, so a burst ends.
+ */
+#define MEMBERSHIP_UPDATES_BURST 64
 #define MEMBERSHIP_MEMBERS_MAX 1000 /* in the answer to a joining instance */
 
 #define MEMBER_NAME_MAX 64 /* bytes of an instance name */
@@ -127,7 +132,10 @@
 /* Adds a peer address to join through. Ignores this instance's own address. */
 void membership_add_seed(membership_t *membership, const char *peer_address);
 
-/* Marks this instance as leaving and pings other members to announce it. */
+/*
+ * Marks this instance as leaving. The next ticks ping all other members, and
+ * those that have not acknowledged again, so that none names it to callers.
+ */
 void membership_leave(membership_t *membership);
 
 /* Sets the version in force and pings other members to announce it. */
--- a/lib/membership/membership_internal.h
+++ b/lib/membership/membership_internal.h
@@ -9,11 +9,14 @@
 	TAILQ_ENTRY(node) ping_link; /* linked unless gone or this instance */
 	TAILQ_ENTRY(node) gossip_link; /* linked while transmissions_left > 0 */
 	guint transmissions_left;
+	GTimeSpan leaving_since; /* 0 if this incarnation has not left */
 	GTimeSpan state_since; /* when this instance learnt of the state */
 	/* When the member entered the state, CATK_NEVER if unknown. */
 	GTimeSpan state_entered;
 	GTimeSpan heard_at; /* last message from it, CATK_NEVER if none */
 	GTimeSpan next_ping; /* earliest ping by membership_ping_now() */
+	gboolean knows_leaving; /* has acknowledged that this instance leaves */
+	GTimeSpan next_leave_ping; /* earliest repeated announcement */
 } node_t;
 
 typedef struct seed {
@@ -55,6 +58,8 @@
 	GTimeSpan next_rejoin;
 	GTimeSpan next_full_list; /* CATK_NEVER if none is scheduled */
 	GTimeSpan full_list_wait; /* interval after the next request */
+	guint64 leave_sequence; /* last ping sent before leaving */
+	GTimeSpan next_leave_batch; /* CATK_NEVER unless leaving */
 	GTimeSpan last_tick;
 	GTimeSpan now; /* of the last message or tick */
 
@@ -92,9 +97,25 @@
 void membership_merge(membership_t *membership, const member_t *update,
 		      const char *learnt_from, GTimeSpan now);
 
-/* Copies up to max queued updates to updates and returns their number. */
-guint membership_next_updates(membership_t *membership, member_t *updates,
-			      guint max);
+/*
+ * Adds queued updates to the first count ones, live members only up to
+ * MEMBERSHIP_UPDATES_MAX. Returns the new number of updates.
+ */
+guint membership_take_updates(membership_t *membership, member_t *updates,
+			      guint count);
+
+/* Pings a member. Returns the sequence number. */
+guint64 membership_send_ping(membership_t *membership, const node_t *receiver);
+
+/* Pings the next members that do not know that this instance is leaving. */
+void membership_announce_leaving(membership_t *membership, GTimeSpan now);
+
+/* Records an ack: it shows that its sender has read the ping before it. */
+void membership_acknowledge_leaving(const membership_t *membership,
+				    node_t *sender, guint64 sequence);
+
+/* Returns whether more members are live than leaving. */
+gboolean membership_is_mostly_live(const membership_t *membership);
 
 /* Handles a gone member that is reachable again with the same incarnation. */
 void membership_detect_partition_end(membership_t *membership, GTimeSpan now);
--- a/lib/membership/membership_ping.c
+++ b/lib/membership/membership_ping.c
@@ -42,16 +42,15 @@
 			subject->info.state == MEMBER_GONE))
 		membership_copy(membership, subject,
 				&updates[message->update_count++]);
-	message->update_count += membership_next_updates(
-		membership, updates + message->update_count,
-		MEMBERSHIP_UPDATES_MAX - message->update_count);
+	message->update_count = membership_take_updates(membership, updates,
+							message->update_count);
 }
 
 /* receiver is NULL if it is unknown. Returns the sequence number. */
 static guint64 send_ping_with(membership_t *membership, const char *address,
 			      const node_t *receiver, gboolean want_members)
 {
-	member_t updates[MEMBERSHIP_UPDATES_MAX];
+	member_t updates[MEMBERSHIP_UPDATES_BURST];
 	membership_message_t message = {
 		.kind = MEMBERSHIP_PING,
 		.sequence = ++membership->last_sequence,
@@ -70,6 +69,11 @@
 			      is_isolated(membership));
 }
 
+guint64 membership_send_ping(membership_t *membership, const node_t *receiver)
+{
+	return send_ping(membership, receiver->info.peer_address, receiver);
+}
+
 static node_t *random_node(const membership_t *membership)
 {
 	node_t *node = TAILQ_FIRST(&membership->ping_queue);
@@ -108,13 +112,6 @@
 	}
 }
 
-void membership_leave(membership_t *membership)
-{
-	membership->self->state = MEMBER_LEAVING;
-	node_of(membership->self)->state_entered = membership->now;
-	announce(membership);
-}
-
 void membership_set_config_version(membership_t *membership, guint64 version)
 {
 	membership->self->config_version = version;
@@ -152,7 +149,7 @@
 		     gboolean all_members)
 {
 	member_t *updates =
-		g_new(member_t, MEMBERSHIP_UPDATES_MAX + membership->count);
+		g_new(member_t, MEMBERSHIP_UPDATES_BURST + membership->count);
 	membership_message_t message = {
 		.kind = MEMBERSHIP_ACK,
 		.sequence = sequence,
@@ -231,6 +228,9 @@
 		handle_ping_request(membership, connection, message, now);
 		break;
 	case MEMBERSHIP_ACK:
+		if (sender)
+			membership_acknowledge_leaving(membership, sender,
+						       message->sequence);
 		handle_ack(membership, message->sequence);
 		break;
 	}
@@ -244,7 +244,7 @@
 {
 	const node_t *target =
 		membership_find_node(membership, membership->pinged);
-	member_t updates[MEMBERSHIP_UPDATES_MAX];
+	member_t updates[MEMBERSHIP_UPDATES_BURST];
 	const node_t *helper;
 	guint asked = 0;
 
@@ -482,6 +482,8 @@
 		try_rejoin(membership, now);
 	if (now >= membership->next_full_list)
 		request_full_list(membership, now);
+	if (now >= membership->next_leave_batch)
+		membership_announce_leaving(membership, now);
 }
 
 GTimeSpan membership_next_wakeup(const membership_t *membership)
@@ -492,6 +494,7 @@
 	if (!membership->self->peer_address[0])
 		return CATK_NEVER;
 	wakeup = MIN(wakeup, membership->next_full_list);
+	wakeup = MIN(wakeup, membership->next_leave_batch);
 	if (membership->pinged_sequence && !membership->indirect_requested)
 		wakeup = MIN(wakeup, membership->indirect_at);
 	return wakeup;
