Keep members that left in lists, and remember unknown gone ones

A list came from an instance that had not heard, later lists left out members that were gone, and news that a member is gone was ignored by instances that did not know the member. So nothing corrected the entry until the instance's own ping came round, up to 94 x 0.4 s later.

Members that announced their leaving stay in full lists for a minute as gone, and an unknown gone member is remembered, so older news cannot add it as live. It returns with a higher refutation or incarnation. Members that were gone without a word are not listed, as they may live beyond a partition.

--- a/lib/membership/membership.c
+++ b/lib/membership/membership.c
@@ -274,6 +274,19 @@
 	enter_state(membership, node, update->state, learnt_from, now);
 }
 
+/*
+ * Remembers an unknown member that is gone, so that older news from an instance
+ * that has not heard cannot add it as live. The news is not spread further.
+ */
+static void add_gone_node(membership_t *membership, const member_t *update,
+			  GTimeSpan now)
+{
+	node_t *node = add_node(membership, update);
+
+	node->state_since = now;
+	node->state_entered = state_entered(update, now);
+}
+
 void membership_merge(membership_t *membership, const member_t *update,
 		      const char *learnt_from, GTimeSpan now)
 {
@@ -283,10 +296,11 @@
 		refute_if_suspected(membership->self, update);
 		return;
 	}
-	if (!node && (update->state == MEMBER_GONE ||
-		      membership->count >= MEMBERSHIP_MEMBERS_MAX))
+	if (!node && membership->count >= MEMBERSHIP_MEMBERS_MAX)
 		return;
-	if (!node) {
+	if (!node && update->state == MEMBER_GONE) {
+		add_gone_node(membership, update, now);
+	} else if (!node) {
 		node = add_node(membership, update);
 		insert_into_ping_queue(membership, node);
 		node->state_entered = state_entered(update, now);
--- a/lib/membership/membership_ping.c
+++ b/lib/membership/membership_ping.c
@@ -19,6 +19,8 @@
  */
 #define FULL_LIST_INTERVAL_MIN (1 * G_TIME_SPAN_SECOND)
 #define FULL_LIST_INTERVAL_MAX (16 * G_TIME_SPAN_SECOND)
+/* Longer than an instance that has joined requests full lists. */
+#define LEFT_LISTED_TIME (1 * G_TIME_SPAN_MINUTE)
 /* A partition is assumed if at least one in this many members is gone. */
 #define PARTITION_GONE_DIVISOR 4
 
@@ -132,13 +134,27 @@
 	TAILQ_INSERT_TAIL(&membership->seeds, seed, link);
 }
 
+/*
+ * A member that left is listed for some time, for an instance that has joined
+ * meanwhile and got its first list from one that did not know. Members that were
+ * gone without a word are not: they may be alive beyond a partition.
+ */
+static gboolean is_listed(const membership_t *membership, const node_t *node)
+{
+	if (&node->info == membership->self)
+		return FALSE;
+	return node->info.state != MEMBER_GONE ||
+	       (node->leaving_since &&
+		membership->now < node->state_since + LEFT_LISTED_TIME);
+}
+
 static guint copy_members(const membership_t *membership, member_t *updates)
 {
 	const member_t *member;
 	guint count = 0;
 
 	TAILQ_FOREACH (member, &membership->members, link)
-		if (member != membership->self && member->state != MEMBER_GONE)
+		if (is_listed(membership, node_of(member)))
 			membership_copy(membership, node_of(member),
 					&updates[count++]);
 	return count;
--- a/tests/test_membership_stops.c
+++ b/tests/test_membership_stops.c
@@ -360,6 +360,48 @@
 	assert_none_late();
 }
 
+/* Fails if instances that join while others leave name those. */
+static void joining_instances_learn_who_left(void **state)
+{
+	(void)state;
+	for_quarter(0, end_instance);
+	run_for(G_TIME_SPAN_MINUTE);
+	for_quarter(0, start_instance);
+	run_for(200 * G_TIME_SPAN_MILLISECOND);
+	for_quarter(30, leave_instance);
+	run_for(STOP_TIME);
+	for_quarter(30, end_instance);
+	run_for(20 * G_TIME_SPAN_SECOND);
+	assert_none_late();
+}
+
+/*
+ * Fails if an instance that heard of a member only by its end adds it as live
+ * from older news, or if the member cannot refute a false end.
+ */
+static void gone_stranger_is_not_revived_by_old_news(void **state)
+{
+	membership_message_t message = { .kind = MEMBERSHIP_ACK };
+	membership_t *membership = fleet.instances[5].membership;
+	member_t update = { .name = "stranger", .peer_address = "0" };
+
+	(void)state;
+	update.incarnation = 1;
+	g_strlcpy(message.sender.name, "n6", sizeof(message.sender.name));
+	message.updates = &update;
+	message.update_count = 1;
+	update.state = MEMBER_GONE;
+	membership_receive(membership, 6, &message, fleet.now);
+	update.state = MEMBER_LIVE;
+	membership_receive(membership, 6, &message, fleet.now);
+	assert_int_equal(membership_find(membership, "stranger")->state,
+			 MEMBER_GONE);
+	update.refutation = 1;
+	membership_receive(membership, 6, &message, fleet.now);
+	assert_int_equal(membership_find(membership, "stranger")->state,
+			 MEMBER_LIVE);
+}
+
 /*
  * Fails if a stop costs more than it is stated to: each leaving instance pings
  * each other one once if no message is lost, and the news of it is sent on a
@@ -417,6 +459,8 @@
 		TEST(leaving_is_known_if_the_first_word_is_lost),
 		TEST(interrupted_leaving_is_known_in_time),
 		TEST(killed_quarter_is_known_in_time),
+		TEST(joining_instances_learn_who_left),
+		TEST(gone_stranger_is_not_revived_by_old_news),
 		TEST(cost_of_a_stop_is_bounded),
 		TEST(stop_of_the_whole_fleet_is_bounded),
 	};
