--- a/lib/membership/membership.c
+++ b/lib/membership/membership.c
@@ -6,6 +6,13 @@
  * It then reaches all members with high probability (SWIM, section 4.1).
  */
 #define GOSSIP_FACTOR 3
+/*
+ * The same for news that most members get in another way. It then misses one in
+ * e^6 = 400 of the others.
+ */
+#define BACKUP_TRANSMISSIONS 6
+/* After this time a leaving member has told all others several times. */
+#define LEAVE_TIME (3 * G_TIME_SPAN_SECOND)
 
 const char *member_state_name(member_state_t state)
 {
@@ -20,12 +27,17 @@
 	return names[state];
 }
 
-static void enqueue_gossip(membership_t *membership, node_t *node)
+/* Does not shorten the dissemination of earlier news about the member. */
+static void enqueue_gossip(membership_t *membership, node_t *node,
+			   gboolean backup_only)
 {
+	guint count = backup_only ?
+			      BACKUP_TRANSMISSIONS :
+			      GOSSIP_FACTOR * g_bit_storage(membership->count);
+
 	if (!node->transmissions_left)
 		TAILQ_INSERT_HEAD(&membership->gossip_queue, node, gossip_link);
-	node->transmissions_left =
-		GOSSIP_FACTOR * g_bit_storage(membership->count);
+	node->transmissions_left = MAX(node->transmissions_left, count);
 }
 
 static void stop_gossip(membership_t *membership, node_t *node)
@@ -55,6 +67,8 @@
 	node_t *node = g_new0(node_t, 1);
 
 	node->info = *source;
+	node->state_entered = CATK_NEVER;
+	node->heard_at = CATK_NEVER;
 	TAILQ_INSERT_TAIL(&membership->members, &node->info, link);
 	g_hash_table_insert(membership->by_name, node->info.name, node);
 	membership->count++;
@@ -69,6 +83,7 @@
 
 	membership->counters = counters;
 	membership->random = random;
+	membership->next_leave_batch = CATK_NEVER;
 	membership->actions = *actions;
 	TAILQ_INIT(&membership->members);
 	membership->by_name = g_hash_table_new(g_str_hash, g_str_equal);
@@ -115,21 +130,102 @@
 	return g_hash_table_lookup(membership->by_name, name);
 }
 
-void membership_set_state(membership_t *membership, node_t *node,
-			  member_state_t state, GTimeSpan now)
+static gboolean has_state_age(member_state_t state)
 {
+	return state == MEMBER_LEAVING || state == MEMBER_GONE;
+}
+
+/* Returns CATK_NEVER if the time is not known. */
+static GTimeSpan time_since(GTimeSpan time, GTimeSpan now)
+{
+	return time == CATK_NEVER ? CATK_NEVER : now - time;
+}
+
+void membership_copy(const membership_t *membership, const node_t *node,
+		     member_t *copy)
+{
+	GTimeSpan age = time_since(node->state_entered, membership->now);
+
+	*copy = node->info;
+	copy->state_age = 0;
+	if (has_state_age(copy->state) && age != CATK_NEVER)
+		copy->state_age = MAX(age, 1);
+}
+
+static void record_delay(membership_t *membership, const node_t *node,
+			 GTimeSpan now)
+{
+	if (node->state_entered == CATK_NEVER)
+		return;
+	if (node->info.state == MEMBER_LEAVING)
+		news_delay_record(&membership->leaving_delay,
+				  now - node->state_entered);
+	else if (node->info.state == MEMBER_GONE)
+		news_delay_record(&membership->gone_delay,
+				  now - node->state_entered);
+}
+
+static gint64 age_for_output(GTimeSpan time, GTimeSpan now)
+{
+	return time == CATK_NEVER ? -1 : now - time;
+}
+
+static void log_state(const membership_t *membership, const node_t *node,
+		      const char *learnt_from, GTimeSpan now)
+{
+	LOG_EVENT(&membership->log, "member_state",
+		  LOG_TEXT("member", node->info.name),
+		  LOG_TEXT("state", member_state_name(node->info.state)),
+		  LOG_NUMBER("incarnation", (gint64)node->info.incarnation),
+		  LOG_NUMBER("refutation", node->info.refutation),
+		  LOG_TEXT("learnt_from", learnt_from),
+		  LOG_NUMBER("state_age_us",
+			     age_for_output(node->state_entered, now)),
+		  LOG_NUMBER("heard_age_us",
+			     age_for_output(node->heard_at, now)));
+}
+
+/*
+ * Whether most members learn of a new state in another way: from the leaving
+ * member itself, if it lived long enough to tell them, or by their own timeout
+ * for a suspect.
+ */
+static gboolean is_known_otherwise(const node_t *node, member_state_t old_state)
+{
+	if (node->info.state == MEMBER_GONE && old_state == MEMBER_LEAVING)
+		return node->state_entered >= node->leaving_since + LEAVE_TIME;
+	return node->info.state == MEMBER_LEAVING ||
+	       (node->info.state == MEMBER_GONE && old_state == MEMBER_SUSPECT);
+}
+
+/* The caller has set node->state_entered. */
+static void enter_state(membership_t *membership, node_t *node,
+			member_state_t state, const char *learnt_from,
+			GTimeSpan now)
+{
+	member_state_t old_state = node->info.state;
+
 	if (state == MEMBER_GONE && node->info.state != MEMBER_GONE)
 		TAILQ_REMOVE(&membership->ping_queue, node, ping_link);
 	if (state != MEMBER_GONE && node->info.state == MEMBER_GONE)
 		insert_into_ping_queue(membership, node);
 	node->info.state = state;
 	node->state_since = now;
-	LOG_EVENT(&membership->log, "member_state",
-		  LOG_TEXT("member", node->info.name),
-		  LOG_TEXT("state", member_state_name(state)),
-		  LOG_NUMBER("incarnation", (gint64)node->info.incarnation),
-		  LOG_NUMBER("refutation", node->info.refutation));
-	enqueue_gossip(membership, node);
+	if (state == MEMBER_LEAVING)
+		node->leaving_since = MIN(node->state_entered, now);
+	else if (state != MEMBER_GONE)
+		node->leaving_since = 0;
+	log_state(membership, node, learnt_from, now);
+	record_delay(membership, node, now);
+	enqueue_gossip(membership, node, is_known_otherwise(node, old_state));
+}
+
+void membership_set_state(membership_t *membership, node_t *node,
+			  member_state_t state, const char *learnt_from,
+			  GTimeSpan now)
+{
+	node->state_entered = now;
+	enter_state(membership, node, state, learnt_from, now);
 }
 
 /* Compares by incarnation, then refutation, then severity of the state. */
@@ -151,8 +247,14 @@
 		self->refutation = update->refutation + 1;
 }
 
+static GTimeSpan state_entered(const member_t *update, GTimeSpan now)
+{
+	return update->state_age ? now - update->state_age : CATK_NEVER;
+}
+
 static void apply_update(membership_t *membership, node_t *node,
-			 const member_t *update, GTimeSpan now)
+			 const member_t *update, const char *learnt_from,
+			 GTimeSpan now)
 {
 	member_state_t old_state = node->info.state;
 	member_t *previous = TAILQ_PREV(&node->info, member_list, link);
@@ -160,15 +262,33 @@
 	if (old_state == MEMBER_GONE && update->state != MEMBER_GONE &&
 	    update->incarnation == node->info.incarnation)
 		membership_detect_partition_end(membership, now);
+	if (update->incarnation != node->info.incarnation) {
+		node->knows_leaving = FALSE;
+		node->next_leave_ping = 0;
+	}
 	TAILQ_REMOVE(&membership->members, &node->info, link);
 	node->info = *update;
 	node->info.state = old_state;
 	TAILQ_INSERT_AFTER(&membership->members, previous, &node->info, link);
-	membership_set_state(membership, node, update->state, now);
+	node->state_entered = state_entered(update, now);
+	enter_state(membership, node, update->state, learnt_from, now);
+}
+
+/*
+ * Remembers an unknown member that is gone, so that older news from an instance
+ * that has not heard cannot add it as live. The news is not spread further.
+ */
+static void add_gone_node(membership_t *membership, const member_t *update,
+			  GTimeSpan now)
+{
+	node_t *node = add_node(membership, update);
+
+	node->state_since = now;
+	node->state_entered = state_entered(update, now);
 }
 
 void membership_merge(membership_t *membership, const member_t *update,
-		      GTimeSpan now)
+		      const char *learnt_from, GTimeSpan now)
 {
 	node_t *node = membership_find_node(membership, update->name);
 
@@ -176,40 +296,55 @@
 		refute_if_suspected(membership->self, update);
 		return;
 	}
-	if (!node && (update->state == MEMBER_GONE ||
-		      membership->count >= MEMBERSHIP_MEMBERS_MAX))
+	if (!node && membership->count >= MEMBERSHIP_MEMBERS_MAX)
 		return;
-	if (!node) {
+	if (!node && update->state == MEMBER_GONE) {
+		add_gone_node(membership, update, now);
+	} else if (!node) {
 		node = add_node(membership, update);
 		insert_into_ping_queue(membership, node);
-		membership_set_state(membership, node, update->state, now);
+		node->state_entered = state_entered(update, now);
+		enter_state(membership, node, update->state, learnt_from, now);
 	} else if (is_newer(update, &node->info)) {
-		apply_update(membership, node, update, now);
+		apply_update(membership, node, update, learnt_from, now);
 	} else if (update->incarnation == node->info.incarnation) {
 		node->info.config_version =
 			MAX(node->info.config_version, update->config_version);
 	}
 }
 
-guint membership_next_updates(membership_t *membership, member_t *updates,
-			      guint max)
+static gboolean is_urgent(const node_t *node)
 {
-	guint pending = 0;
-	node_t *node;
-	guint i;
+	return node->info.state != MEMBER_LIVE;
+}
 
-	TAILQ_FOREACH (node, &membership->gossip_queue, gossip_link)
-		pending++;
-	pending = MIN(pending, max);
-	for (i = 0; i < pending; i++) {
-		node = TAILQ_FIRST(&membership->gossip_queue);
-		updates[i] = node->info;
+/* Copies queued updates of that urgency; returns the new number of updates. */
+static guint take_updates(membership_t *membership, gboolean urgent,
+			  member_t *updates, guint count, guint max)
+{
+	node_t *last = TAILQ_LAST(&membership->gossip_queue, gossip_queue_head);
+	node_t *node = TAILQ_FIRST(&membership->gossip_queue), *next;
+
+	for (; node && count < max; node = node == last ? NULL : next) {
+		next = TAILQ_NEXT(node, gossip_link);
+		if (is_urgent(node) != urgent)
+			continue;
+		membership_copy(membership, node, &updates[count++]);
 		TAILQ_REMOVE(&membership->gossip_queue, node, gossip_link);
 		if (--node->transmissions_left)
 			TAILQ_INSERT_TAIL(&membership->gossip_queue, node,
 					  gossip_link);
 	}
-	return pending;
+	return count;
+}
+
+guint membership_take_updates(membership_t *membership, member_t *updates,
+			      guint count)
+{
+	count = take_updates(membership, TRUE, updates, count,
+			     MEMBERSHIP_UPDATES_BURST);
+	return take_updates(membership, FALSE, updates, count,
+			    MEMBERSHIP_UPDATES_MAX);
 }
 
 void membership_remove_expired(membership_t *membership, GTimeSpan now)
@@ -223,6 +358,14 @@
 			node_free(membership, node_of(member));
 }
 
+const news_delay_t *membership_news_delay(const membership_t *membership,
+					  member_state_t state)
+{
+	g_assert(has_state_age(state));
+	return state == MEMBER_LEAVING ? &membership->leaving_delay :
+					 &membership->gone_delay;
+}
+
 void membership_set_log(membership_t *membership, const event_log_t *log)
 {
 	membership->log = *log;
@@ -233,6 +376,18 @@
 	return membership->self;
 }
 
+gboolean membership_is_mostly_live(const membership_t *membership)
+{
+	const node_t *node;
+	guint live = 0, leaving = 0;
+
+	TAILQ_FOREACH (node, &membership->ping_queue, ping_link) {
+		live += node->info.state == MEMBER_LIVE;
+		leaving += node->info.state == MEMBER_LEAVING;
+	}
+	return live > leaving;
+}
+
 const member_t *membership_find(const membership_t *membership,
 				const char *name)
 {
@@ -267,6 +422,12 @@
 		w->integer(w->ctx, "refutation", member->refutation);
 		w->integer(w->ctx, "config_version",
 			   (gint64)member->config_version);
+		w->integer(w->ctx, "state_age_us",
+			   age_for_output(node_of(member)->state_entered,
+					  membership->now));
+		w->integer(w->ctx, "heard_age_us",
+			   age_for_output(node_of(member)->heard_at,
+					  membership->now));
 		w->end_object(w->ctx);
 	}
 	w->end_array(w->ctx);
--- a/lib/membership/membership.h
+++ b/lib/membership/membership.h
@@ -14,6 +14,7 @@
 #include "lib/common/dump.h"
 #include "lib/common/event_log.h"
 #include "lib/common/intrusive.h"
+#include "lib/membership/news_delay.h"
 
 /* One ping per period. With 5 members a stopped one is gone within 4 s. */
 #define MEMBERSHIP_PERIOD (400 * G_TIME_SPAN_MILLISECOND)
@@ -39,6 +40,11 @@
  * limit of 3 KB/s for all control traffic.
  */
 #define MEMBERSHIP_UPDATES_MAX 4
+/*
+ * The same for members that are suspect, leaving or gone, to which callers must
+ * not be sent. Each update is sent a limited number of times, so a burst ends.
+ */
+#define MEMBERSHIP_UPDATES_BURST 64
 #define MEMBERSHIP_MEMBERS_MAX 1000 /* in the answer to a joining instance */
 
 #define MEMBER_NAME_MAX 64 /* bytes of an instance name */
@@ -64,6 +70,11 @@
 	guint32 refutation; /* incremented by the member itself */
 	member_state_t state;
 	guint64 config_version; /* in force there, as last reported */
+	/*
+	 * In messages, of a member that is leaving or gone: the time since it
+	 * entered that state, 0 if unknown.
+	 */
+	GTimeSpan state_age;
 } member_t;
 
 typedef struct membership membership_t;
@@ -105,6 +116,13 @@
 /* Frees all members. NULL is allowed. */
 void membership_free(membership_t *membership);
 
+/*
+ * Returns how long after the fact this instance learnt that other members were
+ * leaving (MEMBER_LEAVING) or found gone (MEMBER_GONE).
+ */
+const news_delay_t *membership_news_delay(const membership_t *membership,
+					  member_state_t state);
+
 /* Sets the log for state changes of the other members. */
 void membership_set_log(membership_t *membership, const event_log_t *log);
 
@@ -114,7 +132,10 @@
 /* Adds a peer address to join through. Ignores this instance's own address. */
 void membership_add_seed(membership_t *membership, const char *peer_address);
 
-/* Marks this instance as leaving and pings other members to announce it. */
+/*
+ * Marks this instance as leaving. The next ticks ping all other members, and
+ * those that have not acknowledged again, so that none names it to callers.
+ */
 void membership_leave(membership_t *membership);
 
 /* Sets the version in force and pings other members to announce it. */
--- a/lib/membership/membership_ping.c
+++ b/lib/membership/membership_ping.c
@@ -19,6 +19,8 @@
  */
 #define FULL_LIST_INTERVAL_MIN (1 * G_TIME_SPAN_SECOND)
 #define FULL_LIST_INTERVAL_MAX (16 * G_TIME_SPAN_SECOND)
+/* Longer than an instance that has joined requests full lists. */
+#define LEFT_LISTED_TIME (1 * G_TIME_SPAN_MINUTE)
 /* A partition is assumed if at least one in this many members is gone. */
 #define PARTITION_GONE_DIVISOR 4
 
@@ -35,21 +37,22 @@
 			 membership_message_t *message, const node_t *subject,
 			 member_t *updates)
 {
-	message->sender = *membership->self;
+	membership_copy(membership, node_of(membership->self),
+			&message->sender);
 	message->updates = updates;
 	if (subject && (subject->info.state == MEMBER_SUSPECT ||
 			subject->info.state == MEMBER_GONE))
-		updates[message->update_count++] = subject->info;
-	message->update_count += membership_next_updates(
-		membership, updates + message->update_count,
-		MEMBERSHIP_UPDATES_MAX - message->update_count);
+		membership_copy(membership, subject,
+				&updates[message->update_count++]);
+	message->update_count = membership_take_updates(membership, updates,
+							message->update_count);
 }
 
 /* receiver is NULL if it is unknown. Returns the sequence number. */
 static guint64 send_ping_with(membership_t *membership, const char *address,
 			      const node_t *receiver, gboolean want_members)
 {
-	member_t updates[MEMBERSHIP_UPDATES_MAX];
+	member_t updates[MEMBERSHIP_UPDATES_BURST];
 	membership_message_t message = {
 		.kind = MEMBERSHIP_PING,
 		.sequence = ++membership->last_sequence,
@@ -68,6 +71,11 @@
 			      is_isolated(membership));
 }
 
+guint64 membership_send_ping(membership_t *membership, const node_t *receiver)
+{
+	return send_ping(membership, receiver->info.peer_address, receiver);
+}
+
 static node_t *random_node(const membership_t *membership)
 {
 	node_t *node = TAILQ_FIRST(&membership->ping_queue);
@@ -106,12 +114,6 @@
 	}
 }
 
-void membership_leave(membership_t *membership)
-{
-	membership->self->state = MEMBER_LEAVING;
-	announce(membership);
-}
-
 void membership_set_config_version(membership_t *membership, guint64 version)
 {
 	membership->self->config_version = version;
@@ -132,14 +134,29 @@
 	TAILQ_INSERT_TAIL(&membership->seeds, seed, link);
 }
 
+/*
+ * A member that left is listed for some time, for an instance that has joined
+ * meanwhile and got its first list from one that did not know. Members that were
+ * gone without a word are not: they may be alive beyond a partition.
+ */
+static gboolean is_listed(const membership_t *membership, const node_t *node)
+{
+	if (&node->info == membership->self)
+		return FALSE;
+	return node->info.state != MEMBER_GONE ||
+	       (node->leaving_since &&
+		membership->now < node->state_since + LEFT_LISTED_TIME);
+}
+
 static guint copy_members(const membership_t *membership, member_t *updates)
 {
 	const member_t *member;
 	guint count = 0;
 
 	TAILQ_FOREACH (member, &membership->members, link)
-		if (member != membership->self && member->state != MEMBER_GONE)
-			updates[count++] = *member;
+		if (is_listed(membership, node_of(member)))
+			membership_copy(membership, node_of(member),
+					&updates[count++]);
 	return count;
 }
 
@@ -148,7 +165,7 @@
 		     gboolean all_members)
 {
 	member_t *updates =
-		g_new(member_t, MEMBERSHIP_UPDATES_MAX + membership->count);
+		g_new(member_t, MEMBERSHIP_UPDATES_BURST + membership->count);
 	membership_message_t message = {
 		.kind = MEMBERSHIP_ACK,
 		.sequence = sequence,
@@ -206,11 +223,17 @@
 void membership_receive(membership_t *membership, guint64 connection,
 			const membership_message_t *message, GTimeSpan now)
 {
+	const char *from = message->sender.name;
+	node_t *sender;
 	guint i;
 
-	membership_merge(membership, &message->sender, now);
+	membership->now = now;
+	membership_merge(membership, &message->sender, from, now);
+	sender = membership_find_node(membership, from);
+	if (sender)
+		sender->heard_at = now;
 	for (i = 0; i < message->update_count; i++)
-		membership_merge(membership, &message->updates[i], now);
+		membership_merge(membership, &message->updates[i], from, now);
 	switch (message->kind) {
 	case MEMBERSHIP_PING:
 		send_ack(membership, connection, message->sequence,
@@ -221,6 +244,9 @@
 		handle_ping_request(membership, connection, message, now);
 		break;
 	case MEMBERSHIP_ACK:
+		if (sender)
+			membership_acknowledge_leaving(membership, sender,
+						       message->sequence);
 		handle_ack(membership, message->sequence);
 		break;
 	}
@@ -234,7 +260,7 @@
 {
 	const node_t *target =
 		membership_find_node(membership, membership->pinged);
-	member_t updates[MEMBERSHIP_UPDATES_MAX];
+	member_t updates[MEMBERSHIP_UPDATES_BURST];
 	const node_t *helper;
 	guint asked = 0;
 
@@ -268,9 +294,11 @@
 	if (!membership->pinged_sequence || !node)
 		return;
 	if (node->info.state == MEMBER_LIVE)
-		membership_set_state(membership, node, MEMBER_SUSPECT, now);
+		membership_set_state(membership, node, MEMBER_SUSPECT,
+				     LEARNT_FROM_PING, now);
 	else if (node->info.state == MEMBER_LEAVING)
-		membership_set_state(membership, node, MEMBER_GONE, now);
+		membership_set_state(membership, node, MEMBER_GONE,
+				     LEARNT_FROM_PING, now);
 }
 
 static void start_period(membership_t *membership, GTimeSpan now)
@@ -299,7 +327,7 @@
 		if (node->info.state == MEMBER_SUSPECT &&
 		    now >= node->state_since + MEMBERSHIP_SUSPECT_TIMEOUT)
 			membership_set_state(membership, node, MEMBER_GONE,
-					     now);
+					     LEARNT_FROM_PING, now);
 }
 
 static void expire_relays(membership_t *membership, GTimeSpan now)
@@ -445,6 +473,7 @@
 
 void membership_tick(membership_t *membership, GTimeSpan now)
 {
+	membership->now = now;
 	if (!membership->self->peer_address[0])
 		return;
 	if (!membership->last_tick)
@@ -469,6 +498,8 @@
 		try_rejoin(membership, now);
 	if (now >= membership->next_full_list)
 		request_full_list(membership, now);
+	if (now >= membership->next_leave_batch)
+		membership_announce_leaving(membership, now);
 }
 
 GTimeSpan membership_next_wakeup(const membership_t *membership)
@@ -479,6 +510,7 @@
 	if (!membership->self->peer_address[0])
 		return CATK_NEVER;
 	wakeup = MIN(wakeup, membership->next_full_list);
+	wakeup = MIN(wakeup, membership->next_leave_batch);
 	if (membership->pinged_sequence && !membership->indirect_requested)
 		wakeup = MIN(wakeup, membership->indirect_at);
 	return wakeup;
