Finish a stop only when no connection is left

The server counted as idle, and the process ended, while a request waited in the kernel on a connection that the stop had kept for it, or was half read. Its caller was disconnected without an answer.

A stop is finished when no connection is open.

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -404,6 +404,14 @@
 		connection_close(connection);
 }
 
+static void close_idle_connections(http_server_t *server)
+{
+	connection_t *connection, *next;
+
+	TAILQ_FOREACH_SAFE (connection, &server->connections, link, next)
+		close_if_idle(connection);
+}
+
 static void check_timeouts(connection_t *connection,
 			   const schema_request_limits_t *limits, GTimeSpan now)
 {
@@ -437,6 +445,8 @@
 
 	TAILQ_FOREACH_SAFE (connection, &server->connections, link, next)
 		check_timeouts(connection, &limits, now);
+	if (server->stopped)
+		close_idle_connections(server);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -490,23 +500,25 @@
 
 void http_server_stop(http_server_t *server)
 {
-	connection_t *connection, *next;
-
 	if (!server->stopped)
 		accept_connections(server, ACCEPTS_BEFORE_STOP);
 	stop_accepting(server);
-	TAILQ_FOREACH_SAFE (connection, &server->connections, link, next)
-		close_if_idle(connection);
+	close_idle_connections(server);
 }
 
 gboolean http_server_is_idle(const http_server_t *server)
+{
+	return TAILQ_EMPTY(&server->connections);
+}
+
+guint http_server_unsent_count(const http_server_t *server)
 {
 	const connection_t *connection;
+	guint count = 0;
 
 	TAILQ_FOREACH (connection, &server->connections, link)
-		if (is_busy(connection) || expects_first_request(connection))
-			return FALSE;
-	return TRUE;
+		count += stream_bytes_buffered(connection->stream) != 0;
+	return count;
 }
 
 guint http_server_connection_count(const http_server_t *server)
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -55,11 +55,14 @@
 void http_server_stop(http_server_t *server);
 
 /*
- * TRUE when each request that was received has its response, and each client has
- * closed its connection after the last one.
+ * TRUE when no connection is open: after a stop, when the requests that have
+ * begun are answered and the clients have read the answers.
  */
 gboolean http_server_is_idle(const http_server_t *server);
 
+/* Number of connections with responses that are not sent completely. */
+guint http_server_unsent_count(const http_server_t *server);
+
 /* Number of open connections. */
 guint http_server_connection_count(const http_server_t *server);
 
--- a/net/proxy.c
+++ b/net/proxy.c
@@ -301,6 +301,11 @@
 	return http_server_is_idle(proxy->server);
 }
 
+guint proxy_unsent_count(const proxy_t *proxy)
+{
+	return http_server_unsent_count(proxy->server);
+}
+
 guint proxy_connection_count(const proxy_t *proxy)
 {
 	return http_server_connection_count(proxy->server);
--- a/net/proxy.h
+++ b/net/proxy.h
@@ -83,6 +83,9 @@
 /* See http_server_is_idle(). */
 gboolean proxy_is_idle(const proxy_t *proxy);
 
+/* Number of callers' connections with answers that are not sent completely. */
+guint proxy_unsent_count(const proxy_t *proxy);
+
 /* Number of open connections of callers. */
 guint proxy_connection_count(const proxy_t *proxy);
 
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -266,6 +266,36 @@
 	assert_true(read_to_end(f) > 3000);
 }
 
+/* Fails if a stop counts as finished while a request waits to be read. */
+static void stop_is_not_finished_while_a_request_waits(void **state)
+{
+	fixture_t *f = *state;
+
+	send_text(f, REQUEST);
+	run_loop_for(50);
+	reply_with(f, 0, 1);
+	run_loop_for(50);
+	f->closing = TRUE;
+	send_text(f, REQUEST);
+	g_usleep(10000);
+	http_server_stop(f->server);
+	assert_int_equal(http_server_connection_count(f->server), 1);
+	assert_false(http_server_is_idle(f->server));
+}
+
+/* Fails if a stop counts as finished in the middle of a request. */
+static void stop_is_not_finished_within_a_request(void **state)
+{
+	fixture_t *f = *state;
+
+	f->closing = TRUE;
+	send_text(f, "PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nx");
+	run_loop_for(50);
+	http_server_stop(f->server);
+	assert_int_equal(http_server_connection_count(f->server), 1);
+	assert_false(http_server_is_idle(f->server));
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
@@ -275,6 +305,8 @@
 		TEST(request_that_meets_a_stop_is_read),
 		TEST(connection_that_meets_a_stop_is_accepted),
 		TEST(first_request_that_meets_a_stop_is_read),
+		TEST(stop_is_not_finished_while_a_request_waits),
+		TEST(stop_is_not_finished_within_a_request),
 		TEST(stop_closes_idle_connections),
 		TEST(stop_waits_until_the_last_response_is_read),
 		TEST(slow_reader_gets_the_whole_last_response),
