Write the last answers of a shutdown until its end, and tell what was cut

When a shutdown was complete the process wrote answers for 2 s more, though its end was known to be later: in a trial with a grace of 30 s a caller that read 16 MB in 8 s got 11 MB, and the log said drained, cut 0. With a grace of 2 s or less the process wrote for 0.2 s behind an end 0.25 s before the kill, was killed (1.12 s after SIGTERM with a grace of 1 s), and logged nothing.

Only the end bounds the last writes, and the time behind it is a part of the reserve before the kill, which is a sixth of a short grace. shutdown_ended tells the connections whose answer was not sent completely, the calls that their callers cancelled, and as cause what completed the shutdown, not the time at which it ended; call_cut tells the request id of a call by method.

--- a/codec/settings_json.c
+++ b/codec/settings_json.c
@@ -115,7 +115,7 @@
 	{ "termination_grace_s", offsetof(settings_t, termination_grace),
 	  FIELD_SECONDS, 0, 3600, 0, "s",
 	  "time after SIGTERM at which the process is killed, 0 for unknown; a "
-	  "shutdown ends 0.5 s before, or an eighth of it if that is less" },
+	  "shutdown ends 0.5 s before, or a sixth of it if that is less" },
 	{ "resolve_ttl_max_s", offsetof(settings_t, resolve_ttl_max),
 	  FIELD_SECONDS, 0, 600, 0, "s",
 	  "longest time for which callers use resolved addresses, 0 for "
@@ -137,11 +137,12 @@
 };
 
 /*
- * Time between the end of a shutdown and the kill of the process: the last
- * answers are written, and the process frees its memory and exits.
+ * Time between the end of a shutdown and the kill of the process: for so long
+ * the last answers are written, then the process frees its memory and exits.
  */
 #define TERMINATION_RESERVE_MAX (500 * G_TIME_SPAN_MILLISECOND)
-#define TERMINATION_RESERVE_DIVISOR 8 /* of a short grace */
+#define TERMINATION_RESERVE_DIVISOR 6 /* of a short grace */
+#define FINAL_WRITES_PERCENT 40 /* of that time */
 
 static void set_integer(settings_t *settings, const numeric_key_t *key,
 			gint64 value)
@@ -220,12 +221,13 @@
 {
 	entry_limits_t *entry = &settings->entry;
 	GTimeSpan grace = settings->termination_grace;
+	GTimeSpan reserve = TERMINATION_RESERVE_MAX;
 
-	if (grace)
-		entry->shutdown_max =
-			MIN(entry->shutdown_max,
-			    grace - MIN(TERMINATION_RESERVE_MAX,
-					grace / TERMINATION_RESERVE_DIVISOR));
+	if (grace) {
+		reserve = MIN(reserve, grace / TERMINATION_RESERVE_DIVISOR);
+		entry->shutdown_max = MIN(entry->shutdown_max, grace - reserve);
+	}
+	settings->final_writes_max = reserve * FINAL_WRITES_PERCENT / 100;
 	if (settings->resolve_ttl_max)
 		entry->resolve_ttl =
 			MIN(entry->resolve_ttl, settings->resolve_ttl_max);
--- a/codec/settings_json.h
+++ b/codec/settings_json.h
@@ -26,6 +26,8 @@
 	gint64 probes_per_second; /* per endpoint in the store, all instances */
 	GPtrArray *seeds; /* of char *, peer addresses to join through */
 	GTimeSpan termination_grace; /* from SIGTERM to SIGKILL, 0: unknown */
+	/* For the last answers, after shutdown_max; from termination_grace. */
+	GTimeSpan final_writes_max;
 	GTimeSpan resolve_ttl_max; /* that callers keep to, 0: unlimited */
 	gint64 body_bytes_max; /* of a request or an answer */
 	gint64 object_api_poll_ms; /* between two fallback reads */
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -503,15 +503,15 @@
 		return FALSE;
 	if (!is_drained(entry, now) && now < entry_shutdown_deadline(entry))
 		return FALSE;
-	if (shutdown_complete(&entry->shutdown))
+	if (shutdown_complete(&entry->shutdown, now))
 		entry_end_forwarded_calls(entry);
 	return TRUE;
 }
 
-void entry_end_shutdown(entry_t *entry, guint connections)
+void entry_end_shutdown(entry_t *entry, guint connections, guint unsent)
 {
 	if (!entry_is_leaving(entry))
 		return;
 	entry_record_cut_calls(entry);
-	entry_log_shutdown_ended(entry, connections);
+	entry_log_shutdown_ended(entry, connections, unsent);
 }
--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -407,9 +407,10 @@
 /*
  * To be called once, when the process is about to end after a shutdown: logs
  * each call that is cut, and what became of the calls since the start.
- * connections is the number of callers' connections that are still open.
+ * connections is the number of callers' connections that are still open, unsent
+ * that of those with answers that are not sent completely.
  */
-void entry_end_shutdown(entry_t *entry, guint connections);
+void entry_end_shutdown(entry_t *entry, guint connections, guint unsent);
 
 /* Instant at which a shutdown is forced, CATK_NEVER if none has started. */
 GTimeSpan entry_shutdown_deadline(const entry_t *entry);
--- a/lib/entry/entry_calls.c
+++ b/lib/entry/entry_calls.c
@@ -317,6 +317,13 @@
 		entry_answer_error(entry, request->caller_ref, &id_error);
 }
 
+static void count_cancelled(entry_t *entry)
+{
+	counters_add(entry->counters, COUNTER_CALLS_CANCELLED, 1);
+	if (entry_is_leaving(entry))
+		entry->shutdown.calls.cancelled++;
+}
+
 void entry_cancel(entry_t *entry, void *caller_ref)
 {
 	call_t *call = g_hash_table_lookup(entry->calls_by_ref, caller_ref);
@@ -324,11 +331,10 @@
 
 	if (!call) {
 		if (entry_cancel_forwarded_call(entry, caller_ref))
-			counters_add(entry->counters, COUNTER_CALLS_CANCELLED,
-				     1);
+			count_cancelled(entry);
 		return;
 	}
-	counters_add(entry->counters, COUNTER_CALLS_CANCELLED, 1);
+	count_cancelled(entry);
 	entry_log_call(entry, "caller_left", call, NULL);
 	g_hash_table_remove(entry->calls_by_ref, caller_ref);
 	call_remove_waiter(call, caller_ref);
--- a/lib/entry/entry_dump.c
+++ b/lib/entry/entry_dump.c
@@ -28,6 +28,7 @@
 	w->integer(w->ctx, "received", (gint64)calls->received);
 	w->integer(w->ctx, "refused", (gint64)calls->refused);
 	w->integer(w->ctx, "answered", (gint64)calls->answered);
+	w->integer(w->ctx, "cancelled", (gint64)calls->cancelled);
 	w->end_object(w->ctx);
 }
 
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -139,7 +139,8 @@
 
 /* Log the start and the end of a shutdown, and a call that the end cuts. */
 void entry_log_shutdown_started(const entry_t *entry, const char *reason);
-void entry_log_shutdown_ended(const entry_t *entry, guint connections);
+void entry_log_shutdown_ended(const entry_t *entry, guint connections,
+			      guint unsent);
 void entry_log_cut_call(const entry_t *entry, const call_t *call);
 
 /* Logs that a configuration came into force. */
@@ -188,16 +189,19 @@
 void entry_probe_wait_tick(entry_t *entry, entry_service_t *service);
 
 /*
- * FALSE if the call must be refused because of a shutdown. A call that may have
- * run cannot be refused as not run, so it continues.
+ * FALSE if the call must not be started, for the first time or again, because of
+ * a shutdown.
  */
 gboolean entry_may_start(const entry_t *entry, const entry_service_t *service,
 			 const call_t *call);
 
-/* Refuses a call for which entry_may_start() returned FALSE. */
+/*
+ * Ends a call for which entry_may_start() returned FALSE: as refused, or with an
+ * unknown outcome if it may have run.
+ */
 void entry_refuse_for_shutdown(entry_t *entry, call_t *call);
 
-/* Refuses such calls among those without an attempt in flight. */
+/* Ends such calls among those without an attempt in flight. */
 void entry_refuse_unstarted_calls(entry_t *entry);
 
 /*
--- a/lib/entry/entry_log.c
+++ b/lib/entry/entry_log.c
@@ -145,19 +145,22 @@
 			     (gint64)config_version(entry->config)));
 }
 
-void entry_log_shutdown_ended(const entry_t *entry, guint connections)
+void entry_log_shutdown_ended(const entry_t *entry, guint connections,
+			      guint unsent)
 {
 	const shutdown_calls_t *calls = &entry->shutdown.calls;
-	gboolean forced = entry_now(entry) >= entry->shutdown.end;
 
 	LOG_EVENT(&entry->actions.log, "shutdown_ended", shutdown_field(entry),
-		  LOG_TEXT("cause", forced ? "deadline" : "drained"),
+		  LOG_TEXT("cause",
+			   entry->shutdown.forced ? "deadline" : "drained"),
 		  LOG_NUMBER("open_at_start", (gint64)calls->open_at_start),
 		  LOG_NUMBER("received", (gint64)calls->received),
 		  LOG_NUMBER("refused", (gint64)calls->refused),
 		  LOG_NUMBER("answered", (gint64)calls->answered),
+		  LOG_NUMBER("cancelled", (gint64)calls->cancelled),
 		  LOG_NUMBER("cut", (gint64)calls->cut),
-		  LOG_NUMBER("connections", connections));
+		  LOG_NUMBER("connections", connections),
+		  LOG_NUMBER("unsent", unsent));
 }
 
 /*
@@ -170,6 +173,8 @@
 
 	LOG_EVENT(&entry->actions.log, "call_cut",
 		  LOG_TEXT("request", call->log_name),
+		  LOG_NUMBER("sequence",
+			     call->has_id ? (gint64)call->sequence : -1),
 		  LOG_TEXT("service", call->service),
 		  LOG_TEXT("method", call->method), shutdown_field(entry),
 		  LOG_NUMBER("received_us",
--- a/lib/shutdown/shutdown.c
+++ b/lib/shutdown/shutdown.c
@@ -22,11 +22,12 @@
 	return TRUE;
 }
 
-gboolean shutdown_complete(shutdown_t *shutdown)
+gboolean shutdown_complete(shutdown_t *shutdown, GTimeSpan now)
 {
 	if (shutdown->phase != SHUTDOWN_LEAVING)
 		return FALSE;
 	shutdown->phase = SHUTDOWN_COMPLETE;
+	shutdown->forced = now >= shutdown->end;
 	return TRUE;
 }
 
--- a/lib/shutdown/shutdown.h
+++ b/lib/shutdown/shutdown.h
@@ -20,6 +20,7 @@
 	guint64 received;
 	guint64 refused; /* answered as not run */
 	guint64 answered; /* with any other answer */
+	guint64 cancelled; /* by their callers */
 	guint64 cut; /* had a caller and no answer when the process ended */
 } shutdown_calls_t;
 
@@ -27,6 +28,7 @@
 	shutdown_phase_t phase;
 	GTimeSpan started; /* instant, valid unless SHUTDOWN_NONE */
 	GTimeSpan end; /* instant at which the shutdown is forced */
+	gboolean forced; /* it was complete only at its end */
 	shutdown_calls_t calls;
 } shutdown_t;
 
@@ -66,7 +68,7 @@
  * Ends the phase in which calls are started. Returns FALSE if the shutdown is
  * not in that phase.
  */
-gboolean shutdown_complete(shutdown_t *shutdown);
+gboolean shutdown_complete(shutdown_t *shutdown, GTimeSpan now);
 
 /*
  * TRUE if a call may be started or queued. Before a shutdown every call may, and
--- a/programs/daemon.c
+++ b/programs/daemon.c
@@ -21,14 +21,6 @@
 #define OBJECT_API_TIMEOUT (2 * G_TIME_SPAN_SECOND)
 #define INCARNATION_RANDOM_BITS 10
 
-/* Time to write the last answers to callers that read slowly. */
-#define FINAL_WRITES_TIMEOUT (2 * G_TIME_SPAN_SECOND)
-/*
- * Maximum of that time after the shutdown deadline, soon after which the platform
- * kills the process.
- */
-#define FINAL_WRITES_AFTER_DEADLINE (200 * G_TIME_SPAN_MILLISECOND)
-
 typedef struct {
 	const settings_t *settings;
 	GMainLoop *loop;
@@ -93,8 +85,8 @@
 }
 
 /*
- * Ends the main loop when the graceful shutdown is complete and the last answers
- * are written or their time has passed.
+ * Ends the main loop when the graceful shutdown is complete and the callers have
+ * read the last answers, or when the platform is about to kill the process.
  */
 static void quit_after_shutdown(daemon_t *daemon)
 {
@@ -109,15 +101,18 @@
 	if (!daemon->shutdown_completed_at)
 		return;
 	if (all_answers_written(daemon) ||
-	    now >= daemon->shutdown_completed_at + FINAL_WRITES_TIMEOUT ||
 	    now >= entry_shutdown_deadline(daemon->entry) +
-			    FINAL_WRITES_AFTER_DEADLINE)
+			    daemon->settings->final_writes_max)
 		g_main_loop_quit(daemon->loop);
 }
 
-static guint open_connections(const daemon_t *daemon)
+static void end_shutdown(const daemon_t *daemon)
 {
-	return daemon->proxy ? proxy_connection_count(daemon->proxy) : 0;
+	const proxy_t *proxy = daemon->proxy;
+
+	entry_end_shutdown(daemon->entry,
+			   proxy ? proxy_connection_count(proxy) : 0,
+			   proxy ? proxy_unsent_count(proxy) : 0);
 }
 
 static gboolean entry_source_dispatch(GSource *source, GSourceFunc callback,
@@ -447,7 +442,7 @@
 					    settings->proxy_address :
 					    ""));
 	g_main_loop_run(daemon.loop);
-	entry_end_shutdown(daemon.entry, open_connections(&daemon));
+	end_shutdown(&daemon);
 	remove_event_sources(&daemon);
 	LOG_EVENT(&daemon.log, "stopped",
 		  LOG_TEXT("instance", settings->instance));
