Repeat no call in a shutdown that its end could cut

A call that may have run was exempt from the rule, as it cannot be refused as not run: received before the shutdown with a deadline behind its end, an endpoint's 500 was dropped for a retry that the end then cut, a retry was started when the shutdown was already complete, and a waiting call was cut though no endpoint worked at it.

The rule is asked before any retry, so the last answer is passed on, and a call that waits ends with an unknown outcome (502) at once; a caller that may repeat it does so elsewhere.

--- a/lib/entry/entry_attempts.c
+++ b/lib/entry/entry_attempts.c
@@ -51,7 +51,8 @@
 	if (call->deadline - now <= cancel_margin(call))
 		return FALSE;
 	if (call->attempts_made >= attempts_max(entry, call) ||
-	    !entry_can_start_in_time(service, call, now))
+	    !entry_can_start_in_time(service, call, now) ||
+	    !entry_may_start(entry, service, call))
 		return FALSE;
 	return call->queue.priority == 0 ?
 		       retry_budget_has_tokens(&service->retry_budget) :
--- a/lib/entry/entry_shutdown.c
+++ b/lib/entry/entry_shutdown.c
@@ -22,8 +22,7 @@
 			(GTimeSpan)service->service_time[call->queue.priority],
 	};
 
-	return rule_allows(entry, &attributes) ||
-	       entry_call_outcome(entry, call) != OUTCOME_NOT_RUN;
+	return rule_allows(entry, &attributes);
 }
 
 gboolean entry_may_wait_until(const entry_t *entry, GTimeSpan instant)
@@ -37,6 +36,15 @@
 {
 	catk_error_t error;
 
+	if (entry_call_outcome(entry, call) != OUTCOME_NOT_RUN) {
+		catk_error_set(
+			&error, CATK_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN,
+			"this instance is shutting down and the call may "
+			"have run: check its effect before sending it "
+			"again");
+		entry_finish_with_error(entry, call, &error);
+		return;
+	}
 	catk_error_set(&error, CATK_UNAVAILABLE, OUTCOME_NOT_RUN,
 		       "this instance is shutting down and could end before "
 		       "the call: send it to another instance%s",
@@ -45,7 +53,7 @@
 		error.retry_after = entry_retry_after(
 			entry, entry_find_service(entry, call->service), call,
 			TRUE);
-	entry_finish_refused(entry, call, &error);
+	entry_finish_with_error(entry, call, &error);
 }
 
 void entry_refuse_unstarted_calls(entry_t *entry)
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -494,7 +494,7 @@
 	entry_shutdown(f->entry, "test");
 	f->now += SHUTDOWN_MAX;
 	assert_true(entry_is_shutdown_complete(f->entry));
-	entry_end_shutdown(f->entry, 0);
+	entry_end_shutdown(f->entry, 0, 0);
 	assert_int_equal(f->counters.value[COUNTER_CALLS_CUT_AT_SHUTDOWN], 1);
 }
 
@@ -557,6 +557,36 @@
 	assert_int_equal(f->started, 1);
 }
 
+/* Fails if a call that may have run is started again after the end. */
+static void no_call_is_repeated_after_the_end_of_a_shutdown(void **state)
+{
+	fixture_t *f = *state;
+
+	call_method(f, 1, "status", 1, 1);
+	shut_down_within(f, BOOK_DEADLINE / 2);
+	advance(f, BOOK_DEADLINE / 2);
+	assert_true(entry_is_shutdown_complete(f->entry));
+	end_last_attempt(f, ATTEMPT_FAILED);
+	advance(f, REFUSAL_BACKOFF_MAX);
+	assert_int_equal(f->started, 1);
+	assert_answered(f, 1, CATK_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN);
+}
+
+/* Fails if a call at which no endpoint works is cut by a shutdown. */
+static void waiting_call_that_may_have_run_is_answered(void **state)
+{
+	fixture_t *f = *state;
+
+	call_method(f, 1, "status", 1, 1);
+	call_book(f, 2, 2);
+	end_last_attempt(f, ATTEMPT_FAILED);
+	/* The endpoint works at the second call, the first one waits again. */
+	assert_int_equal(f->started, 2);
+	shut_down_within(f, BOOK_DEADLINE / 2);
+	assert_answered(f, 1, CATK_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN);
+	assert_int_equal(f->answers[2].count, 0);
+}
+
 /* Fails if a reload that shortens a shutdown cuts the calls that it took. */
 static void reload_does_not_move_the_end_of_a_shutdown(void **state)
 {
@@ -594,6 +624,8 @@
 		TEST(late_call_in_a_shutdown_is_refused),
 		TEST(queued_call_is_refused_when_a_shutdown_starts),
 		TEST(refused_attempt_is_not_repeated_late_in_a_shutdown),
+		TEST(no_call_is_repeated_after_the_end_of_a_shutdown),
+		TEST(waiting_call_that_may_have_run_is_answered),
 		TEST(reload_does_not_move_the_end_of_a_shutdown),
 	};
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1233,10 +1233,10 @@
 } stop_request_t;
 
 /*
- * The answer is 200 if the request ran, and 503 if it did not; without an answer
- * it has reached no endpoint.
+ * Returns the status: 200 if the request ran, 503 if it did not, or 0 without an
+ * answer to a request that reached no endpoint.
  */
-static void check_stop_request(const stop_request_t *request)
+static guint check_stop_request(const stop_request_t *request)
 {
 	char *answer = read_answers(request->connection, 1);
 	guint runs = count_at_endpoints(request->number);
@@ -1247,6 +1247,7 @@
 		fail_msg("q-%u ran %u times and was answered \"%.40s\"",
 			 request->number, runs, answer);
 	g_free(answer);
+	return status;
 }
 
 /* Fails if a request that is received during a shutdown is cut by its end. */
@@ -1257,7 +1258,7 @@
 	stop_request_t requests[SHUTDOWN_MAX_MS / 50];
 	GSocketConnection *connection;
 	fixture_t *f = *state;
-	guint sent = 0;
+	guint sent = 0, served = 0, refused = 0, status, i;
 
 	process_signal(f->daemon, SIGTERM);
 	while ((connection = try_connection(test_port(PROXY_PORT)))) {
@@ -1274,17 +1275,21 @@
 		run_loop_for(60);
 	}
 	assert_int_equal(process_wait(f->daemon), 0);
-	while (sent) {
-		check_stop_request(&requests[--sent]);
-		g_object_unref(requests[sent].connection);
+	for (i = 0; i < sent; i++) {
+		status = check_stop_request(&requests[i]);
+		served += status == 200;
+		refused += status == 503;
+		/* The last one may have met the end of the process. */
+		assert_true(status || i + 1 == sent);
+		g_object_unref(requests[i].connection);
 	}
+	assert_true(served && refused);
 }
 
-static void request_drain(const fixture_t *f)
+static void request_drain(void)
 {
 	reply_t reply;
 
-	(void)f;
 	http_request(&reply, "POST", test_port(CALLER_PORT),
 		     "/v1/operator/drain", "", NULL);
 	assert_int_equal(reply.status, 200);
@@ -1303,7 +1308,7 @@
 	answer = read_answers(connection, 1);
 	assert_null(strstr(answer, "Connection: close"));
 	g_free(answer);
-	request_drain(f);
+	request_drain();
 	assert_int_equal(get_status(READY_PORT, "/-/readyz"), 503);
 	send_bytes(connection, request);
 	answer = read_answers(connection, 1);
--- a/tests/test_routed_calls.c
+++ b/tests/test_routed_calls.c
@@ -913,11 +913,30 @@
 	assert_string_equal(f->endpoint, "t-0");
 }
 
+/* Fails if an answer is discarded for a retry that a shutdown cuts. */
+static void late_answer_in_a_shutdown_is_passed_on(void **state)
+{
+	fixture_t *f = *state;
+
+	send_request(f, 1, "/safe/");
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->started, 1);
+	/* The end is after 1 s, the deadline after 1.5 s. */
+	entry_shutdown(f->entry, "test");
+	advance(f, G_TIME_SPAN_SECOND - MS);
+	end_attempt(f, ATTEMPT_ANSWERED, 500);
+	answer_probes(f, "", 0, 0, 100);
+	advance(f, MS);
+	assert_true(entry_is_shutdown_complete(f->entry));
+	assert_int_equal(f->answers[1].count, 1);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		TEST(late_answer_in_a_shutdown_is_passed_on),
 		TEST(slowed_endpoint_is_avoided),
 		TEST(request_waits_for_the_end_of_a_slowdown),
 		TEST(local_endpoint_goes_first),
