Keep the sockets of each libsoup session apart

With two endpoints or more, a chunked response that was cut between two chunks could be passed on to the caller as a whole one, and a whole chunked response could be rejected, so that a call that ran was answered with an unknown outcome. Responses without a body are judged in the same way.

Cause: the upstream client recorded the sockets of all its sessions in one table, under libsoup's connection id. There is a session for each endpoint, and one for cancel queries, and each counts its connections from 1. The first connection of a second endpoint was not recorded because its id was taken, and its responses were judged by the socket of the first endpoint.

Evidence: before the change cut_response_of_a_second_endpoint_is_rejected got ATTEMPT_ANSWERED, and whole_response_of_a_second_endpoint_is_used got ATTEMPT_BAD_ANSWER. Both pass with it, as do the other tests of test_upstream_client and test_object_api, and test_upstream_client under AddressSanitizer with leak detection. The test server listens on all addresses, so that 127.0.0.2 is a second endpoint.

Change: each session owns a table of its sockets, within which ids are unique. Tracking a message takes the session that sends it, and the message refers to the table of that session, which it may outlive. Clients no longer own a table.

soup_sockets_has_whole_request() now treats a request whose connection libsoup has closed, so that it has no socket, as ended. No test drives that case. The value type of the table no longer has the name of the entry aggregate.

--- a/net/object_api.c
+++ b/net/object_api.c
@@ -33,7 +33,6 @@
 	GTimeSpan timeout;
 	counters_t *counters;
 	SoupSession *session;
-	soup_sockets_t *sockets; /* of the session */
 	/*
 	 * A call has timed out and none was answered since: idle connections
 	 * may be dead.
@@ -55,7 +54,6 @@
 	api->session = soup_session_new_with_options("proxy-resolver", NULL,
 						     "max-conns-per-host",
 						     CONNECTIONS_MAX, NULL);
-	api->sockets = soup_sockets_new();
 	TAILQ_INIT(&api->calls);
 	return api;
 }
@@ -91,7 +89,6 @@
 		object_api_cancel(call);
 	soup_session_abort(api->session);
 	g_object_unref(api->session);
-	soup_sockets_free(api->sockets);
 	g_free(api->address);
 	g_free(api->client_name);
 	g_free(api);
@@ -166,8 +163,7 @@
 	return soup_message_get_status(call->message) ==
 		       SOUP_STATUS_NO_CONTENT ||
 	       (call->api &&
-		soup_sockets_has_whole_response(call->api->sockets,
-						call->message, body_size));
+		soup_sockets_has_whole_response(call->message, body_size));
 }
 
 static void on_body_read(GObject *source, GAsyncResult *async, gpointer data)
@@ -247,7 +243,7 @@
 			call->message, "application/json", body);
 	call->timeout_timer = g_timeout_add(
 		(guint)(timeout / G_TIME_SPAN_MILLISECOND), on_timeout, call);
-	soup_sockets_track(api->sockets, call->message);
+	soup_sockets_track(api->session, call->message);
 	TAILQ_INSERT_TAIL(&api->calls, call, link);
 	counters_add(api->counters, COUNTER_OBJECT_API_CALLS, 1);
 	soup_session_send_async(api->session, call->message, G_PRIORITY_DEFAULT,
--- a/net/soup_sockets.c
+++ b/net/soup_sockets.c
@@ -3,55 +3,42 @@
 #include <errno.h>
 #include <sys/socket.h>
 
-struct soup_sockets {
-	GHashTable *by_connection; /* id of a connection -> entry_t */
-};
-
-/* An entry of the table, which goes with its socket. */
+/*
+ * Under this key a session and its messages refer to the table of the session:
+ * id of a connection -> tracked_socket_t. Sessions count their connections
+ * separately, so an id is unique only within one of them.
+ */
+#define TABLE_KEY "catk-soup-sockets"
+
+/* A value of the table, which goes with its socket. */
 typedef struct {
 	guint64 connection;
 	GSocket *socket; /* not referenced: libsoup closes it */
 	GHashTable *table; /* referenced */
-} entry_t;
-
-soup_sockets_t *soup_sockets_new(void)
-{
-	soup_sockets_t *sockets = g_new0(soup_sockets_t, 1);
-
-	sockets->by_connection = g_hash_table_new(g_int64_hash, g_int64_equal);
-	return sockets;
-}
-
-void soup_sockets_free(soup_sockets_t *sockets)
-{
-	if (!sockets)
-		return;
-	g_hash_table_unref(sockets->by_connection);
-	g_free(sockets);
-}
+} tracked_socket_t;
 
 static void on_socket_freed(gpointer data, GObject *socket)
 {
-	entry_t *entry = data;
+	tracked_socket_t *tracked = data;
 
 	(void)socket;
-	g_hash_table_remove(entry->table, &entry->connection);
-	g_hash_table_unref(entry->table);
-	g_free(entry);
+	g_hash_table_remove(tracked->table, &tracked->connection);
+	g_hash_table_unref(tracked->table);
+	g_free(tracked);
 }
 
 static void add_socket(GHashTable *table, guint64 connection, GSocket *socket)
 {
-	entry_t *entry;
+	tracked_socket_t *tracked;
 
 	if (g_hash_table_contains(table, &connection))
 		return;
-	entry = g_new0(entry_t, 1);
-	entry->connection = connection;
-	entry->socket = socket;
-	entry->table = g_hash_table_ref(table);
-	g_hash_table_insert(table, &entry->connection, entry);
-	g_object_weak_ref(G_OBJECT(socket), on_socket_freed, entry);
+	tracked = g_new0(tracked_socket_t, 1);
+	tracked->connection = connection;
+	tracked->socket = socket;
+	tracked->table = g_hash_table_ref(table);
+	g_hash_table_insert(table, &tracked->connection, tracked);
+	g_object_weak_ref(G_OBJECT(socket), on_socket_freed, tracked);
 }
 
 static void on_network_event(SoupMessage *message, GSocketClientEvent event,
@@ -64,18 +51,32 @@
 				   G_SOCKET_CONNECTION(connection)));
 }
 
-static void unref_table(gpointer table, GClosure *closure)
+static void unref_table(gpointer table)
 {
-	(void)closure;
 	g_hash_table_unref(table);
 }
 
-void soup_sockets_track(soup_sockets_t *sockets, SoupMessage *message)
+/* Returns the table of the session, created if needed. */
+static GHashTable *session_table(SoupSession *session)
+{
+	GHashTable *table = g_object_get_data(G_OBJECT(session), TABLE_KEY);
+
+	if (!table) {
+		table = g_hash_table_new(g_int64_hash, g_int64_equal);
+		g_object_set_data_full(G_OBJECT(session), TABLE_KEY, table,
+				       unref_table);
+	}
+	return table;
+}
+
+void soup_sockets_track(SoupSession *session, SoupMessage *message)
 {
-	g_signal_connect_data(message, "network-event",
-			      G_CALLBACK(on_network_event),
-			      g_hash_table_ref(sockets->by_connection),
-			      unref_table, G_CONNECT_DEFAULT);
+	GHashTable *table = session_table(session);
+
+	g_object_set_data_full(G_OBJECT(message), TABLE_KEY,
+			       g_hash_table_ref(table), unref_table);
+	g_signal_connect(message, "network-event", G_CALLBACK(on_network_event),
+			 table);
 }
 
 static gboolean has_ended(GSocket *socket)
@@ -88,18 +89,17 @@
 }
 
 /* A connection that is not known counts as ended. */
-static gboolean connection_has_ended(const soup_sockets_t *sockets,
-				     SoupMessage *message)
+static gboolean connection_has_ended(SoupMessage *message)
 {
+	GHashTable *table = g_object_get_data(G_OBJECT(message), TABLE_KEY);
 	guint64 connection = soup_message_get_connection_id(message);
-	const entry_t *entry =
-		g_hash_table_lookup(sockets->by_connection, &connection);
+	const tracked_socket_t *tracked =
+		g_hash_table_lookup(table, &connection);
 
-	return !entry || has_ended(entry->socket);
+	return !tracked || has_ended(tracked->socket);
 }
 
-gboolean soup_sockets_has_whole_response(const soup_sockets_t *sockets,
-					 SoupMessage *message, gsize body_size)
+gboolean soup_sockets_has_whole_response(SoupMessage *message, gsize body_size)
 {
 	SoupMessageHeaders *headers =
 		soup_message_get_response_headers(message);
@@ -108,7 +108,7 @@
 				 SOUP_ENCODING_CONTENT_LENGTH)
 		return (goffset)body_size ==
 		       soup_message_headers_get_content_length(headers);
-	return !connection_has_ended(sockets, message);
+	return !connection_has_ended(message);
 }
 
 gboolean soup_sockets_has_whole_request(SoupServerMessage *message)
@@ -116,8 +116,11 @@
 	SoupMessageHeaders *headers =
 		soup_server_message_get_request_headers(message);
 	goffset size = soup_server_message_get_request_body(message)->length;
+	GSocket *socket = soup_server_message_get_socket(message);
 
-	return (size && soup_message_headers_get_encoding(headers) ==
-				SOUP_ENCODING_CONTENT_LENGTH) ||
-	       !has_ended(soup_server_message_get_socket(message));
+	if (size && soup_message_headers_get_encoding(headers) ==
+			    SOUP_ENCODING_CONTENT_LENGTH)
+		return TRUE;
+	/* NULL once libsoup has closed the connection. */
+	return socket && !has_ended(socket);
 }
--- a/net/soup_sockets.h
+++ b/net/soup_sockets.h
@@ -9,23 +9,19 @@
 
 #include <libsoup/soup.h>
 
-typedef struct soup_sockets soup_sockets_t;
-
-/* Free with soup_sockets_free(). */
-soup_sockets_t *soup_sockets_new(void);
-
-/* Messages that are tracked may end later. NULL is allowed. */
-void soup_sockets_free(soup_sockets_t *sockets);
-
-/* Records the connection of a message that is about to be sent. */
-void soup_sockets_track(soup_sockets_t *sockets, SoupMessage *message);
+/*
+ * Records the connection of a message that is about to be sent by the session.
+ * Each session has a table of its sockets, which is freed with the last of the
+ * session, its messages and its sockets.
+ */
+void soup_sockets_track(SoupSession *session, SoupMessage *message);
 
 /*
  * TRUE if the response, whose body of that size was read to its end, is
- * complete: its length says so, or its connection has not ended.
+ * complete: its length says so, or its connection has not ended. The message
+ * must be tracked.
  */
-gboolean soup_sockets_has_whole_response(const soup_sockets_t *sockets,
-					 SoupMessage *message, gsize body_size);
+gboolean soup_sockets_has_whole_response(SoupMessage *message, gsize body_size);
 
 /* The same of a request to a libsoup server, when its handler is called. */
 gboolean soup_sockets_has_whole_request(SoupServerMessage *message);
--- a/net/upstream_client.c
+++ b/net/upstream_client.c
@@ -60,7 +60,6 @@
 	char *instance;
 	gsize response_bytes_max;
 	upstream_pools_t *pools;
-	soup_sockets_t *sockets; /* of all sessions */
 	SoupSession *cancel_query_session; /* a connection for each query */
 	TAILQ_HEAD(exchange_list, exchange) exchanges;
 	guint timer; /* source that is active while there are exchanges */
@@ -76,7 +75,6 @@
 	client->instance = g_strdup(instance);
 	client->response_bytes_max = response_bytes_max;
 	client->pools = upstream_pools_new();
-	client->sockets = soup_sockets_new();
 	client->cancel_query_session =
 		soup_session_new_with_options("proxy-resolver", NULL, NULL);
 	TAILQ_INIT(&client->exchanges);
@@ -115,7 +113,6 @@
 	soup_session_abort(client->cancel_query_session);
 	g_object_unref(client->cancel_query_session);
 	upstream_pools_free(client->pools);
-	soup_sockets_free(client->sockets);
 	g_free(client->instance);
 	g_free(client);
 }
@@ -368,7 +365,6 @@
 	exchange->body_ended = size == 0;
 	exchange->is_whole = exchange->client &&
 			     soup_sockets_has_whole_response(
-				     exchange->client->sockets,
 				     exchange->message, exchange->body->len);
 	close_body(exchange);
 }
@@ -452,7 +448,6 @@
 			 exchange);
 	g_signal_connect(exchange->message, "got-headers",
 			 G_CALLBACK(on_got_headers), exchange);
-	soup_sockets_track(client->sockets, exchange->message);
 	TAILQ_INSERT_TAIL(&client->exchanges, exchange, link);
 	if (!client->timer)
 		client->timer =
@@ -471,6 +466,7 @@
 
 static void send_exchange(exchange_t *exchange, SoupSession *session)
 {
+	soup_sockets_track(session, exchange->message);
 	soup_session_send_async(session, exchange->message, G_PRIORITY_DEFAULT,
 				exchange->cancellable, on_response_started,
 				exchange);
--- a/tests/test_upstream_client.c
+++ b/tests/test_upstream_client.c
@@ -224,7 +224,7 @@
 					    .probe_ended = on_probe_ended,
 					    .ctx = fixture };
 	GSocketAddress *address = g_inet_socket_address_new_from_string(
-		"127.0.0.1", test_port(120));
+		"0.0.0.0", test_port(120));
 
 	TAILQ_INIT(&fixture->connections);
 	fixture->listener = g_socket_new(G_SOCKET_FAMILY_IPV4,
@@ -634,6 +634,54 @@
 	assert_int_equal(fixture->connection_count, before + 1);
 }
 
+static void use_address(fixture_t *fixture, const char *ip)
+{
+	g_snprintf(fixture->address, sizeof(fixture->address), "%s:%u", ip,
+		   test_port(120));
+}
+
+#define CHUNKED_HEAD                            \
+	"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n" \
+	"Transfer-Encoding: chunked\r\n\r\n"
+
+/* Fails if the open connection of another endpoint hides a cut. */
+static void cut_response_of_a_second_endpoint_is_rejected(void **state)
+{
+	fixture_t *fixture = *state;
+
+	assert_int_equal(run_attempt(fixture, SERVER_RESPONDS, 1),
+			 ATTEMPT_ANSWERED);
+	use_address(fixture, "127.0.0.2");
+	fixture->response_format = CHUNKED_HEAD "5\r\n01234\r\n";
+	assert_int_not_equal(run_attempt(fixture, SERVER_RESPONDS_AND_CLOSES,
+					 1),
+			     ATTEMPT_ANSWERED);
+}
+
+/* Fails if the end of another endpoint's connection counts as a cut. */
+static void whole_response_of_a_second_endpoint_is_used(void **state)
+{
+	fixture_t *fixture = *state;
+
+	assert_int_equal(run_attempt(fixture, SERVER_RESPONDS, 1),
+			 ATTEMPT_ANSWERED);
+	use_address(fixture, "127.0.0.2");
+	fixture->response_format = CHUNKED_HEAD "5\r\n01234\r\n0\r\n\r\n";
+	assert_int_equal(run_attempt(fixture, SERVER_RESPONDS, 1),
+			 ATTEMPT_ANSWERED);
+	/* The first connection ends. */
+	connection_free(TAILQ_FIRST(&fixture->connections), FALSE);
+	run_loop_for(100);
+	use_address(fixture, "127.0.0.1");
+	run_attempt(fixture, SERVER_RESPONDS, 1);
+	connection_free(TAILQ_LAST(&fixture->connections, connection_list),
+			FALSE);
+	run_loop_for(100);
+	use_address(fixture, "127.0.0.2");
+	assert_int_equal(run_attempt(fixture, SERVER_RESPONDS, 1),
+			 ATTEMPT_ANSWERED);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
@@ -645,6 +693,8 @@
 		TEST(connection_is_reused),
 		TEST(bad_responses_are_rejected),
 		TEST(response_needs_a_length),
+		TEST(cut_response_of_a_second_endpoint_is_rejected),
+		TEST(whole_response_of_a_second_endpoint_is_used),
 		TEST(cut_response_is_rejected),
 		TEST(cut_empty_response_is_rejected),
 		TEST(whole_response_is_used),
