Answer calls not forwarded in a shutdown as unknown, not unavailable

An instance that was shutting down answered a call under another instance's request id with status 503 and outcome "unknown" if the answer could not arrive before its end. 503 is the status of calls that are refused before they start, but the issuer of the id may have run this one for another copy.

Cause: refuse_to_forward() used the kind CATK_UNAVAILABLE, and the caller API derives the status from the kind. It now uses CATK_OUTCOME_UNKNOWN (502), as do the other answers of a forwarder that has none from the issuer.

Evidence: call_that_is_not_forwarded_in_a_shutdown_is_unknown failed before the change with the kind CATK_UNAVAILABLE. forwarded_call_is_answered_at_the_end_of_a_shutdown covers code that had no test: it passes with the code as it was, and gets no answer without the call of entry_end_forwarded_calls().

--- a/lib/entry/entry_peers.c
+++ b/lib/entry/entry_peers.c
@@ -195,7 +195,7 @@
 {
 	catk_error_t error;
 
-	catk_error_set(&error, CATK_UNAVAILABLE, OUTCOME_UNKNOWN,
+	catk_error_set(&error, CATK_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN,
 		       "this instance is shutting down and cannot wait for the "
 		       "issuer of the request id: send the call again with the "
 		       "same request id to another instance");
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -33,6 +33,7 @@
 	guint started; /* attempts */
 	guint cancelled; /* attempts */
 	attempt_request_t last_request; /* its pointers are dangling */
+	guint forwarded; /* calls sent to another instance */
 } fixture_t;
 
 static GTimeSpan read_clock(void *ctx)
@@ -72,6 +73,23 @@
 	(void)address;
 }
 
+static void on_send_to_peer(void *ctx, const char *address,
+			    const peer_message_t *message)
+{
+	fixture_t *f = ctx;
+
+	(void)address;
+	f->forwarded += message->kind == PEER_FORWARD_CALL;
+}
+
+static void on_reply_to_peer(void *ctx, guint64 connection,
+			     const peer_message_t *message)
+{
+	(void)ctx;
+	(void)connection;
+	(void)message;
+}
+
 static schema_t *new_schema(void)
 {
 	schema_t *schema = schema_new();
@@ -110,6 +128,8 @@
 				    .start_attempt = on_start,
 				    .cancel_attempt = on_cancel,
 				    .send_probe = on_probe,
+				    .send_to_peer = on_send_to_peer,
+				    .reply_to_peer = on_reply_to_peer,
 				    .ctx = f };
 	GBytes *document = g_bytes_new_static("{}", 2);
 
@@ -137,10 +157,9 @@
 	return 0;
 }
 
-static void call_method(fixture_t *f, guint ref, const char *method,
-			guint sequence, guint attempt)
+static void call_with_id(fixture_t *f, guint ref, const char *method,
+			 const char *id, guint attempt)
 {
-	gchar *id = g_strdup_printf("e1.7.%u", sequence);
 	GBytes *body = g_bytes_new_static("b", 1);
 	call_request_t request = { .service = "s",
 				   .method = method,
@@ -152,6 +171,14 @@
 
 	entry_call(f->entry, &request);
 	g_bytes_unref(body);
+}
+
+static void call_method(fixture_t *f, guint ref, const char *method,
+			guint sequence, guint attempt)
+{
+	gchar *id = g_strdup_printf("e1.7.%u", sequence);
+
+	call_with_id(f, ref, method, id, attempt);
 	g_free(id);
 }
 
@@ -557,6 +584,50 @@
 	assert_int_equal(f->started, 1);
 }
 
+/* Calls the method with an id of instance e2, which is live. */
+static void call_book_of_peer(fixture_t *f, guint ref)
+{
+	const peer_message_t message = {
+		.kind = PEER_MEMBERSHIP,
+		.u.membership = { .kind = MEMBERSHIP_PING,
+				  .sequence = 1,
+				  .sender = { .name = "e2",
+					      .caller_address = "127.0.0.1:3",
+					      .peer_address = "127.0.0.1:4",
+					      .incarnation = 3 } },
+	};
+
+	entry_receive_peer_message(f->entry, 1, &message);
+	call_with_id(f, ref, "book", "e2.3.1", 1);
+}
+
+/* Fails if a call that its issuer may have run is answered as unavailable. */
+static void call_that_is_not_forwarded_in_a_shutdown_is_unknown(void **state)
+{
+	fixture_t *f = *state;
+
+	shut_down_within(f, BOOK_DEADLINE);
+	call_book_of_peer(f, 1);
+	assert_answered(f, 1, CATK_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN);
+	assert_int_equal(f->forwarded, 0);
+}
+
+/* Fails if a forwarded call is cut by the end of a shutdown. */
+static void forwarded_call_is_answered_at_the_end_of_a_shutdown(void **state)
+{
+	fixture_t *f = *state;
+
+	call_book_of_peer(f, 1);
+	assert_int_equal(f->forwarded, 1);
+	shut_down_within(f, BOOK_DEADLINE);
+	advance(f, BOOK_DEADLINE - 1);
+	assert_false(entry_is_shutdown_complete(f->entry));
+	assert_int_equal(f->answers[1].count, 0);
+	advance(f, 1);
+	assert_true(entry_is_shutdown_complete(f->entry));
+	assert_answered(f, 1, CATK_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN);
+}
+
 /* Fails if a reload that shortens a shutdown cuts the calls that it took. */
 static void reload_does_not_move_the_end_of_a_shutdown(void **state)
 {
@@ -594,6 +665,8 @@
 		TEST(late_call_in_a_shutdown_is_refused),
 		TEST(queued_call_is_refused_when_a_shutdown_starts),
 		TEST(refused_attempt_is_not_repeated_late_in_a_shutdown),
+		TEST(call_that_is_not_forwarded_in_a_shutdown_is_unknown),
+		TEST(forwarded_call_is_answered_at_the_end_of_a_shutdown),
 		TEST(reload_does_not_move_the_end_of_a_shutdown),
 	};
 
