Keep the signal handlers until the process ends

The handlers of SIGTERM, SIGINT and SIGHUP were removed when the main loop had ended, so a further signal of a series killed the process while it freed its memory. No call was left by then; an operator's tools saw a killed process.

The handlers stay; nothing runs them after the loop.

test_platform/signals_at_the_end_of_a_shutdown_do_not_kill fails before (2 of 2, status -15) and passes.

--- a/programs/daemon.c
+++ b/programs/daemon.c
@@ -43,9 +43,6 @@
 	/* When entry_is_shutdown_complete() first returned TRUE, 0 before. */
 	GTimeSpan shutdown_completed_at;
 	const daemon_reload_t *reload;
-	guint sighup_source;
-	guint sigterm_source;
-	guint sigint_source;
 } daemon_t;
 
 /*
@@ -378,26 +375,25 @@
 	return daemon->proxy != NULL;
 }
 
+/*
+ * The handlers of signals stay until the process ends: without them a signal that
+ * comes while it cleans up would kill it.
+ */
 static void add_event_sources(daemon_t *daemon)
 {
 	daemon->entry_timer =
 		g_source_new(&entry_source_funcs, sizeof(entry_source_t));
 	((entry_source_t *)daemon->entry_timer)->daemon = daemon;
 	g_source_attach(daemon->entry_timer, NULL);
-	daemon->sighup_source = g_unix_signal_add(SIGHUP, on_reload, daemon);
-	daemon->sigterm_source =
-		g_unix_signal_add(SIGTERM, on_shutdown_signal, daemon);
-	daemon->sigint_source =
-		g_unix_signal_add(SIGINT, on_shutdown_signal, daemon);
+	g_unix_signal_add(SIGHUP, on_reload, daemon);
+	g_unix_signal_add(SIGTERM, on_shutdown_signal, daemon);
+	g_unix_signal_add(SIGINT, on_shutdown_signal, daemon);
 }
 
-static void remove_event_sources(daemon_t *daemon)
+static void remove_entry_timer(daemon_t *daemon)
 {
 	g_source_destroy(daemon->entry_timer);
 	g_source_unref(daemon->entry_timer);
-	g_source_remove(daemon->sighup_source);
-	g_source_remove(daemon->sigterm_source);
-	g_source_remove(daemon->sigint_source);
 }
 
 gboolean daemon_run(const settings_t *settings, const daemon_reload_t *reload,
@@ -443,7 +439,7 @@
 					    ""));
 	g_main_loop_run(daemon.loop);
 	end_shutdown(&daemon);
-	remove_event_sources(&daemon);
+	remove_entry_timer(&daemon);
 	LOG_EVENT(&daemon.log, "stopped",
 		  LOG_TEXT("instance", settings->instance));
 	ok = TRUE;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1379,6 +1379,25 @@
 	g_free(answer);
 }
 
+/* Fails if a signal that comes while the process cleans up kills it. */
+static void signals_at_the_end_of_a_shutdown_do_not_kill(void **state)
+{
+	/* A stop without requests ends after the ttl and 2 s for its news. */
+	const guint until_end_ms = 2200, storm_ms = 800;
+	fixture_t *f = *state;
+	GTimeSpan end;
+
+	process_signal(f->daemon, SIGTERM);
+	run_loop_for(until_end_ms);
+	end = g_get_monotonic_time() + storm_ms * G_TIME_SPAN_MILLISECOND;
+	while (g_get_monotonic_time() < end) {
+		kill(f->daemon->pid, SIGTERM);
+		kill(f->daemon->pid, SIGHUP);
+		g_usleep(100);
+	}
+	assert_int_equal(process_wait(f->daemon), 0);
+}
+
 /* Fails if an instance without a configuration does not stop, or not in time. */
 static void shutdown_before_the_first_configuration_ends(void **state)
 {
@@ -1491,6 +1510,7 @@
 		TEST(operator_drain_closes_kept_connections),
 		TEST(pipelined_requests_are_answered_in_a_shutdown),
 		TEST(signals_during_a_shutdown_cut_no_call),
+		TEST(signals_at_the_end_of_a_shutdown_do_not_kill),
 		TEST(shutdown_before_the_first_configuration_ends),
 		TEST(restarted_instance_serves_requests),
 		TEST(settings_are_reloaded),
