--- a/lib/membership/membership.c
+++ b/lib/membership/membership.c
@@ -337,13 +337,26 @@
 	return count;
 }
 
+static gboolean has_backlog(const membership_t *membership)
+{
+	const node_t *node;
+	guint waiting = 0;
+
+	TAILQ_FOREACH (node, &membership->gossip_queue, gossip_link)
+		if (++waiting > MEMBERSHIP_UPDATES_BACKLOG)
+			return TRUE;
+	return FALSE;
+}
+
 guint membership_take_updates(membership_t *membership, member_t *updates,
 			      guint count)
 {
+	guint max = has_backlog(membership) ? MEMBERSHIP_UPDATES_BACKLOG :
+					      MEMBERSHIP_UPDATES_MAX;
+
 	count = take_updates(membership, TRUE, updates, count,
 			     MEMBERSHIP_UPDATES_BURST);
-	return take_updates(membership, FALSE, updates, count,
-			    count + MEMBERSHIP_UPDATES_BACKLOG);
+	return take_updates(membership, FALSE, updates, count, count + max);
 }
 
 void membership_remove_expired(membership_t *membership, GTimeSpan now)
--- a/lib/membership/membership.h
+++ b/lib/membership/membership.h
@@ -35,14 +35,14 @@
 /* A longer time between two ticks means that this process was paused. */
 #define MEMBERSHIP_PAUSE_THRESHOLD (1 * G_TIME_SPAN_SECOND)
 /*
- * Updates piggybacked on a message. A ping and an ack take about 80 bytes for
+ * Usual updates on a message. A ping and an ack take about 80 bytes for
  * the sender and for each update. That is 2 KB/s in the worst case, below the
  * limit of 3 KB/s for all control traffic.
  */
 #define MEMBERSHIP_UPDATES_MAX 4
 /*
- * The same while more news waits. Suspicions and their refutations share it, or
- * live members would be taken for gone.
+ * The same while more news than this waits. Suspicions and their refutations
+ * share it: if refutations were slower, live members would be taken for gone.
  */
 #define MEMBERSHIP_UPDATES_BACKLOG 16
 /*
