--- a/bench/bench_shutdown.c
+++ b/bench/bench_shutdown.c
@@ -778,7 +778,7 @@
 	sim->tally->duration_sum += duration;
 	sim->tally->duration_max = MAX(sim->tally->duration_max, duration);
 	count_cut_calls(sim);
-	entry_end_shutdown(sim->entry, 0);
+	entry_end_shutdown(sim->entry, 0, 0);
 	g_assert_cmpuint(sim->counters.value[COUNTER_CALLS_CUT_AT_SHUTDOWN], ==,
 			 count_open_requests(sim));
 	entry_free(sim->entry);
