--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -330,10 +330,7 @@
 	g_object_unref(socket);
 }
 
-/*
- * Fails if a response without a length counts as complete after a reset that
- * the client learns of from a write.
- */
+/* Fails if a reset that a write notices counts as the end of a response. */
 static void reset_during_a_write_is_no_end_of_a_response(void **state)
 {
 	static const char *const answers[] = {
@@ -462,10 +459,7 @@
 	}
 }
 
-/*
- * Fails if a response counts as complete that was cut at any byte by a close or
- * a reset, or one without a length that was reset.
- */
+/* Fails if a response cut at any byte, by close or reset, is complete. */
 static void cut_response_is_never_complete(void **state)
 {
 	fixture_t *f = *state;
--- a/tests/test_http_message.c
+++ b/tests/test_http_message.c
@@ -251,10 +251,7 @@
 	http_message_parser_free(parser);
 }
 
-/*
- * Fails if a response that is cut at any byte counts as complete, however it is
- * split over reads, on a new connection or a kept one.
- */
+/* Fails if a response cut at any byte is complete, however it is split. */
 static void cut_response_is_never_complete(void **state)
 {
 	gsize i, j, size, first;
@@ -274,10 +271,7 @@
 			}
 }
 
-/*
- * Fails if a trailer becomes a header: it could name another request, or a
- * length that the checks of headers have not seen.
- */
+/* Fails if a trailer, which no check has seen, becomes a header. */
 static void trailers_are_not_headers(void **state)
 {
 	static const char *const trailers[] = {
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -310,10 +310,7 @@
 	log->lines++;
 }
 
-/*
- * Fails if an instance does not report how late it learnt that another one is
- * leaving, from whom, and when it last heard from that one.
- */
+/* Fails if an instance does not report how late news came, and from whom. */
 static void delay_of_news_is_reported(void **state)
 {
 	news_log_t log = { 0 };
--- a/tests/test_membership_stops.c
+++ b/tests/test_membership_stops.c
@@ -294,10 +294,7 @@
 		stop_and_restart_quarter(first);
 }
 
-/*
- * Fails if an instance is named after it has left, when a quarter of the fleet
- * stops at once, returns under the same addresses, and the next quarter stops.
- */
+/* Fails if instances that stop by quarters and return are named too long. */
 static void leaving_quarters_are_known_in_time(void **state)
 {
 	(void)state;
@@ -337,10 +334,7 @@
 	membership_leave(fleet.instances[index].membership);
 }
 
-/*
- * Fails if instances are named for long that were killed a moment after their
- * stop began, so that they could tell only a part of the fleet.
- */
+/* Fails if an instance killed early in its stop is named too long. */
 static void interrupted_leaving_is_known_in_time(void **state)
 {
 	(void)state;
@@ -375,10 +369,7 @@
 	assert_none_late();
 }
 
-/*
- * Fails if an instance that heard of a member only by its end adds it as live
- * from older news, or if the member cannot refute a false end.
- */
+/* Fails if old news adds a member known only by its end as live. */
 static void gone_stranger_is_not_revived_by_old_news(void **state)
 {
 	membership_message_t message = { .kind = MEMBERSHIP_ACK };
@@ -402,11 +393,7 @@
 			 MEMBER_LIVE);
 }
 
-/*
- * Fails if a stop costs more than it is stated to: each leaving instance pings
- * each other one once if no message is lost, and the news of it is sent on a
- * bounded number of times.
- */
+/* Fails if a stop costs more messages or updates than stated. */
 static void cost_of_a_stop_is_bounded(void **state)
 {
 	const GTimeSpan time = 10 * G_TIME_SPAN_SECOND;
--- a/tests/test_peer_codec.c
+++ b/tests/test_peer_codec.c
@@ -165,10 +165,7 @@
 	g_byte_array_unref(bytes);
 }
 
-/*
- * Fails if a message of a build that sends no state ages is refused. The bytes
- * are an ack of a leaving member "a" with an update about a live member "b".
- */
+/* Fails if an ack of a build that sends no state ages is refused. */
 static void messages_without_ages_are_understood(void **state)
 {
 	static const guint8 ack[] = { 0x2a, 0x10, 0x08, 0x07, 0x12, 0x05,
--- a/tests/test_routed_calls.c
+++ b/tests/test_routed_calls.c
@@ -757,10 +757,7 @@
 			pause + pause / 5);
 }
 
-/*
- * Fails if a request waits although every endpoint is leaving or paused until
- * it is too late, or if its caller is not told the earliest end of a pause.
- */
+/* Fails if a request waits though no endpoint takes it in time. */
 static void request_is_refused_at_once_in_a_pause_of_all(void **state)
 {
 	fixture_t *f = *state;
@@ -835,10 +832,7 @@
 	assert_int_equal(f->started, 1);
 }
 
-/*
- * Fails if a request waits for the endpoints of its data centre, all of which
- * are leaving or paused, while another data centre has capacity.
- */
+/* Fails if a request waits for local endpoints, none of which takes it. */
 static void remote_endpoint_is_used_at_once_in_a_local_pause(void **state)
 {
 	fixture_t *f = *state;
@@ -855,10 +849,7 @@
 	assert_string_equal(f->endpoint, "i-remote");
 }
 
-/*
- * Fails if a refused request is sent again to an endpoint that is leaving or
- * paused, or is not told the end of the pause when there is no other.
- */
+/* Fails if a refused request is sent to a leaving or paused endpoint. */
 static void refused_request_is_not_retried_in_a_pause(void **state)
 {
 	fixture_t *f = *state;
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -366,10 +366,7 @@
 		assert_string_not_equal(id, "i-0");
 }
 
-/*
- * Fails if a new start under the same id stays excluded, or is excluded by an
- * answer of the start before it.
- */
+/* Fails if a new start stays excluded for what the start before it said. */
 static void new_start_revokes_the_leaving_notice(void **state)
 {
 	fixture_t *f = *state;
@@ -417,10 +414,7 @@
 	upstream_notice_received(f->upstream, id, &notice, f->now);
 }
 
-/*
- * Fails if a report of free slots, a shorter pause or an absence from the list
- * ends a pause, or if the end of its time does not.
- */
+/* Fails if a report, a shorter pause or an absence ends a pause. */
 static void pause_lasts_until_its_end(void **state)
 {
 	fixture_t *f = *state;
@@ -494,10 +488,7 @@
 	assert_true(share(f, 0) > 0);
 }
 
-/*
- * Fails if the only endpoint that is not paused is ejected as one of many, or
- * if queued calls are not woken at the end of a pause.
- */
+/* Fails if paused endpoints count when others are ejected, or are not woken. */
 static void paused_endpoints_do_not_count_as_available(void **state)
 {
 	fixture_t *f = *state;
