Read each answer of the tests that send through a shutdown

It shares the sending and the judging with every_request_during_a_shutdown_is_answered now, and its PUT and GET are both answered. shutdown_before_the_first_configuration_ends checks the time that its comment speaks of. test_whole_path/ every_call_during_a_shutdown_is_answered does the same for calls by service and method, whose front end had no test beyond the first half second.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -529,10 +529,7 @@
 /* Longer than the answers that are cut. */
 #define CUT_ANSWER_BYTES 190
 
-/*
- * Fails if an answer that is cut at any byte, by close or reset, on a new
- * connection or a kept one, is told as a success.
- */
+/* Fails if an answer cut at any byte, by close or reset, is a success. */
 static void cut_answer_is_never_a_success(void **state)
 {
 	static const char *const framings[] = { "", "chunked", "unframed" };
@@ -1012,10 +1009,7 @@
 	return !requests_avoid_endpoint(ctx, "i-0");
 }
 
-/*
- * Fails if an endpoint that asks for a pause gets requests or probes in it, is
- * not used again after it, or if its callers are not served by the other one.
- */
+/* Fails if a paused endpoint gets requests, or the other one does not. */
 static void pausing_endpoint_gets_no_requests(void **state)
 {
 	fixture_t *f = *state;
@@ -1039,10 +1033,7 @@
 	assert_true(wait_until(is_used_again, f, 2000));
 }
 
-/*
- * Fails if callers wait, or are not told when to return, while every endpoint
- * asks for a pause.
- */
+/* Fails if callers wait while every endpoint asks for a pause. */
 static void callers_are_refused_at_once_in_a_pause_of_all(void **state)
 {
 	/* Half of the route's objective, for which a request may wait. */
@@ -1104,10 +1095,7 @@
 	assert_int_equal(request_status(f, "GET", "/safe/1"), 200);
 }
 
-/*
- * Fails if the header is overlooked in a response that breaks off after its
- * head, or that is discarded because it answers another request.
- */
+/* Fails if a cut or discarded response does not tell that its sender leaves. */
 static void leaving_is_learnt_from_unusable_answers(void **state)
 {
 	static const struct {
@@ -1193,45 +1181,45 @@
 	g_free(request);
 }
 
+/* A request sent during a shutdown, on a connection of its own. */
+typedef struct {
+	GSocketConnection *connection;
+	guint number;
+} stop_request_t;
+
+#define STOP_REQUESTS_MAX (SHUTDOWN_MAX_MS / 50)
+
 /*
- * Fails if requests of callers that still use the address delay the shutdown
- * beyond its deadline: the platform would kill the instance with requests in
- * flight.
+ * Sends requests of 400 ms from SIGTERM on until no connection is accepted, and
+ * waits for the end of the process. Returns their number.
  */
-static void shutdown_under_traffic_meets_its_deadline(void **state)
+static guint send_through_a_stop(fixture_t *f, stop_request_t *requests,
+				 guint interval_ms)
 {
-	const guint slack_ms = 500; /* between shutdown_max_ms and the kill */
-	GSocketConnection *connections[60], *connection;
-	fixture_t *f = *state;
-	GTimeSpan end = g_get_monotonic_time() +
-			(SHUTDOWN_MAX_MS + slack_ms) * G_TIME_SPAN_MILLISECOND;
+	static const char *const methods[] = { "PUT", "GET" };
+	static const char *const paths[] = { "/once/slow", "/safe/slow" };
+	GSocketConnection *connection;
 	guint sent = 0;
 
 	process_signal(f->daemon, SIGTERM);
 	while ((connection = try_connection(test_port(PROXY_PORT)))) {
-		char *request = request_text(f, "PUT", "/once/slow", "");
+		char *request =
+			request_text(f, methods[sent % 2], paths[sent % 2], "");
 
-		assert_true(g_get_monotonic_time() < end);
-		assert_true(sent < G_N_ELEMENTS(connections));
-		connections[sent++] = connection;
+		assert_true(sent < STOP_REQUESTS_MAX);
+		requests[sent].connection = connection;
+		requests[sent++].number = f->requests;
 		/* May fail, because the process may end first. */
 		g_output_stream_write_all(
 			g_io_stream_get_output_stream(G_IO_STREAM(connection)),
 			request, strlen(request), NULL, NULL, NULL);
 		g_free(request);
-		run_loop_for(100);
+		run_loop_for(interval_ms);
 	}
 	assert_int_equal(process_wait(f->daemon), 0);
-	while (sent)
-		g_object_unref(connections[--sent]);
+	return sent;
 }
 
-/* A request sent during a shutdown, on a connection of its own. */
-typedef struct {
-	GSocketConnection *connection;
-	guint number;
-} stop_request_t;
-
 /*
  * Returns the status: 200 if the request ran, 503 if it did not, or 0 without an
  * answer to a request that reached no endpoint.
@@ -1250,42 +1238,48 @@
 	return status;
 }
 
-/* Fails if a request that is received during a shutdown is cut by its end. */
-static void every_request_during_a_shutdown_is_answered(void **state)
+/* Reads each answer: some were served, some refused, and all but the last told. */
+static void check_stop_requests(stop_request_t *requests, guint count)
 {
-	static const char *const methods[] = { "PUT", "GET" };
-	static const char *const paths[] = { "/once/slow", "/safe/slow" };
-	stop_request_t requests[SHUTDOWN_MAX_MS / 50];
-	GSocketConnection *connection;
-	fixture_t *f = *state;
-	guint sent = 0, served = 0, refused = 0, status, i;
-
-	process_signal(f->daemon, SIGTERM);
-	while ((connection = try_connection(test_port(PROXY_PORT)))) {
-		char *request =
-			request_text(f, methods[sent % 2], paths[sent % 2], "");
+	guint served = 0, refused = 0, status, i;
 
-		assert_true(sent < G_N_ELEMENTS(requests));
-		requests[sent].connection = connection;
-		requests[sent++].number = f->requests;
-		g_output_stream_write_all(
-			g_io_stream_get_output_stream(G_IO_STREAM(connection)),
-			request, strlen(request), NULL, NULL, NULL);
-		g_free(request);
-		run_loop_for(60);
-	}
-	assert_int_equal(process_wait(f->daemon), 0);
-	for (i = 0; i < sent; i++) {
+	for (i = 0; i < count; i++) {
 		status = check_stop_request(&requests[i]);
 		served += status == 200;
 		refused += status == 503;
 		/* The last one may have met the end of the process. */
-		assert_true(status || i + 1 == sent);
+		assert_true(status || i + 1 == count);
 		g_object_unref(requests[i].connection);
 	}
 	assert_true(served && refused);
 }
 
+/*
+ * Fails if requests of callers that still use the address delay the shutdown
+ * beyond its deadline: the platform would kill the instance with requests in
+ * flight.
+ */
+static void shutdown_under_traffic_meets_its_deadline(void **state)
+{
+	const guint slack_ms = 500; /* between shutdown_max_ms and the kill */
+	stop_request_t requests[STOP_REQUESTS_MAX];
+	GTimeSpan end = g_get_monotonic_time() +
+			(SHUTDOWN_MAX_MS + slack_ms) * G_TIME_SPAN_MILLISECOND;
+	guint sent = send_through_a_stop(*state, requests, 100);
+
+	assert_true(g_get_monotonic_time() < end);
+	check_stop_requests(requests, sent);
+}
+
+/* Fails if a request that is received during a shutdown is cut by its end. */
+static void every_request_during_a_shutdown_is_answered(void **state)
+{
+	stop_request_t requests[STOP_REQUESTS_MAX];
+
+	check_stop_requests(requests,
+			    send_through_a_stop(*state, requests, 60));
+}
+
 static void request_drain(void)
 {
 	reply_t reply;
@@ -1402,14 +1396,18 @@
 static void shutdown_before_the_first_configuration_ends(void **state)
 {
 	fixture_t *f = *state;
+	GTimeSpan end;
 
 	process_free(f->daemon);
 	set_fault("silent");
 	start_daemon(f);
 	run_loop_for(500);
+	end = g_get_monotonic_time() +
+	      SHUTDOWN_MAX_MS * G_TIME_SPAN_MILLISECOND;
 	process_signal(f->daemon, SIGTERM);
 	assert_int_equal(request_status(f, "PUT", "/once/1"), 503);
 	assert_int_equal(process_wait(f->daemon), 0);
+	assert_true(g_get_monotonic_time() < end);
 }
 
 /* Fails if a killed instance does not serve soon after its restart. */
--- a/tests/test_whole_path.c
+++ b/tests/test_whole_path.c
@@ -15,6 +15,8 @@
 
 #define START_TIMEOUT_MS 5000
 #define BODY_BYTES_MAX 1024
+#define SHUTDOWN_MAX_MS 4000
+#define STOP_CALLS_MAX 64
 
 static const char schema_text[] =
 	"{\"priorities\":[{\"name\":\"urgent\",\"floor_percent\":10}],"
@@ -80,20 +82,9 @@
 	return ok;
 }
 
-static int set_up(void **state)
+static void start_entry(fixture_t *fixture)
 {
-	fixture_t *fixture = g_new0(fixture_t, 1);
-	char *settings;
-
-	fixture->entry_port = test_port(0);
-	fixture->upstream_port = test_port(1);
-	fixture->object_port = test_port(2);
-	fixture->object_api =
-		start_on_port("fake_object_api", fixture->object_port);
-	fixture->upstream =
-		start_on_port("fake_upstream", fixture->upstream_port);
-	assert_true(wait_until(put_configuration, fixture, START_TIMEOUT_MS));
-	settings = write_build_file(
+	char *settings = write_build_file(
 		"whole_path.json",
 		"{\"instance\":\"e1\",\"data_centre\":\"k1\","
 		"\"caller_address\":\"127.0.0.1:%u\","
@@ -101,8 +92,10 @@
 		"\"instance_list_poll_ms\":100,"
 		"\"body_bytes_max\":%d,"
 		"\"request_id_lifetime_ms\":1000,"
-		"\"resolve_ttl_ms\":500}",
-		fixture->entry_port, fixture->object_port, BODY_BYTES_MAX);
+		"\"resolve_ttl_ms\":500,\"shutdown_max_ms\":%d}",
+		fixture->entry_port, fixture->object_port, BODY_BYTES_MAX,
+		SHUTDOWN_MAX_MS);
+
 	fixture->entry =
 		process_start("catkinstalld", "--settings", settings, NULL);
 	g_free(settings);
@@ -110,6 +103,21 @@
 			       GUINT_TO_POINTER(fixture->entry_port),
 			       START_TIMEOUT_MS));
 	assert_true(wait_until(call_succeeds, fixture, START_TIMEOUT_MS));
+}
+
+static int set_up(void **state)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+
+	fixture->entry_port = test_port(0);
+	fixture->upstream_port = test_port(1);
+	fixture->object_port = test_port(2);
+	fixture->object_api =
+		start_on_port("fake_object_api", fixture->object_port);
+	fixture->upstream =
+		start_on_port("fake_upstream", fixture->upstream_port);
+	assert_true(wait_until(put_configuration, fixture, START_TIMEOUT_MS));
+	start_entry(fixture);
 	*state = fixture;
 	return 0;
 }
@@ -277,6 +285,72 @@
 	g_free(id);
 }
 
+static gboolean accepts_connections(const fixture_t *fixture)
+{
+	GSocketClient *client = g_socket_client_new();
+	GSocketConnection *connection = g_socket_client_connect_to_host(
+		client, "127.0.0.1", (guint16)fixture->entry_port, NULL, NULL);
+	gboolean accepted = connection != NULL;
+
+	g_clear_object(&connection);
+	g_object_unref(client);
+	return accepted;
+}
+
+/* Returns the status: 200 if the call ran, 503 if not, 0 without an answer. */
+static guint check_stop_call(const fixture_t *fixture, async_request_t *call,
+			     guint index)
+{
+	gchar *body = g_strdup_printf("stop%u-", index);
+	reply_t reply;
+	guint status;
+
+	http_join(call, &reply);
+	status = reply.status;
+	assert_true(status == 200 || status == 503 || !status);
+	if (status == 503)
+		assert_string_equal(reply.outcome, "not_run");
+	assert_run_count(fixture, body, status == 200 ? "1" : "0");
+	reply_clear(&reply);
+	g_free(body);
+	return status;
+}
+
+/* Fails if a call that is received during a shutdown is cut by its end. */
+static void every_call_during_a_shutdown_is_answered(void **state)
+{
+	const guint interval_ms = 100;
+	fixture_t *fixture = *state;
+	async_request_t *calls[STOP_CALLS_MAX];
+	guint sent = 0, served = 0, refused = 0, status, i;
+	reply_t reply;
+
+	start_entry(fixture);
+	http_request(&reply, "POST", fixture->upstream_port, "/control?slow=60",
+		     NULL, NULL);
+	reply_clear(&reply);
+	process_signal(fixture->entry, SIGTERM);
+	while (accepts_connections(fixture)) {
+		gchar *body = g_strdup_printf("stop%u-", sent);
+
+		assert_true(sent < STOP_CALLS_MAX);
+		calls[sent++] = http_start("POST", fixture->entry_port,
+					   "/v1/call/booking/status", body,
+					   NULL);
+		g_free(body);
+		run_loop_for(interval_ms);
+	}
+	assert_int_equal(process_wait(fixture->entry), 0);
+	for (i = 0; i < sent; i++) {
+		status = check_stop_call(fixture, calls[i], i);
+		served += status == 200;
+		refused += status == 503;
+		/* The last one may have met the end of the process. */
+		assert_true(status || i + 1 == sent);
+	}
+	assert_true(served && refused);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -285,6 +359,7 @@
 		cmocka_unit_test(cut_call_does_not_run),
 		cmocka_unit_test(oversized_body_is_rejected),
 		cmocka_unit_test(shutdown_completes_calls),
+		cmocka_unit_test(every_call_during_a_shutdown_is_answered),
 	};
 
 	return cmocka_run_group_tests(tests, set_up, tear_down);
