--- a/tests/support.c
+++ b/tests/support.c
@@ -273,6 +273,15 @@
 	return G_SOURCE_REMOVE;
 }
 
+GSource *watch_socket(GSocket *socket, GSocketSourceFunc callback, void *ctx)
+{
+	GSource *source = g_socket_create_source(socket, G_IO_IN, NULL);
+
+	g_source_set_callback(source, G_SOURCE_FUNC(callback), ctx, NULL);
+	g_source_attach(source, NULL);
+	return source;
+}
+
 void run_loop_for(guint ms)
 {
 	gboolean done = FALSE;
--- a/tests/support.h
+++ b/tests/support.h
@@ -80,6 +80,12 @@
 /* Closes the connection without waiting for a response, frees the request. */
 void http_abort(async_request_t *request);
 
+/*
+ * Calls back from the main loop when the socket is readable. Free the result
+ * with g_source_destroy() and g_source_unref().
+ */
+GSource *watch_socket(GSocket *socket, GSocketSourceFunc callback, void *ctx);
+
 /* Runs the main loop for a time in milliseconds. */
 void run_loop_for(guint ms);
 
--- a/tests/support_answers.c
+++ b/tests/support_answers.c
@@ -7,6 +7,7 @@
 #include "lib/common/intrusive.h"
 #include "net/address.h"
 #include "net/http_message.h"
+#include "tests/support.h"
 
 typedef struct connection {
 	TAILQ_ENTRY(connection) link;
@@ -116,16 +117,6 @@
 	return G_SOURCE_CONTINUE;
 }
 
-static GSource *add_source(GSocket *socket, GSocketSourceFunc callback,
-			   void *ctx)
-{
-	GSource *source = g_socket_create_source(socket, G_IO_IN, NULL);
-
-	g_source_set_callback(source, G_SOURCE_FUNC(callback), ctx, NULL);
-	g_source_attach(source, NULL);
-	return source;
-}
-
 static gboolean on_incoming(GSocket *listener, GIOCondition condition,
 			    gpointer data)
 {
@@ -139,7 +130,7 @@
 			    NULL);
 	connection->parser = http_message_parser_new(TRUE);
 	connection->readable =
-		add_source(connection->socket, on_readable, connection);
+		watch_socket(connection->socket, on_readable, connection);
 	TAILQ_INSERT_TAIL(&connection->server->connections, connection, link);
 	return G_SOURCE_CONTINUE;
 }
@@ -152,7 +143,7 @@
 	TAILQ_INIT(&server->connections);
 	server->listener = address_listen(address, NULL);
 	g_assert(server->listener);
-	server->incoming = add_source(server->listener, on_incoming, server);
+	server->incoming = watch_socket(server->listener, on_incoming, server);
 	g_free(address);
 	return server;
 }
--- a/tests/test_upstream_client.c
+++ b/tests/test_upstream_client.c
@@ -170,15 +170,6 @@
 	return !is_complete(connection->request) || handle_request(connection);
 }
 
-static GSource *watch(GSocket *socket, GSocketSourceFunc callback, void *ctx)
-{
-	GSource *source = g_socket_create_source(socket, G_IO_IN, NULL);
-
-	g_source_set_callback(source, G_SOURCE_FUNC(callback), ctx, NULL);
-	g_source_attach(source, NULL);
-	return source;
-}
-
 static gboolean on_accept(GSocket *listener, GIOCondition condition,
 			  gpointer data)
 {
@@ -190,7 +181,8 @@
 	connection->fixture = fixture;
 	connection->request = g_string_new(NULL);
 	connection->socket = g_socket_accept(listener, NULL, NULL);
-	connection->source = watch(connection->socket, on_readable, connection);
+	connection->source =
+		watch_socket(connection->socket, on_readable, connection);
 	TAILQ_INSERT_TAIL(&fixture->connections, connection, link);
 	return G_SOURCE_CONTINUE;
 }
@@ -232,7 +224,7 @@
 					 G_SOCKET_PROTOCOL_TCP, NULL);
 	assert_true(g_socket_bind(fixture->listener, address, TRUE, NULL));
 	assert_true(g_socket_listen(fixture->listener, NULL));
-	fixture->accept = watch(fixture->listener, on_accept, fixture);
+	fixture->accept = watch_socket(fixture->listener, on_accept, fixture);
 	g_snprintf(fixture->address, sizeof(fixture->address), "127.0.0.1:%u",
 		   test_port(120));
 	fixture->response_format = good_response;
