--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -103,7 +103,7 @@
 	GTimeSpan sent_at;
 	GTimeSpan ended_at; /* 0 while in flight */
 	GTimeSpan busy_before; /* soak_busy_time() when it was sent */
-	/* Time that the soak itself took before it sent or saw something. */
+	/* Time for which the soak's main loop was busy during the request. */
 	GTimeSpan held_up;
 	http_client_end_t end;
 	guint status; /* of the HTTP response, 0 without one */
--- a/tests/soak/soak_lost.c
+++ b/tests/soak/soak_lost.c
@@ -5,7 +5,7 @@
  */
 #include "tests/soak/soak.h"
 
-/* From SIGTERM to the kill; deployments set shutdown_max_ms 500 ms below it. */
+/* From SIGTERM to the kill; a shutdown ends 500 ms before. */
 #define GRACE_MS (SHUTDOWN_MAX_MS + 500)
 /*
  * Work in the last sixth of the grace, on a request sent in its first half, may
--- a/tests/soak/soak_traffic.c
+++ b/tests/soak/soak_traffic.c
@@ -218,6 +218,21 @@
 	timer = g_timeout_add(TICK_MS, on_tick, soak);
 }
 
+/* The client ends each request in time, so one without an end is lost here. */
+static void report_unended(soak_t *soak)
+{
+	const soak_request_t *request;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, soak->requests);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&request))
+		if (!request->ended_at)
+			soak_violation(soak, "LATE",
+				       "%s to e%u has not ended, answers were "
+				       "not checked",
+				       request->id, request->instance);
+}
+
 static gboolean all_ended(void *ctx)
 {
 	const soak_t *soak = ctx;
@@ -239,7 +254,7 @@
 	if (!wait_until(all_ended, soak,
 			(guint)(CALLER_TIMEOUT / G_TIME_SPAN_MILLISECOND) +
 				slack_ms))
-		soak_log("some requests are still in flight");
+		report_unended(soak);
 	http_client_free(soak->client);
 	soak->client = NULL;
 }
