--- a/net/caller_api.c
+++ b/net/caller_api.c
@@ -128,9 +128,7 @@
 static void close_during_shutdown(const caller_api_t *api,
 				  SoupServerMessage *message)
 {
-	const member_t *self = membership_self(entry_membership(api->entry));
-
-	if (self->state == MEMBER_LEAVING)
+	if (entry_is_leaving(api->entry))
 		soup_message_headers_replace(
 			soup_server_message_get_response_headers(message),
 			"Connection", "close");
