--- a/review/standins/standin.c
+++ b/review/standins/standin.c
@@ -150,9 +150,14 @@
 	return fd;
 }
 
+static struct timeval timeval_of(unsigned ms)
+{
+	return (struct timeval){ ms / 1000, (suseconds_t)(ms % 1000) * 1000 };
+}
+
 void set_read_timeout(int fd, unsigned ms)
 {
-	struct timeval time = { ms / 1000, (ms % 1000) * 1000 };
+	struct timeval time = timeval_of(ms);
 
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &time, sizeof(time));
 }
@@ -167,7 +172,7 @@
 int dial(uint16_t port, unsigned timeout_ms)
 {
 	struct sockaddr_in address = loopback(port);
-	struct timeval time = { timeout_ms / 1000, (timeout_ms % 1000) * 1000 };
+	struct timeval time = timeval_of(timeout_ms);
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
 	setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &time, sizeof(time));
