Log which connection an attempt uses

The log names the endpoint of each attempt, but not the connection. It cannot distinguish a late copy of a refusal that is read on a reused connection from a second refusal by the endpoint.

attempt_started now logs needs_new_connection, the decision, and attempt_ended logs reused_connection, what the HTTP client did.

The endpoint's second answer is read on the connection of the first.

--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -172,6 +172,7 @@
 	attempt_end_t end;
 	guint status; /* with ATTEMPT_ANSWERED */
 	GBytes *body; /* with ATTEMPT_ANSWERED, not NULL */
+	gboolean reused_connection; /* it carried an earlier request */
 	const void *message; /* of a routed call, for call_answer_t.message */
 	gboolean has_report;
 	load_report_t report;
--- a/lib/entry/entry_attempts.c
+++ b/lib/entry/entry_attempts.c
@@ -114,7 +114,8 @@
 	call->start_slowdown_percent =
 		upstream_expected_slowdown(service->upstream, endpoint, now);
 	if (call->routed)
-		entry_log_attempt_started(entry, service, call, endpoint);
+		entry_log_attempt_started(entry, service, call, attempt,
+					  endpoint);
 	g_hash_table_insert(entry->calls_by_attempt, &attempt->id, call);
 	upstream_attempt_started(service->upstream, attempt->endpoint, now);
 	admission_attempt_started(service->admission, &call->queue, now);
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -123,7 +123,8 @@
  */
 void entry_log_attempt_started(const entry_t *entry,
 			       const entry_service_t *service,
-			       const call_t *call, const endpoint_t *endpoint);
+			       const call_t *call, const attempt_t *attempt,
+			       const endpoint_t *endpoint);
 
 /* Logs the end of an attempt. */
 void entry_log_attempt_ended(const entry_t *entry, const call_t *call,
--- a/lib/entry/entry_log.c
+++ b/lib/entry/entry_log.c
@@ -30,7 +30,8 @@
 
 void entry_log_attempt_started(const entry_t *entry,
 			       const entry_service_t *service,
-			       const call_t *call, const endpoint_t *endpoint)
+			       const call_t *call, const attempt_t *attempt,
+			       const endpoint_t *endpoint)
 {
 	endpoint_estimate_t estimate = upstream_estimate(
 		service->upstream, endpoint, entry_now(entry));
@@ -41,6 +42,8 @@
 		  LOG_TEXT("endpoint", endpoint_id(endpoint)),
 		  LOG_TEXT("address", endpoint_address(endpoint)),
 		  LOG_NUMBER("attempt", call->attempts_made),
+		  LOG_NUMBER("needs_new_connection",
+			     attempt->needs_new_connection),
 		  LOG_NUMBER("waited_us", entry_now(entry) - call->admitted),
 		  LOG_NUMBER("objective_left_us",
 			     call->objective ?
@@ -65,6 +68,7 @@
 		  LOG_TEXT("endpoint", attempt->endpoint),
 		  LOG_TEXT("end", attempt_end_name(result->end)),
 		  LOG_NUMBER("status", result->status),
+		  LOG_NUMBER("reused_connection", result->reused_connection),
 		  LOG_NUMBER("latency_us",
 			     entry_now(entry) - attempt->started));
 }
--- a/net/proxy.c
+++ b/net/proxy.c
@@ -167,8 +167,11 @@
 static void end_attempt(proxy_t *proxy, guint64 id,
 			const http_client_result_t *http_result)
 {
-	attempt_result_t result = { .attempt_id = id,
-				    .end = attempt_end_from(http_result->end) };
+	attempt_result_t result = {
+		.attempt_id = id,
+		.end = attempt_end_from(http_result->end),
+		.reused_connection = http_result->reused,
+	};
 
 	if (http_result->response) {
 		result.status = http_result->response->status;
