Use a new connection for each repeated endpoint of a call

Cause: all attempts of a call carry the same request id, so a copy of the refusal of one attempt can only be told from the answer to the next one at the same endpoint if that one uses a new connection. The rule for this was "two attempts were made before, or the last one went to this endpoint". retry_unsent() takes an attempt that could not be sent out of the count but leaves its endpoint as the last one, so a third attempt that returned to the first endpoint looked like a second one and reused the connection.

A call now keeps its ended attempts, and an attempt needs a new connection if an earlier one went to the same endpoint. This holds for any order of attempts, as no count is part of the rule. A third attempt at a third endpoint may use a kept connection now: no earlier request with its id was sent there.

--- a/lib/call/call.c
+++ b/lib/call/call.c
@@ -32,14 +32,17 @@
 	if (attributes->route)
 		apply_route(call, attributes);
 	TAILQ_INIT(&call->attempts);
+	TAILQ_INIT(&call->ended_attempts);
 	TAILQ_INIT(&call->waiters);
 	return call;
 }
 
-static void attempt_free(call_t *call, attempt_t *attempt)
+static void free_attempts(struct attempt_list *attempts)
 {
-	TAILQ_REMOVE(&call->attempts, attempt, link);
-	g_free(attempt);
+	attempt_t *attempt, *next;
+
+	TAILQ_FOREACH_SAFE (attempt, attempts, link, next)
+		g_free(attempt);
 }
 
 static void waiter_free(call_t *call, call_waiter_t *waiter)
@@ -51,8 +54,8 @@
 void call_free(call_t *call)
 {
 	g_assert(!call->queue.lane && !call->load_probes.active);
-	while (!TAILQ_EMPTY(&call->attempts))
-		attempt_free(call, TAILQ_FIRST(&call->attempts));
+	free_attempts(&call->attempts);
+	free_attempts(&call->ended_attempts);
 	while (!TAILQ_EMPTY(&call->waiters))
 		waiter_free(call, TAILQ_FIRST(&call->waiters));
 	g_bytes_unref(call->body);
@@ -83,6 +86,17 @@
 	return FALSE;
 }
 
+static gboolean includes_endpoint(const struct attempt_list *attempts,
+				  const char *endpoint)
+{
+	const attempt_t *attempt;
+
+	TAILQ_FOREACH (attempt, attempts, link)
+		if (strcmp(attempt->endpoint, endpoint) == 0)
+			return TRUE;
+	return FALSE;
+}
+
 attempt_t *call_start_attempt(call_t *call, guint64 id, const char *endpoint,
 			      GTimeSpan now)
 {
@@ -90,9 +104,9 @@
 
 	attempt->id = id;
 	attempt->started = now;
-	attempt->needs_new_connection = call->attempts_made > 1 ||
-					strcmp(call->last_endpoint, endpoint) ==
-						0;
+	attempt->needs_new_connection =
+		includes_endpoint(&call->attempts, endpoint) ||
+		includes_endpoint(&call->ended_attempts, endpoint);
 	g_strlcpy(attempt->endpoint, endpoint, sizeof(attempt->endpoint));
 	g_strlcpy(call->last_endpoint, endpoint, sizeof(call->last_endpoint));
 	TAILQ_INSERT_TAIL(&call->attempts, attempt, link);
@@ -134,7 +148,8 @@
 			     attempt_t *attempt, attempt_end_t end,
 			     gboolean retry_allowed, GTimeSpan now)
 {
-	attempt_free(call, attempt);
+	TAILQ_REMOVE(&call->attempts, attempt, link);
+	TAILQ_INSERT_TAIL(&call->ended_attempts, attempt, link);
 	if (end == ATTEMPT_ANSWERED)
 		return CALL_RAN;
 	if (!attempt_end_proves_not_run(end))
--- a/lib/call/call.h
+++ b/lib/call/call.h
@@ -11,18 +11,21 @@
 
 /* One transmission of the request to one endpoint. */
 typedef struct attempt {
-	TAILQ_ENTRY(attempt) link;
+	TAILQ_ENTRY(attempt) link; /* of the call's attempts */
 	guint64 id;
 	char endpoint[UPSTREAM_ID_MAX + 1]; /* id */
 	GTimeSpan started; /* instant */
 	/*
-	 * An earlier attempt of the call may have gone to the same endpoint. An
-	 * endpoint that sends the answer to that one again would answer this
-	 * one, too: both have the same request id.
+	 * An earlier attempt of the call went to the same endpoint. If that
+	 * endpoint sends its earlier answer again, on the connection of the
+	 * earlier attempt, the request id cannot tell it from the answer to
+	 * this one.
 	 */
 	gboolean needs_new_connection;
 } attempt_t;
 
+TAILQ_HEAD(attempt_list, attempt);
+
 /* One client connection or peer instance that waits for the answer. */
 typedef struct call_waiter {
 	TAILQ_ENTRY(call_waiter) link;
@@ -75,7 +78,8 @@
 	guint attempts_max; /* 0 for the entry's own limit */
 	guint unsent_attempts; /* attempts that could not be sent */
 	call_load_probes_t load_probes;
-	TAILQ_HEAD(attempt_list, attempt) attempts; /* in flight */
+	struct attempt_list attempts; /* in flight */
+	struct attempt_list ended_attempts;
 	TAILQ_HEAD(call_waiter_list, call_waiter) waiters;
 } call_t;
 
@@ -142,8 +146,9 @@
 } call_step_t;
 
 /*
- * Ends an attempt, frees it and decides how the call continues. retry_allowed
- * is FALSE when the entry forbids a retry; when it is TRUE, rule decides.
+ * Ends an attempt and decides how the call continues. retry_allowed is FALSE
+ * when the entry forbids a retry; when it is TRUE, rule decides. The call keeps
+ * the attempt until call_free(), but call_find_attempt() no longer returns it.
  */
 call_step_t call_end_attempt(call_t *call, const retry_rule_t *rule,
 			     attempt_t *attempt, attempt_end_t end,
--- a/tests/test_routed_calls.c
+++ b/tests/test_routed_calls.c
@@ -38,6 +38,7 @@
 	guint64 attempt_id; /* of the last attempt */
 	GTimeSpan remaining; /* of the last attempt */
 	char endpoint[UPSTREAM_ID_MAX + 1]; /* of the last attempt */
+	gboolean needs_new_connection; /* of the last attempt */
 	char probes[PROBES_MAX][UPSTREAM_ID_MAX + 1]; /* unanswered */
 	guint probe_count;
 } fixture_t;
@@ -64,6 +65,7 @@
 	f->started++;
 	f->attempt_id = request->attempt_id;
 	f->remaining = request->remaining;
+	f->needs_new_connection = request->needs_new_connection;
 	g_strlcpy(f->endpoint, request->endpoint, sizeof(f->endpoint));
 }
 
@@ -644,6 +646,40 @@
 	}
 }
 
+/* Answers probes with free slots until that many attempts have started. */
+static void wait_for_attempts(fixture_t *f, guint count)
+{
+	guint i;
+
+	for (i = 0; i < 100 && f->started < count; i++) {
+		answer_probes(f, "", 0, 0, 100);
+		advance(f, 5 * MS);
+	}
+	assert_int_equal(f->started, count);
+}
+
+/* Fails if a copy of a refusal can answer a later attempt at its endpoint. */
+static void refusal_is_not_repeated_after_an_unsent_attempt(void **state)
+{
+	char refused_by[UPSTREAM_ID_MAX + 1];
+	fixture_t *f = *state;
+
+	list_endpoints(f, 1);
+	send_request(f, 1, "/once/");
+	wait_for_attempts(f, 1);
+	strcpy(refused_by, f->endpoint);
+	end_attempt(f, ATTEMPT_SHED, 503);
+	wait_for_attempts(f, 2);
+	assert_string_not_equal(f->endpoint, refused_by);
+	assert_false(f->needs_new_connection);
+	end_attempt(f, ATTEMPT_NOT_SENT, 0);
+	wait_for_attempts(f, 3);
+	assert_string_equal(f->endpoint, refused_by);
+	assert_true(f->needs_new_connection);
+	end_attempt(f, ATTEMPT_ANSWERED, 200);
+	assert_answered(f, 1, CATK_OK, OUTCOME_RAN);
+}
+
 /* Fails if a request has more attempts than its route allows. */
 static void attempts_are_bounded_by_the_route(void **state)
 {
@@ -942,6 +978,7 @@
 		TEST(freed_entry_requests_no_action),
 		TEST(request_without_capacity_is_refused_early),
 		TEST(non_idempotent_retry_requires_proof),
+		TEST(refusal_is_not_repeated_after_an_unsent_attempt),
 		TEST(attempts_are_bounded_by_the_route),
 		TEST(idempotent_call_ends_with_its_caller),
 		TEST(non_idempotent_call_outlives_its_caller),
