Use a new connection for each repeated address of a call

An endpoint that started again under a new id is listed under both ids until the old entry expires. The attempt to the old id is answered 421. The next attempt, to the new id, has the same request id and used the connection kept from the first, as the endpoints were compared by id while connections are kept by address. A late copy of the 421 would answer it: 503 for a request that runs, or a second execution elsewhere.

Addresses are compared now, which are what connections belong to.

Other paths with the same cause were looked for: attempts through the caller interface have an id of their own each, probes have none and their answers are not taken for those of attempts, and an answer between instances carries the number of its forwarded call, which no later call of that process gets.

Before: reused_address_needs_a_new_connection fails at assert_true(f->needs_new_connection). After: it passes, as do test_routed_calls, test_call, test_entry and test_at_most_once.

--- a/lib/call/call.c
+++ b/lib/call/call.c
@@ -86,28 +86,29 @@
 	return FALSE;
 }
 
-static gboolean includes_endpoint(const struct attempt_list *attempts,
-				  const char *endpoint)
+static gboolean includes_address(const struct attempt_list *attempts,
+				 const char *address)
 {
 	const attempt_t *attempt;
 
 	TAILQ_FOREACH (attempt, attempts, link)
-		if (strcmp(attempt->endpoint, endpoint) == 0)
+		if (strcmp(attempt->address, address) == 0)
 			return TRUE;
 	return FALSE;
 }
 
 attempt_t *call_start_attempt(call_t *call, guint64 id, const char *endpoint,
-			      GTimeSpan now)
+			      const char *address, GTimeSpan now)
 {
 	attempt_t *attempt = g_new0(attempt_t, 1);
 
 	attempt->id = id;
 	attempt->started = now;
 	attempt->needs_new_connection =
-		includes_endpoint(&call->attempts, endpoint) ||
-		includes_endpoint(&call->ended_attempts, endpoint);
+		includes_address(&call->attempts, address) ||
+		includes_address(&call->ended_attempts, address);
 	g_strlcpy(attempt->endpoint, endpoint, sizeof(attempt->endpoint));
+	g_strlcpy(attempt->address, address, sizeof(attempt->address));
 	g_strlcpy(call->last_endpoint, endpoint, sizeof(call->last_endpoint));
 	TAILQ_INSERT_TAIL(&call->attempts, attempt, link);
 	call->attempts_made++;
--- a/lib/call/call.h
+++ b/lib/call/call.h
@@ -14,12 +14,14 @@
 	TAILQ_ENTRY(attempt) link; /* of the call's attempts */
 	guint64 id;
 	char endpoint[UPSTREAM_ID_MAX + 1]; /* id */
+	char address[UPSTREAM_ADDRESS_MAX + 1];
 	GTimeSpan started; /* instant */
 	/*
-	 * An earlier attempt of the call went to the same endpoint. If that
-	 * endpoint sends its earlier answer again, on the connection of the
+	 * An earlier attempt of the call went to the same address. If the
+	 * server there sends its earlier answer again, on the connection of the
 	 * earlier attempt, the request id cannot tell it from the answer to
-	 * this one.
+	 * this one. Two endpoint ids have one address when an endpoint was
+	 * started again under a new id.
 	 */
 	gboolean needs_new_connection;
 } attempt_t;
@@ -129,9 +131,12 @@
 /* Removes a waiter. Returns FALSE when caller_ref is not a waiter. */
 gboolean call_remove_waiter(call_t *call, const void *caller_ref);
 
-/* Records the start of an attempt. The call owns the result. */
+/*
+ * Records the start of an attempt at the endpoint with this id and address. The
+ * call owns the result.
+ */
 attempt_t *call_start_attempt(call_t *call, guint64 id, const char *endpoint,
-			      GTimeSpan now);
+			      const char *address, GTimeSpan now);
 
 /* The attempt in flight with this id, or NULL. */
 attempt_t *call_find_attempt(const call_t *call, guint64 id);
--- a/lib/entry/entry_attempts.c
+++ b/lib/entry/entry_attempts.c
@@ -94,7 +94,9 @@
 			  GTimeSpan now)
 {
 	attempt_t *attempt = call_start_attempt(call, entry->next_attempt++,
-						endpoint_id(endpoint), now);
+						endpoint_id(endpoint),
+						endpoint_address(endpoint),
+						now);
 	attempt_request_t request = {
 		.attempt_id = attempt->id,
 		.address = endpoint_address(endpoint),
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -29,6 +29,12 @@
 	return call;
 }
 
+/* The endpoint's id serves as its address, too. */
+static attempt_t *start_attempt(call_t *call, guint64 id, const char *endpoint)
+{
+	return call_start_attempt(call, id, endpoint, endpoint, 0);
+}
+
 static call_step_t end_attempt(call_t *call, guint64 id, attempt_end_t end,
 			       gboolean retry_allowed, GTimeSpan now)
 {
@@ -43,7 +49,7 @@
 	call_t *call = new_call(idempotent);
 	call_step_t step;
 
-	call_start_attempt(call, 1, "a", 0);
+	start_attempt(call, 1, "a");
 	step = end_attempt(call, 1, end, retry_allowed, now);
 	call_free(call);
 	return step;
@@ -91,8 +97,8 @@
 	call_t *call = new_call(FALSE);
 
 	(void)state;
-	call_start_attempt(call, 1, "a", 0);
-	call_start_attempt(call, 2, "b", 0);
+	start_attempt(call, 1, "a");
+	start_attempt(call, 2, "b");
 	assert_int_equal(end_attempt(call, 1, ATTEMPT_FAILED, TRUE, NOW),
 			 CALL_WAIT);
 	assert_int_equal(end_attempt(call, 2, ATTEMPT_SHED, TRUE, NOW),
@@ -106,8 +112,8 @@
 	call_t *call = new_call(TRUE);
 
 	(void)state;
-	call_start_attempt(call, 1, "a", 0);
-	call_start_attempt(call, 2, "b", 0);
+	start_attempt(call, 1, "a");
+	start_attempt(call, 2, "b");
 	assert_int_equal(end_attempt(call, 2, ATTEMPT_ANSWERED, FALSE, NOW),
 			 CALL_RAN);
 	call_free(call);
@@ -119,13 +125,13 @@
 	call_t *call = new_call(FALSE);
 
 	(void)state;
-	assert_false(call_start_attempt(call, 1, "a", 0)->needs_new_connection);
-	assert_true(call_start_attempt(call, 2, "a", 0)->needs_new_connection);
+	assert_false(start_attempt(call, 1, "a")->needs_new_connection);
+	assert_true(start_attempt(call, 2, "a")->needs_new_connection);
 	call_free(call);
 	call = new_call(FALSE);
-	call_start_attempt(call, 1, "a", 0);
-	assert_false(call_start_attempt(call, 2, "b", 0)->needs_new_connection);
-	assert_true(call_start_attempt(call, 3, "a", 0)->needs_new_connection);
+	start_attempt(call, 1, "a");
+	assert_false(start_attempt(call, 2, "b")->needs_new_connection);
+	assert_true(start_attempt(call, 3, "a")->needs_new_connection);
 	call_free(call);
 }
 
--- a/tests/test_routed_calls.c
+++ b/tests/test_routed_calls.c
@@ -680,6 +680,30 @@
 	assert_answered(f, 1, CATK_OK, OUTCOME_RAN);
 }
 
+/* Fails if a copy of a 421 answers an attempt at a new endpoint's address. */
+static void reused_address_needs_a_new_connection(void **state)
+{
+	char misdirected[UPSTREAM_ID_MAX + 1];
+	endpoint_info_t infos[2] = { 0 };
+	fixture_t *f = *state;
+	guint i;
+
+	for (i = 0; i < 2; i++) {
+		g_snprintf(infos[i].id, sizeof(infos[i].id), "i-start-%u", i);
+		strcpy(infos[i].address, "127.0.0.1:1");
+		strcpy(infos[i].data_centre, "here");
+		infos[i].slots = 3;
+	}
+	assert_true(entry_set_endpoints(f->entry, "s", infos, 2));
+	send_request(f, 1, "/once/");
+	wait_for_attempts(f, 1);
+	strcpy(misdirected, f->endpoint);
+	end_attempt(f, ATTEMPT_MISDIRECTED, 421);
+	wait_for_attempts(f, 2);
+	assert_string_not_equal(f->endpoint, misdirected);
+	assert_true(f->needs_new_connection);
+}
+
 /* Fails if a request has more attempts than its route allows. */
 static void attempts_are_bounded_by_the_route(void **state)
 {
@@ -979,6 +1003,7 @@
 		TEST(request_without_capacity_is_refused_early),
 		TEST(non_idempotent_retry_requires_proof),
 		TEST(refusal_is_not_repeated_after_an_unsent_attempt),
+		TEST(reused_address_needs_a_new_connection),
 		TEST(attempts_are_bounded_by_the_route),
 		TEST(idempotent_call_ends_with_its_caller),
 		TEST(non_idempotent_call_outlives_its_caller),
