Fill the retry budget once per call

While endpoints are crashed and still listed, a request may have up to four attempts that are not sent.

Cause: retry_unsent() took the attempt out of attempts_made, and a call's first attempt was recognised by that number.

attempts_started now never decreases, and attempts_uncounted says how many of these were not sent. The limit of the route and the number that an endpoint is told read the difference; the budget, the counter attempts_retried, the endpoint to avoid and the log read attempts_started. So the log no longer shows one number for two attempts.

Before: unsent_attempts_do_not_fill_the_retry_budget fails, 5 attempts instead of 4. After: it passes, as do test_routed_calls, test_call, test_entry, test_at_most_once, test_retry_budget, test_operations and test_whole_path.

--- a/lib/call/call.c
+++ b/lib/call/call.c
@@ -111,7 +111,7 @@
 	g_strlcpy(attempt->address, address, sizeof(attempt->address));
 	g_strlcpy(call->last_endpoint, endpoint, sizeof(call->last_endpoint));
 	TAILQ_INSERT_TAIL(&call->attempts, attempt, link);
-	call->attempts_made++;
+	call->attempts_started++;
 	return attempt;
 }
 
@@ -125,6 +125,11 @@
 	return NULL;
 }
 
+guint call_attempts_counted(const call_t *call)
+{
+	return call->attempts_started - call->attempts_uncounted;
+}
+
 static gboolean may_retry_at_most_once(void *ctx, const call_t *call)
 {
 	(void)ctx;
--- a/lib/call/call.h
+++ b/lib/call/call.h
@@ -63,7 +63,12 @@
 	gboolean idempotent;
 	gboolean has_id;
 	guint64 sequence; /* of the request id, when has_id */
-	guint attempts_made;
+	guint attempts_started; /* including those that were not sent */
+	/*
+	 * Of these, could not be sent and do not count towards attempts_max:
+	 * no endpoint saw them.
+	 */
+	guint attempts_uncounted;
 	guint caller_attempt; /* as counted by the caller, from 1 */
 	gboolean may_have_run; /* an attempt ended without proof of not_run */
 	char last_endpoint[UPSTREAM_ID_MAX + 1]; /* id */
@@ -77,8 +82,7 @@
 	/* Of the endpoint at the start of the last attempt; 0: unknown. */
 	double start_slowdown_percent;
 	gboolean caller_retried; /* the caller was refused before */
-	guint attempts_max; /* 0 for the entry's own limit */
-	guint unsent_attempts; /* attempts that could not be sent */
+	guint attempts_max; /* at endpoints; 0 for the entry's own limit */
 	call_load_probes_t load_probes;
 	struct attempt_list attempts; /* in flight */
 	struct attempt_list ended_attempts;
@@ -141,6 +145,9 @@
 /* The attempt in flight with this id, or NULL. */
 attempt_t *call_find_attempt(const call_t *call, guint64 id);
 
+/* Attempts that may have reached an endpoint, for attempts_max. */
+guint call_attempts_counted(const call_t *call);
+
 /* How a call continues after the end of an attempt. */
 typedef enum {
 	CALL_WAIT, /* another attempt is in flight */
--- a/lib/entry/entry_attempts.c
+++ b/lib/entry/entry_attempts.c
@@ -50,7 +50,7 @@
 	/* Too late to cancel: the outcome would probably be unknown. */
 	if (call->deadline - now <= cancel_margin(call))
 		return FALSE;
-	if (call->attempts_made >= attempts_max(entry, call) ||
+	if (call_attempts_counted(call) >= attempts_max(entry, call) ||
 	    !entry_can_start_in_time(service, call, now) ||
 	    !entry_may_start(entry, service, call))
 		return FALSE;
@@ -107,7 +107,8 @@
 		.method = call->method,
 		.priority = priority_name(entry, call->queue.priority),
 		.remaining = call->deadline - now,
-		.attempt = call->caller_attempt - 1 + call->attempts_made,
+		.attempt =
+			call->caller_attempt - 1 + call_attempts_counted(call),
 		.connections_max = upstream_connection_share(service->upstream),
 		.needs_new_connection = attempt->needs_new_connection,
 		.body = call->body,
@@ -122,7 +123,7 @@
 	upstream_attempt_started(service->upstream, attempt->endpoint, now);
 	admission_attempt_started(service->admission, &call->queue, now);
 	counters_add(entry->counters, COUNTER_ATTEMPTS_STARTED, 1);
-	if (call->attempts_made > 1)
+	if (call->attempts_started > 1)
 		counters_add(entry->counters, COUNTER_ATTEMPTS_RETRIED, 1);
 	else
 		retry_budget_fill(&service->retry_budget);
@@ -220,9 +221,9 @@
 {
 	if (!call->routed || end != ATTEMPT_NOT_SENT ||
 	    TAILQ_EMPTY(&call->waiters) ||
-	    ++call->unsent_attempts > UNSENT_ATTEMPTS_MAX)
+	    call->attempts_uncounted >= UNSENT_ATTEMPTS_MAX)
 		return FALSE;
-	call->attempts_made--;
+	call->attempts_uncounted++;
 	entry_probe_then_queue(entry, service, call);
 	return TRUE;
 }
@@ -236,7 +237,7 @@
 	catk_error_set(&error, CATK_UNAVAILABLE, OUTCOME_NOT_RUN,
 		       "no endpoint of %s accepted the call in %u attempts: "
 		       "retry later with a new request id",
-		       call->service, call->attempts_made);
+		       call->service, call->attempts_started);
 	error.retry_after = G_TIME_SPAN_SECOND;
 	if (call->routed)
 		error.retry_after = entry_retry_after(
--- a/lib/entry/entry_measure.c
+++ b/lib/entry/entry_measure.c
@@ -76,9 +76,7 @@
 					const call_t *call, GTimeSpan now)
 {
 	upstream_criteria_t criteria = {
-		.avoid = call->attempts_made || call->unsent_attempts ?
-				 call->last_endpoint :
-				 NULL,
+		.avoid = call->attempts_started ? call->last_endpoint : NULL,
 		.service_time =
 			(GTimeSpan)service->service_time[call->queue.priority],
 		.remote_allowed = is_remote_allowed(service, call, now),
@@ -194,7 +192,7 @@
 /* Queues a call, new or to be retried, and starts it if there is capacity. */
 static void queue_call(entry_t *entry, entry_service_t *service, call_t *call)
 {
-	if (!call->attempts_made && !call->unsent_attempts) {
+	if (!call->attempts_started) {
 		enqueue_new_call(entry, service, call);
 		return;
 	}
--- a/tests/test_routed_calls.c
+++ b/tests/test_routed_calls.c
@@ -680,6 +680,29 @@
 	assert_answered(f, 1, CATK_OK, OUTCOME_RAN);
 }
 
+/* Fails if one request pays for a retry by attempts that are not sent. */
+static void unsent_attempts_do_not_fill_the_retry_budget(void **state)
+{
+	const entry_limits_t limits = { .retry_percent = 25,
+					.probe_fanout = 3,
+					.resolve_ttl = G_TIME_SPAN_SECOND,
+					.resolve_addresses = 8,
+					.shutdown_max = G_TIME_SPAN_SECOND };
+	fixture_t *f = *state;
+	guint i;
+
+	entry_update_limits(f->entry, &limits);
+	send_request(f, 1, "/once/");
+	for (i = 1; i <= 4; i++) {
+		wait_for_attempts(f, i);
+		end_attempt(f, i < 4 ? ATTEMPT_NOT_SENT : ATTEMPT_SHED, 0);
+	}
+	advance(f, 100 * MS);
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->started, 4);
+	assert_answered(f, 1, CATK_UNAVAILABLE, OUTCOME_NOT_RUN);
+}
+
 /* Fails if a copy of a 421 answers an attempt at a new endpoint's address. */
 static void reused_address_needs_a_new_connection(void **state)
 {
@@ -1003,6 +1026,7 @@
 		TEST(request_without_capacity_is_refused_early),
 		TEST(non_idempotent_retry_requires_proof),
 		TEST(refusal_is_not_repeated_after_an_unsent_attempt),
+		TEST(unsent_attempts_do_not_fill_the_retry_budget),
 		TEST(reused_address_needs_a_new_connection),
 		TEST(attempts_are_bounded_by_the_route),
 		TEST(idempotent_call_ends_with_its_caller),
