Hold a body once while it is sent on

Cause: the parser of a kept connection kept the largest body, and four copies of a body existed while it was sent on. Besides, the write buffer was moved after each partial write, a time that grows with the square of the body.

The parser now hands its buffer over to the message. A stream keeps references to what it has to send, so that a body above 16 KiB is sent from the buffer in which it was received. Smaller bodies are still appended to their headers and go to the kernel in one call.

Open: the bodies of several requests at once are not bounded together.

--- a/net/http_client.c
+++ b/net/http_client.c
@@ -459,6 +459,8 @@
 	connection->sent_offset = stream_bytes_sent(connection->stream);
 	stream_write(connection->stream, request->message->str,
 		     request->message->len);
+	if (request->body)
+		stream_write_bytes(connection->stream, request->body);
 }
 
 http_client_t *http_client_new(const http_client_events_t *events,
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -53,7 +53,8 @@
 typedef struct {
 	guint64 id; /* not 0, unique among the requests in flight */
 	const char *address; /* "ip:port" */
-	GString *message; /* the complete request; copied */
+	GString *message; /* the request, without body if that is set; copied */
+	GBytes *body; /* sent after message and referenced, or NULL */
 	gboolean is_head; /* its response has no body */
 	GTimeSpan timeout; /* from sending to the end of the response, 0: none */
 	/* Reuse only connections idle for less than this; 0: open a new one. */
--- a/net/http_message.c
+++ b/net/http_message.c
@@ -142,7 +142,6 @@
 	g_string_truncate(parser->name, 0);
 	g_string_truncate(parser->value, 0);
 	g_string_truncate(parser->target, 0);
-	g_byte_array_set_size(parser->body, 0);
 	return 0;
 }
 
@@ -270,8 +269,9 @@
 	http_message_parser_t *parser = parser_from(impl);
 
 	parser->message->keep_alive = http_should_keep_alive(impl) != 0;
-	parser->message->body =
-		g_bytes_new(parser->body->data, parser->body->len);
+	/* The message takes the data over: a kept connection holds no body. */
+	parser->message->body = g_byte_array_free_to_bytes(parser->body);
+	parser->body = g_byte_array_new();
 	parser->complete = TRUE;
 	/* Parsing resumes after http_message_parser_take(). */
 	http_parser_pause(impl, 1);
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -21,6 +21,9 @@
  */
 #define LINGER_TIMEOUT (1 * G_TIME_SPAN_SECOND)
 
+/* Space for the headers of most responses. */
+#define RESPONSE_HEADERS_BYTES 512
+
 typedef struct connection {
 	TAILQ_ENTRY(connection) link;
 	http_server_t *server;
@@ -44,6 +47,7 @@
 	void *user_data;
 	GString *response; /* NULL until the handler replied */
 	gsize headers_end; /* offset in the response */
+	GBytes *response_body; /* sent after the response, or NULL */
 };
 
 struct http_server {
@@ -70,6 +74,7 @@
 	connection->exchange_count--;
 	if (exchange->response)
 		g_string_free(exchange->response, TRUE);
+	g_clear_pointer(&exchange->response_body, g_bytes_unref);
 	http_message_free(exchange->request);
 	g_free(exchange);
 }
@@ -128,6 +133,8 @@
 				"Connection: close\r\n");
 	stream_write(connection->stream, exchange->response->str,
 		     exchange->response->len);
+	if (exchange->response_body)
+		stream_write_bytes(connection->stream, exchange->response_body);
 	connection->timer_start = connection_now(connection);
 }
 
@@ -163,7 +170,11 @@
 	gconstpointer data = body && !is_head ? g_bytes_get_data(body, &size) :
 						NULL;
 
-	exchange->response = g_string_sized_new(size + 512);
+	if (size > STREAM_COPY_BYTES_MAX)
+		exchange->response_body = g_bytes_ref(body);
+	exchange->response = g_string_sized_new(
+		exchange->response_body ? RESPONSE_HEADERS_BYTES :
+					  size + RESPONSE_HEADERS_BYTES);
 	g_string_append_printf(exchange->response, "HTTP/1.1 %u %s\r\n%s",
 			       status, http_reason_phrase(status), headers);
 	if (!is_head)
@@ -173,7 +184,7 @@
 				       size);
 	exchange->headers_end = exchange->response->len;
 	g_string_append(exchange->response, "\r\n");
-	if (size)
+	if (!exchange->response_body)
 		g_string_append_len(exchange->response, data, (gssize)size);
 }
 
--- a/net/proxy.c
+++ b/net/proxy.c
@@ -4,6 +4,7 @@
 
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/stream.h"
 
 /* Separates the ids of probes from those of attempts. */
 #define FIRST_PROBE_ID (G_GUINT64_CONSTANT(1) << 62)
@@ -367,6 +368,12 @@
 				     REUSE_IDLE_MAX_NON_IDEMPOTENT;
 }
 
+static gboolean is_body_separate(const http_message_t *request)
+{
+	return g_bytes_get_size(request->body) > STREAM_COPY_BYTES_MAX;
+}
+
+/* The body is left out if it is sent separately. */
 static GString *write_request(const proxy_t *proxy,
 			      const http_message_t *request,
 			      const attempt_request_t *attempt)
@@ -384,7 +391,8 @@
 		g_string_append_printf(
 			text, "Content-Length: %" G_GSIZE_FORMAT "\r\n", size);
 	g_string_append(text, "\r\n");
-	g_string_append_len(text, body, (gssize)size);
+	if (!is_body_separate(request))
+		g_string_append_len(text, body, (gssize)size);
 	return text;
 }
 
@@ -397,6 +405,7 @@
 		.id = attempt->attempt_id,
 		.address = attempt->address,
 		.message = message,
+		.body = is_body_separate(request) ? request->body : NULL,
 		.is_head = http_message_is_head_request(request),
 		.idle_max = reuse_idle_max(attempt),
 	};
--- a/net/stream.c
+++ b/net/stream.c
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include "lib/common/intrusive.h"
 #include "net/address.h"
 
 #define READ_BUFFER_BYTES 16384
@@ -20,12 +21,20 @@
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_COUNT 2
 
+/* Data that the kernel has not accepted completely yet. */
+typedef struct output {
+	TAILQ_ENTRY(output) link;
+	GBytes *bytes;
+	gsize offset; /* of the first byte to send */
+} output_t;
+
 struct stream {
 	GSource *source;
 	gpointer fd_tag; /* watch of the socket, NULL once the stream ended */
 	GSocket *socket;
 	stream_events_t events;
-	GByteArray *write_buffer; /* not yet passed to the kernel */
+	TAILQ_HEAD(output_list, output) outputs; /* oldest first */
+	gsize bytes_buffered; /* of the outputs, not yet sent */
 	guint64 bytes_sent;
 	gboolean connecting;
 	gboolean reading;
@@ -58,7 +67,7 @@
 		condition = G_IO_OUT;
 	else
 		condition = (stream->reading ? G_IO_IN : 0) |
-			    (stream->write_buffer->len ? G_IO_OUT : 0);
+			    (stream->bytes_buffered ? G_IO_OUT : 0);
 	g_source_modify_unix_fd(stream->source, stream->fd_tag, condition);
 }
 
@@ -75,30 +84,74 @@
 
 static void shutdown_if_flushed(stream_t *stream)
 {
-	if (stream->shutdown_pending && !stream->write_buffer->len &&
+	if (stream->shutdown_pending && !stream->bytes_buffered &&
 	    !stream->connecting)
 		shutdown(socket_fd(stream), SHUT_WR);
 }
 
-/* Passes as much buffered data to the kernel as it accepts. */
-static void flush(stream_t *stream)
+static gboolean can_send(const stream_t *stream)
+{
+	return !stream->connecting && !stream->write_failed;
+}
+
+/* Returns the number of bytes that the kernel accepted. */
+static gsize send_data(stream_t *stream, const guint8 *data, gsize size)
 {
-	ssize_t size;
+	ssize_t sent = send(socket_fd(stream), data, size, MSG_NOSIGNAL);
 
-	if (stream->connecting || stream->write_failed ||
-	    !stream->write_buffer->len)
-		return;
-	size = send(socket_fd(stream), stream->write_buffer->data,
-		    stream->write_buffer->len, MSG_NOSIGNAL);
-	if (size < 0 && errno != EAGAIN && errno != EINTR) {
+	if (sent >= 0) {
+		stream->bytes_sent += (guint64)sent;
+		return (gsize)sent;
+	}
+	if (errno != EAGAIN && errno != EINTR) {
 		/* Reported from the loop: a write must not call back. */
 		stream->write_failed = TRUE;
 		/* EPIPE: the peer had closed its sending side before. */
 		stream->write_was_reset = errno != EPIPE;
-	} else if (size > 0) {
-		stream->bytes_sent += (guint64)size;
-		g_byte_array_remove_range(stream->write_buffer, 0, (guint)size);
 	}
+	return 0;
+}
+
+static void add_output(stream_t *stream, GBytes *bytes)
+{
+	output_t *output = g_new0(output_t, 1);
+
+	output->bytes = g_bytes_ref(bytes);
+	stream->bytes_buffered += g_bytes_get_size(bytes);
+	TAILQ_INSERT_TAIL(&stream->outputs, output, link);
+}
+
+static void output_free(stream_t *stream, output_t *output)
+{
+	TAILQ_REMOVE(&stream->outputs, output, link);
+	g_bytes_unref(output->bytes);
+	g_free(output);
+}
+
+/* Returns FALSE if the kernel did not accept the whole output. */
+static gboolean send_output(stream_t *stream, output_t *output)
+{
+	gsize size;
+	const guint8 *data = g_bytes_get_data(output->bytes, &size);
+	gsize sent =
+		send_data(stream, data + output->offset, size - output->offset);
+
+	output->offset += sent;
+	stream->bytes_buffered -= sent;
+	if (output->offset < size)
+		return FALSE;
+	output_free(stream, output);
+	return TRUE;
+}
+
+/* Passes as much buffered data to the kernel as it accepts. */
+static void flush(stream_t *stream)
+{
+	if (!can_send(stream) || !stream->bytes_buffered)
+		return;
+	while (!TAILQ_EMPTY(&stream->outputs) &&
+	       send_output(stream, TAILQ_FIRST(&stream->outputs)))
+		;
 	shutdown_if_flushed(stream);
 }
 
@@ -115,7 +168,7 @@
 static void flush_and_notify(stream_t *stream)
 {
 	flush(stream);
-	if (!stream->write_buffer->len && stream->events.flushed)
+	if (!stream->bytes_buffered && stream->events.flushed)
 		stream->events.flushed(stream->events.ctx);
 }
 
@@ -154,7 +207,8 @@
 	g_source_unref(stream->source);
 	g_socket_close(stream->socket, NULL);
 	g_object_unref(stream->socket);
-	g_byte_array_unref(stream->write_buffer);
+	while (!TAILQ_EMPTY(&stream->outputs))
+		output_free(stream, TAILQ_FIRST(&stream->outputs));
 	g_free(stream);
 }
 
@@ -194,7 +248,7 @@
 
 	stream->socket = g_object_ref(socket);
 	stream->events = *events;
-	stream->write_buffer = g_byte_array_new();
+	TAILQ_INIT(&stream->outputs);
 	stream->reading = TRUE;
 	g_socket_set_blocking(socket, FALSE);
 	set_socket_options(stream);
@@ -257,7 +311,24 @@
 
 void stream_write(stream_t *stream, const void *data, gsize size)
 {
-	g_byte_array_append(stream->write_buffer, data, (guint)size);
+	gsize sent = 0;
+	GBytes *rest;
+
+	if (can_send(stream) && !stream->bytes_buffered)
+		sent = send_data(stream, data, size);
+	if (sent < size) {
+		rest = g_bytes_new((const guint8 *)data + sent, size - sent);
+		add_output(stream, rest);
+		g_bytes_unref(rest);
+	}
+	update_watch(stream);
+}
+
+void stream_write_bytes(stream_t *stream, GBytes *bytes)
+{
+	if (!g_bytes_get_size(bytes))
+		return;
+	add_output(stream, bytes);
 	flush(stream);
 	update_watch(stream);
 }
@@ -281,7 +352,7 @@
 
 gsize stream_bytes_buffered(const stream_t *stream)
 {
-	return stream->write_buffer->len;
+	return stream->bytes_buffered;
 }
 
 void stream_enable_tcp_keepalive(stream_t *stream)
--- a/net/stream.h
+++ b/net/stream.h
@@ -47,6 +47,15 @@
 /* Sends data, buffering a copy of what the kernel does not accept yet. */
 void stream_write(stream_t *stream, const void *data, gsize size);
 
+/* Sends bytes, referencing what the kernel does not accept yet. */
+void stream_write_bytes(stream_t *stream, GBytes *bytes);
+
+/*
+ * Data up to this size is appended to what is sent before it. A system call of
+ * its own costs more than the copy.
+ */
+#define STREAM_COPY_BYTES_MAX 16384
+
 /* Shuts the sending side down once all buffered data was sent. */
 void stream_shutdown_write(stream_t *stream);
 
--- a/tests/test_http_message.c
+++ b/tests/test_http_message.c
@@ -54,6 +54,28 @@
 	assert_request("nonsense\r\n\r\n", HTTP_PARSE_MALFORMED);
 }
 
+/* Fails if a kept connection holds the body of its last message. */
+static void taken_body_is_not_kept(void **state)
+{
+	const char *head = "POST / HTTP/1.1\r\nHost: a\r\n"
+			   "Content-Length: 100000\r\n\r\n";
+	http_message_parser_t *parser = http_message_parser_new(TRUE);
+	char *body = g_malloc0(100000);
+	http_message_t *message;
+	gsize used;
+
+	(void)state;
+	assert_int_equal(parse(parser, head, &used), HTTP_PARSE_INCOMPLETE);
+	assert_int_equal(http_message_parser_feed(parser, body, 100000, &used),
+			 HTTP_PARSE_COMPLETE);
+	message = http_message_parser_take(parser);
+	assert_int_equal(g_bytes_get_size(message->body), 100000);
+	assert_in_range(http_message_parser_kept_bytes(parser), 0, 1000);
+	http_message_free(message);
+	http_message_parser_free(parser);
+	g_free(body);
+}
+
 /* Fails if chunks are not joined, or absorb part of the next request. */
 static void pipelined_requests_are_separated(void **state)
 {
@@ -341,6 +363,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(ambiguous_requests_are_malformed),
+		cmocka_unit_test(taken_body_is_not_kept),
 		cmocka_unit_test(pipelined_requests_are_separated),
 		cmocka_unit_test(limits_are_enforced),
 		cmocka_unit_test(response_without_length_ends_at_close),
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -103,23 +103,29 @@
 	"\"spec\":{\"health_path\":\"/healthz\",\"max_connections\":100}},"
 #define LIMITS                                                  \
 	"{\"entry_kind\":\"limits\",\"metadata\":{},\"spec\":{" \
-	"\"max_header_bytes\":4000,\"max_body_bytes\":10000,"   \
+	"\"max_header_bytes\":4000,\"max_body_bytes\":%u,"      \
 	"\"header_timeout_ms\":500,\"idle_timeout_ms\":15000}}"
 
 /* more is "" or a further route. */
-static void put_config(guint version, const char *more)
+static void put_config_with_limit(guint version, const char *more,
+				  guint body_bytes_max)
 {
 	gchar *body = g_strdup_printf(
 		"{\"version\":\"r%u\",\"resources\":[" ROUTE("safe", "/safe/",
 							     "safe")
 			ROUTE("once", "/once/", "unsafe") "%s" SERVICE LIMITS
 							  "]}",
-		version, more);
+		version, more, body_bytes_max);
 
 	send_to_store("/-/objects/config/main", "PUT", body);
 	g_free(body);
 }
 
+static void put_config(guint version, const char *more)
+{
+	put_config_with_limit(version, more, 10000);
+}
+
 static void start_daemon(fixture_t *f)
 {
 	char *settings = write_build_file(
@@ -689,6 +695,60 @@
 	}
 }
 
+/* Largest resident memory that the process has had, in bytes. */
+static gsize peak_memory(const process_t *process)
+{
+	gchar *path = g_strdup_printf("/proc/%d/status", (int)process->pid);
+	const char *line;
+	gchar *text;
+	gsize kilobytes = 0;
+
+	assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	line = strstr(text, "VmHWM:");
+	assert_non_null(line);
+	sscanf(line, "VmHWM: %zu", &kilobytes);
+	g_free(text);
+	g_free(path);
+	return kilobytes << 10;
+}
+
+/* Fails if bodies within the limit end the process for its memory. */
+static void large_bodies_are_held_once(void **state)
+{
+	/* 60% of the memory that the users' sites give a process. */
+	const gsize peak_max = (gsize)260 * 60 / 100 << 20;
+	const gsize body_size = 32000000;
+	char *length = g_strdup_printf("Content-Length: %zu\r\n", body_size);
+	char *body = g_malloc0(body_size);
+	GSocketConnection *connections[4];
+	fixture_t *f = *state;
+	char *request, *answer;
+	gsize i;
+
+	put_config_with_limit(8, "", 64 << 20);
+	run_loop_for(CONFIG_BOUND_MS);
+	for (i = 0; i < G_N_ELEMENTS(connections); i++) {
+		connections[i] = open_connection(test_port(PROXY_PORT));
+		request = request_text(f, "PUT", "/once/large", length);
+		send_bytes(connections[i], request);
+		assert_true(g_output_stream_write_all(
+			g_io_stream_get_output_stream(
+				G_IO_STREAM(connections[i])),
+			body, body_size, NULL, NULL, NULL));
+		answer = read_answers(connections[i], 1);
+		assert_int_equal(status_of(answer), 200);
+		assert_int_equal(count_runs(f, FALSE), 1);
+		g_free(request);
+		g_free(answer);
+	}
+	if (peak_memory(f->daemon) > peak_max)
+		fail_msg("%zu bytes of memory", peak_memory(f->daemon));
+	for (i = 0; i < G_N_ELEMENTS(connections); i++)
+		g_object_unref(connections[i]);
+	g_free(body);
+	g_free(length);
+}
+
 /* Fails if the answer to another request is forwarded. */
 static void answers_to_other_requests_are_discarded(void **state)
 {
@@ -1515,6 +1575,7 @@
 		TEST(head_request_gets_headers_only),
 		TEST(safe_request_is_repeated_after_a_cut_answer),
 		TEST(endless_answer_is_bounded),
+		TEST(large_bodies_are_held_once),
 		TEST(answers_to_other_requests_are_discarded),
 		TEST(pipelined_requests_run_side_by_side),
 		TEST(caller_disconnect_cancels_its_request),
