Bound the bodies of all requests together

A budget of 40% of the new setting memory_max_mb now covers the bodies of all requests that are held, from the announcement of a body to its answer. A request without room is refused with 503 and Retry-After at its head, before its body is read and without being passed on, and is counted and logged. A body that makes no progress for the configuration's idle timeout ends with 408, as a client that announces a body and sends none would keep its room otherwise.

Before: large_bodies_at_once_are_bounded fails (four bodies of 32 MB at once: none is refused). After: it passes, two are served and two refused, and the peak stays below 60% of 260 MB.

--- a/codec/settings_json.h
+++ b/codec/settings_json.h
@@ -30,6 +30,7 @@
 	GTimeSpan final_writes_max;
 	GTimeSpan resolve_ttl_max; /* that callers keep to, 0: unlimited */
 	gint64 body_bytes_max; /* of a request or an answer */
+	gint64 memory_max_mb; /* of the process, in MiB */
 	gint64 object_api_poll_ms; /* between two fallback reads */
 	gint64 instance_list_poll_ms; /* between two reads of an instance list */
 	gint64 instance_list_reads_per_second; /* over all instances */
--- a/lib/common/counters.h
+++ b/lib/common/counters.h
@@ -7,39 +7,40 @@
 
 #include <glib.h>
 
-#define COUNTER_LIST(X)                                                 \
-	X(CALLS_RECEIVED, "calls_received", "calls")                    \
-	X(CALLS_SUCCEEDED, "calls_succeeded", "calls")                  \
-	X(CALLS_REFUSED, "calls_refused_not_run", "calls")              \
-	X(CALLS_UNKNOWN, "calls_outcome_unknown", "calls")              \
-	X(CALLS_RAN_FAILED, "calls_ran_failed", "calls")                \
-	X(CALLS_CANCELLED, "calls_cancelled_by_caller", "calls")        \
-	X(CALLS_DUPLICATE, "calls_duplicate", "calls")                  \
-	X(CALLS_FORWARDED, "calls_forwarded_to_issuer", "calls")        \
-	X(CALLS_CUT_AT_SHUTDOWN, "calls_cut_at_shutdown", "calls")      \
-	X(ATTEMPTS_STARTED, "attempts_started", "attempts")             \
-	X(ATTEMPTS_RETRIED, "attempts_retried", "attempts")             \
-	X(ATTEMPTS_SHED, "attempts_shed_by_upstream", "attempts")       \
-	X(ATTEMPTS_FAILED, "attempts_failed", "attempts")               \
-	X(ANSWERS_DROPPED, "answers_dropped", "answers")                \
-	X(ENDPOINTS_EJECTED, "endpoint_ejections", "ejections")         \
-	X(ENDPOINTS_SLOW, "endpoints_found_slow", "endpoints")          \
-	X(ENDPOINTS_LEAVING, "endpoints_said_leaving", "endpoints")     \
-	X(ENDPOINTS_PAUSED, "endpoint_pauses", "pauses")                \
-	X(PROBES_SENT, "probes_sent", "probes")                         \
-	X(PROBES_SUPPRESSED, "probes_suppressed_by_budget", "probes")   \
-	X(IDS_ISSUED, "request_ids_minted", "ids")                      \
-	X(IDS_SEALED, "request_ids_sealed", "ids")                      \
-	X(ANSWERS_EVICTED, "held_answers_evicted", "answers")           \
-	X(CONFIG_ACCEPTED, "config_versions_put_in_force", "versions")  \
-	X(CONFIG_REJECTED, "config_versions_rejected", "versions")      \
-	X(OBJECT_API_CALLS, "object_api_calls", "calls")                \
-	X(OBJECT_API_FAILURES, "object_api_failures", "calls")          \
-	X(PEER_MESSAGES_SENT, "peer_messages_sent", "messages")         \
-	X(PEER_BYTES_SENT, "peer_bytes_sent", "bytes")                  \
-	X(PEER_MESSAGES_RECEIVED, "peer_messages_received", "messages") \
-	X(LOG_LINES_DROPPED, "log_lines_dropped", "lines")              \
-	X(CONNECTIONS_SILENT, "connections_closed_as_silent", "connections")
+#define COUNTER_LIST(X)                                                      \
+	X(CALLS_RECEIVED, "calls_received", "calls")                         \
+	X(CALLS_SUCCEEDED, "calls_succeeded", "calls")                       \
+	X(CALLS_REFUSED, "calls_refused_not_run", "calls")                   \
+	X(CALLS_UNKNOWN, "calls_outcome_unknown", "calls")                   \
+	X(CALLS_RAN_FAILED, "calls_ran_failed", "calls")                     \
+	X(CALLS_CANCELLED, "calls_cancelled_by_caller", "calls")             \
+	X(CALLS_DUPLICATE, "calls_duplicate", "calls")                       \
+	X(CALLS_FORWARDED, "calls_forwarded_to_issuer", "calls")             \
+	X(CALLS_CUT_AT_SHUTDOWN, "calls_cut_at_shutdown", "calls")           \
+	X(ATTEMPTS_STARTED, "attempts_started", "attempts")                  \
+	X(ATTEMPTS_RETRIED, "attempts_retried", "attempts")                  \
+	X(ATTEMPTS_SHED, "attempts_shed_by_upstream", "attempts")            \
+	X(ATTEMPTS_FAILED, "attempts_failed", "attempts")                    \
+	X(ANSWERS_DROPPED, "answers_dropped", "answers")                     \
+	X(ENDPOINTS_EJECTED, "endpoint_ejections", "ejections")              \
+	X(ENDPOINTS_SLOW, "endpoints_found_slow", "endpoints")               \
+	X(ENDPOINTS_LEAVING, "endpoints_said_leaving", "endpoints")          \
+	X(ENDPOINTS_PAUSED, "endpoint_pauses", "pauses")                     \
+	X(PROBES_SENT, "probes_sent", "probes")                              \
+	X(PROBES_SUPPRESSED, "probes_suppressed_by_budget", "probes")        \
+	X(IDS_ISSUED, "request_ids_minted", "ids")                           \
+	X(IDS_SEALED, "request_ids_sealed", "ids")                           \
+	X(ANSWERS_EVICTED, "held_answers_evicted", "answers")                \
+	X(CONFIG_ACCEPTED, "config_versions_put_in_force", "versions")       \
+	X(CONFIG_REJECTED, "config_versions_rejected", "versions")           \
+	X(OBJECT_API_CALLS, "object_api_calls", "calls")                     \
+	X(OBJECT_API_FAILURES, "object_api_failures", "calls")               \
+	X(PEER_MESSAGES_SENT, "peer_messages_sent", "messages")              \
+	X(PEER_BYTES_SENT, "peer_bytes_sent", "bytes")                       \
+	X(PEER_MESSAGES_RECEIVED, "peer_messages_received", "messages")      \
+	X(LOG_LINES_DROPPED, "log_lines_dropped", "lines")                   \
+	X(CONNECTIONS_SILENT, "connections_closed_as_silent", "connections") \
+	X(BODIES_REFUSED, "bodies_refused", "requests")
 
 typedef enum {
 #define X(id, name, unit) COUNTER_##id,
--- a/net/http_message.c
+++ b/net/http_message.c
@@ -15,6 +15,7 @@
 	GString *target;
 	GByteArray *body;
 	gsize header_bytes;
+	gsize announced_bytes; /* Content-Length, 0 without one */
 	gboolean bodiless; /* responses end with their headers */
 	gboolean value_begun; /* part of that header's value was parsed */
 	gboolean has_headers; /* names and values from now on are trailers */
@@ -136,6 +137,7 @@
 	http_message_free(parser->message);
 	parser->message = message_new();
 	parser->header_bytes = 0;
+	parser->announced_bytes = 0;
 	parser->value_begun = FALSE;
 	parser->has_headers = FALSE;
 	parser->complete = FALSE;
@@ -246,9 +248,10 @@
 		return fail(parser, HTTP_PARSE_MALFORMED);
 	if (parser->bodiless)
 		return SKIP_BODY;
+	if (impl->content_length != G_MAXUINT64)
+		parser->announced_bytes = impl->content_length;
 	if (parser->limits.body_bytes_max &&
-	    impl->content_length != G_MAXUINT64 &&
-	    impl->content_length > parser->limits.body_bytes_max)
+	    parser->announced_bytes > parser->limits.body_bytes_max)
 		return fail(parser, HTTP_PARSE_BODY_TOO_LARGE);
 	return 0;
 }
@@ -386,6 +389,13 @@
 	return parser->header_bytes + parser->body->len;
 }
 
+gsize http_message_parser_body_bytes(const http_message_parser_t *parser)
+{
+	if (parser->complete)
+		return g_bytes_get_size(parser->message->body);
+	return MAX(parser->announced_bytes, parser->body->len);
+}
+
 gboolean http_message_parser_has_begun(const http_message_parser_t *parser)
 {
 	return parser->message != NULL;
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -112,6 +112,12 @@
 /* Bytes of the current message that are kept. */
 gsize http_message_parser_kept_bytes(const http_message_parser_t *parser);
 
+/*
+ * Bytes of the body of the current message: as announced, as received so far if
+ * that is more, or of the complete body.
+ */
+gsize http_message_parser_body_bytes(const http_message_parser_t *parser);
+
 /* TRUE when part of the current message was received. */
 gboolean http_message_parser_has_begun(const http_message_parser_t *parser);
 
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -21,6 +21,9 @@
  */
 #define LINGER_TIMEOUT (1 * G_TIME_SPAN_SECOND)
 
+/* Header of a refusal for want of room; large bodies take about a second. */
+#define BODY_REFUSED_HEADERS "Retry-After: 1\r\n"
+
 /* Space for the headers of most responses. */
 #define RESPONSE_HEADERS_BYTES 512
 
@@ -33,6 +36,8 @@
 	TAILQ_HEAD(exchange_list, http_exchange) exchanges; /* oldest first */
 	guint exchange_count;
 	GTimeSpan timer_start; /* last response or first byte of a request */
+	GTimeSpan last_received; /* instant */
+	gsize body_held; /* of the budget, for the request being received */
 	gboolean unused; /* has received nothing yet */
 	gboolean closing; /* accepts no requests, ends with the last response */
 	gboolean lingering; /* the last response was written */
@@ -48,11 +53,13 @@
 	GString *response; /* NULL until the handler replied */
 	gsize headers_end; /* offset in the response */
 	GBytes *response_body; /* sent after the response, or NULL */
+	gsize body_held; /* of the budget, for the request */
 };
 
 struct http_server {
 	http_server_events_t events;
 	const catk_clock_t *clock;
+	body_budget_t *body_budget; /* NULL for none */
 	GSocket *listener;
 	GSource *accept_source;
 	guint timeout_source;
@@ -66,10 +73,17 @@
 	return http_status_str((enum http_status)status);
 }
 
+static void release_body(const http_server_t *server, gsize *held)
+{
+	if (*held)
+		body_budget_resize(server->body_budget, held, 0);
+}
+
 static void exchange_free(http_exchange_t *exchange)
 {
 	connection_t *connection = exchange->connection;
 
+	release_body(connection->server, &exchange->body_held);
 	TAILQ_REMOVE(&connection->exchanges, exchange, link);
 	connection->exchange_count--;
 	if (exchange->response)
@@ -82,6 +96,7 @@
 static void connection_free(connection_t *connection)
 {
 	TAILQ_REMOVE(&connection->server->connections, connection, link);
+	release_body(connection->server, &connection->body_held);
 	while (!TAILQ_EMPTY(&connection->exchanges))
 		exchange_free(TAILQ_FIRST(&connection->exchanges));
 	stream_free(connection->stream);
@@ -235,23 +250,47 @@
 }
 
 /* Responds after the earlier requests; accepts no more on the connection. */
-static void reject_request(connection_t *connection, guint status)
+static void reject_request(connection_t *connection, guint status,
+			   const char *headers)
 {
 	http_exchange_t *exchange = add_exchange(connection, NULL);
 
 	connection->closing = TRUE;
-	http_exchange_reply(exchange, status, "", NULL);
+	http_exchange_reply(exchange, status, headers, NULL);
+}
+
+/* Returns FALSE if the budget has no room for the body being received. */
+static gboolean hold_body(connection_t *connection)
+{
+	body_budget_t *budget = connection->server->body_budget;
+	gsize bytes = http_message_parser_body_bytes(connection->parser);
+
+	return !budget || bytes <= connection->body_held ||
+	       body_budget_resize(budget, &connection->body_held, bytes);
+}
+
+static void refuse_body(connection_t *connection)
+{
+	const http_server_events_t *events = &connection->server->events;
+
+	events->body_refused(events->ctx, http_message_parser_body_bytes(
+						  connection->parser));
+	reject_request(connection, HTTP_STATUS_SERVICE_UNAVAILABLE,
+		       BODY_REFUSED_HEADERS);
 }
 
 static void dispatch_request(connection_t *connection)
 {
 	const http_server_events_t *events = &connection->server->events;
 	http_message_t *request = http_message_parser_take(connection->parser);
+	http_exchange_t *exchange = add_exchange(connection, request);
 
+	exchange->body_held = connection->body_held;
+	connection->body_held = 0;
 	if (!request->keep_alive)
 		connection->closing = TRUE;
 	connection->timer_start = connection_now(connection);
-	events->request(events->ctx, add_exchange(connection, request));
+	events->request(events->ctx, exchange);
 }
 
 static void apply_limits(connection_t *connection)
@@ -260,7 +299,12 @@
 	schema_request_limits_t limits = events->limits(events->ctx);
 	http_message_limits_t bytes = { limits.header_bytes_max,
 					limits.body_bytes_max };
+	const body_budget_t *budget = connection->server->body_budget;
 
+	/* A larger body would never have room. */
+	if (budget &&
+	    (!bytes.body_bytes_max || bytes.body_bytes_max > budget->max))
+		bytes.body_bytes_max = budget->max;
 	http_message_parser_set_limits(connection->parser, &bytes);
 }
 
@@ -282,11 +326,14 @@
 						  data + consumed,
 						  size - consumed, &used);
 		consumed += used;
-		if (result == HTTP_PARSE_COMPLETE)
-			dispatch_request(connection);
-		else if (result != HTTP_PARSE_INCOMPLETE)
+		if (result != HTTP_PARSE_COMPLETE &&
+		    result != HTTP_PARSE_INCOMPLETE)
 			reject_request(connection,
-				       status_for_parse_error(result));
+				       status_for_parse_error(result), "");
+		else if (!hold_body(connection))
+			refuse_body(connection);
+		else if (result == HTTP_PARSE_COMPLETE)
+			dispatch_request(connection);
 	}
 	return connection->closing ? size : consumed;
 }
@@ -333,6 +380,7 @@
 	connection_t *connection = ctx;
 
 	connection->unused = FALSE;
+	connection->last_received = connection_now(connection);
 	if (connection->closing)
 		return;
 	g_byte_array_append(connection->input, (const guint8 *)data,
@@ -428,6 +476,25 @@
 		close_if_idle(connection);
 }
 
+/* Reading may have been paused until the last response was written. */
+static GTimeSpan time_without_progress(const connection_t *connection,
+				       GTimeSpan now)
+{
+	return now - MAX(connection->last_received, connection->timer_start);
+}
+
+/* A request whose headers take too long, or whose body makes no progress. */
+static gboolean is_request_overdue(const connection_t *connection,
+				   const schema_request_limits_t *limits,
+				   GTimeSpan now)
+{
+	if (!http_message_parser_has_headers(connection->parser))
+		return limits->header_timeout &&
+		       now - connection->timer_start > limits->header_timeout;
+	return limits->idle_timeout &&
+	       time_without_progress(connection, now) > limits->idle_timeout;
+}
+
 static void check_timeouts(connection_t *connection,
 			   const schema_request_limits_t *limits, GTimeSpan now)
 {
@@ -443,9 +510,9 @@
 	if (connection->exchange_count)
 		return;
 	if (http_message_parser_has_begun(connection->parser)) {
-		if (limits->header_timeout && age > limits->header_timeout &&
-		    !http_message_parser_has_headers(connection->parser))
-			reject_request(connection, HTTP_STATUS_REQUEST_TIMEOUT);
+		if (is_request_overdue(connection, limits, now))
+			reject_request(connection, HTTP_STATUS_REQUEST_TIMEOUT,
+				       "");
 	} else if (limits->idle_timeout && age > limits->idle_timeout) {
 		close_if_idle(connection);
 	}
@@ -491,6 +558,11 @@
 	return server;
 }
 
+void http_server_set_body_budget(http_server_t *server, body_budget_t *budget)
+{
+	server->body_budget = budget;
+}
+
 static void stop_accepting(http_server_t *server)
 {
 	if (server->stopped)
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -6,6 +6,7 @@
 #ifndef CATK_HTTP_SERVER_H
 #define CATK_HTTP_SERVER_H
 
+#include "lib/admission/body_budget.h"
 #include "lib/common/clock.h"
 #include "lib/common/error.h"
 #include "lib/schema/schema.h"
@@ -34,6 +35,11 @@
 	 * on, and is closed after those in progress are answered.
 	 */
 	gboolean (*closing)(void *ctx);
+	/*
+	 * A request was refused, as the budget has no room for its body of at
+	 * least bytes. Not NULL if a budget is set.
+	 */
+	void (*body_refused)(void *ctx, gsize bytes);
 	void *ctx;
 } http_server_events_t;
 
@@ -45,6 +51,13 @@
 			       const http_server_events_t *events,
 			       const catk_clock_t *clock, catk_error_t *err);
 
+/*
+ * Limits the bodies of all requests together, from the announcement of a body to
+ * the response. A request whose body has no room is refused with status 503 and
+ * is not passed to the handler. budget must outlive the server.
+ */
+void http_server_set_body_budget(http_server_t *server, body_budget_t *budget);
+
 /* Closes all connections without callbacks. NULL is allowed. */
 void http_server_free(http_server_t *server);
 
@@ -72,9 +85,10 @@
 void **http_exchange_user_data(http_exchange_t *exchange);
 
 /*
- * Responds to a request. headers are complete header lines, body may be NULL;
- * both are copied. The body of a response to HEAD and its Content-Length are not
- * sent; headers may have the Content-Length of the response to GET. The exchange is freed once all earlier responses on its
+ * Responds to a request. headers are complete header lines, which are copied;
+ * body is referenced and may be NULL. The body of a response to HEAD and its
+ * Content-Length are not sent; headers may have the Content-Length of the
+ * response to GET. The exchange is freed once all earlier responses on its
  * connection are written.
  */
 void http_exchange_reply(http_exchange_t *exchange, guint status,
--- a/net/proxy.c
+++ b/net/proxy.c
@@ -39,6 +39,9 @@
 	entry_t *entry;
 	proxy_codec_t codec;
 	const catk_clock_t *clock;
+	const event_log_t *log;
+	counters_t *counters;
+	body_budget_t request_bodies;
 	http_server_t *server;
 	http_client_t *client;
 	guint64 next_probe_id;
@@ -148,6 +151,18 @@
 	return entry_is_leaving(proxy->entry);
 }
 
+static void on_body_refused(void *ctx, gsize bytes)
+{
+	const proxy_t *proxy = ctx;
+
+	counters_add(proxy->counters, COUNTER_BODIES_REFUSED, 1);
+	LOG_EVENT(proxy->log, "body_refused",
+		  LOG_NUMBER("bytes", (gint64)bytes),
+		  LOG_NUMBER("held_bytes",
+			     (gint64)body_budget_used(&proxy->request_bodies)),
+		  LOG_NUMBER("max_bytes", (gint64)proxy->request_bodies.max));
+}
+
 static attempt_end_t attempt_end_from(http_client_end_t end)
 {
 	switch (end) {
@@ -252,12 +267,13 @@
 }
 
 proxy_t *proxy_new(const char *address, entry_t *entry,
-		   const proxy_codec_t *codec, gsize response_bytes_max,
-		   const catk_clock_t *clock, catk_error_t *err)
+		   const proxy_codec_t *codec, const proxy_limits_t *limits,
+		   const catk_clock_t *clock, const event_log_t *log,
+		   counters_t *counters, catk_error_t *err)
 {
-	const http_message_limits_t limits = {
+	const http_message_limits_t response_limits = {
 		.header_bytes_max = HTTP_RESPONSE_HEADER_BYTES_MAX,
-		.body_bytes_max = response_bytes_max,
+		.body_bytes_max = limits->response_bytes_max,
 	};
 	proxy_t *proxy = g_new0(proxy_t, 1);
 	http_server_events_t server_events = {
@@ -265,6 +281,7 @@
 		.disconnected = on_disconnected,
 		.limits = current_limits,
 		.closing = is_leaving,
+		.body_refused = on_body_refused,
 		.ctx = proxy,
 	};
 	http_client_events_t client_events = {
@@ -277,15 +294,23 @@
 	proxy->entry = entry;
 	proxy->codec = *codec;
 	proxy->clock = clock;
+	proxy->log = log;
+	proxy->counters = counters;
+	body_budget_init(&proxy->request_bodies, limits->request_bodies_max);
 	proxy->next_probe_id = FIRST_PROBE_ID;
 	TAILQ_INIT(&proxy->outgoing);
 	proxy->outgoing_by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	proxy->exchanges = g_hash_table_new(NULL, NULL);
-	proxy->client = http_client_new(&client_events, &limits, clock);
-	http_client_set_kept_bytes_max(proxy->client, MAX(RESPONSES_BYTES_MAX,
-							  response_bytes_max));
+	proxy->client =
+		http_client_new(&client_events, &response_limits, clock);
+	http_client_set_kept_bytes_max(proxy->client,
+				       MAX(RESPONSES_BYTES_MAX,
+					   limits->response_bytes_max));
 	proxy->server = http_server_new(address, &server_events, clock, err);
-	if (!proxy->server)
+	if (proxy->server)
+		http_server_set_body_budget(proxy->server,
+					    &proxy->request_bodies);
+	else
 		g_clear_pointer(&proxy, proxy_free);
 	return proxy;
 }
--- a/programs/daemon.c
+++ b/programs/daemon.c
@@ -20,6 +20,11 @@
 
 #define OBJECT_API_TIMEOUT (2 * G_TIME_SPAN_SECOND)
 #define INCARNATION_RANDOM_BITS 10
+/*
+ * Percentage of the process's memory for the bodies of requests. The rest is for
+ * responses, connections, configuration and records of request ids.
+ */
+#define REQUEST_BODIES_PERCENT 40
 
 typedef struct {
 	const settings_t *settings;
@@ -362,6 +367,11 @@
 {
 	const settings_t *settings = daemon->settings;
 	proxy_codec_t codec = http_codec();
+	const proxy_limits_t limits = {
+		.response_bytes_max = (gsize)settings->body_bytes_max,
+		.request_bodies_max = ((gsize)settings->memory_max_mb << 20) /
+				      100 * REQUEST_BODIES_PERCENT,
+	};
 
 	daemon->platform = platform_new(settings, daemon->entry, &system_clock,
 					&daemon->counters, err);
@@ -370,8 +380,8 @@
 	if (!settings->proxy_address)
 		return TRUE;
 	daemon->proxy = proxy_new(settings->proxy_address, daemon->entry,
-				  &codec, (gsize)settings->body_bytes_max,
-				  &system_clock, err);
+				  &codec, &limits, &system_clock, &daemon->log,
+				  &daemon->counters, err);
 	return daemon->proxy != NULL;
 }
 
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -10,6 +10,7 @@
 #include <gio/gio.h>
 #include <string.h>
 
+#include "lib/admission/body_budget.h"
 #include "net/http_server.h"
 #include "net/system_clock.h"
 #include "tests/support.h"
@@ -30,6 +31,8 @@
 	http_exchange_t *exchanges[REQUESTS_MAX];
 	guint requests;
 	gboolean closing;
+	body_budget_t budget; /* in use after set_body_budget() */
+	guint bodies_refused;
 } fixture_t;
 
 static void on_request(void *ctx, http_exchange_t *exchange)
@@ -60,6 +63,20 @@
 	return f->closing;
 }
 
+static void on_body_refused(void *ctx, gsize bytes)
+{
+	fixture_t *f = ctx;
+
+	(void)bytes;
+	f->bodies_refused++;
+}
+
+static void set_body_budget(fixture_t *f, gsize bytes)
+{
+	body_budget_init(&f->budget, bytes);
+	http_server_set_body_budget(f->server, &f->budget);
+}
+
 static GSocket *connect_client(void)
 {
 	GSocketAddress *address = g_inet_socket_address_new_from_string(
@@ -81,6 +98,7 @@
 					.disconnected = on_disconnected,
 					.limits = idle_limit,
 					.closing = is_closing,
+					.body_refused = on_body_refused,
 					.ctx = f };
 	gchar *address =
 		g_strdup_printf("127.0.0.1:%u", test_port(SERVER_PORT));
@@ -296,6 +314,92 @@
 	assert_false(http_server_is_idle(f->server));
 }
 
+/* Reads what has arrived; it must begin with the status line. */
+static void assert_status(GSocket *client, const char *status_line)
+{
+	char data[1024];
+	gssize size;
+
+	run_loop_for(50);
+	size = g_socket_receive(client, data, sizeof(data) - 1, NULL, NULL);
+	assert_true(size > 0);
+	data[size] = '\0';
+	assert_true(g_str_has_prefix(data, status_line));
+}
+
+/* Fails if a body without room is read, or its request is handled. */
+static void body_without_room_is_refused_at_its_head(void **state)
+{
+	const char *head = "PUT / HTTP/1.1\r\nHost: a\r\n"
+			   "Content-Length: 100000\r\n\r\n";
+	fixture_t *f = *state;
+	GSocket *second = connect_client();
+
+	set_body_budget(f, 1000000);
+	send_text(f, "PUT / HTTP/1.1\r\nHost: a\r\n"
+		     "Content-Length: 700000\r\n\r\n");
+	run_loop_for(50);
+	assert_int_equal(body_budget_used(&f->budget), 700000);
+	g_socket_send(second, head, strlen(head), NULL, NULL);
+	assert_status(second, "HTTP/1.1 503 Service Unavailable\r\n"
+			      "Retry-After: 1\r\n");
+	assert_int_equal(f->bodies_refused, 1);
+	assert_int_equal(f->requests, 0);
+	/* The room returns when the client gives up. */
+	g_socket_close(f->client, NULL);
+	run_loop_for(50);
+	assert_int_equal(body_budget_used(&f->budget), 0);
+	g_object_unref(second);
+}
+
+/* Fails if a body of unknown length exceeds the budget, or keeps its share. */
+static void chunked_body_is_held_as_it_grows(void **state)
+{
+	char *chunk = g_strnfill(100000, 'x');
+	fixture_t *f = *state;
+	guint i;
+
+	set_body_budget(f, 1000000);
+	send_text(f, "PUT / HTTP/1.1\r\nHost: a\r\n"
+		     "Transfer-Encoding: chunked\r\n\r\n");
+	for (i = 0; i < 5; i++) {
+		send_text(f, "186a0\r\n");
+		send_text(f, chunk);
+		send_text(f, "\r\n");
+		run_loop_for(50);
+	}
+	assert_int_equal(body_budget_used(&f->budget), 500000);
+	send_text(f, "0\r\n\r\n");
+	run_loop_for(50);
+	assert_int_equal(f->requests, 1);
+	assert_int_equal(body_budget_used(&f->budget), 500000);
+	reply_with(f, 0, 1);
+	assert_int_equal(body_budget_used(&f->budget), 0);
+	send_text(f, "PUT / HTTP/1.1\r\nHost: a\r\n"
+		     "Content-Length: 1000001\r\n\r\n");
+	run_loop_for(50);
+	assert_int_equal(f->requests, 1);
+	g_free(chunk);
+}
+
+/* Fails if a client that stops within a body keeps its room for good. */
+static void body_without_progress_times_out(void **state)
+{
+	fixture_t *f = *state;
+
+	set_body_budget(f, 1000000);
+	send_text(f, "PUT / HTTP/1.1\r\nHost: a\r\n"
+		     "Content-Length: 700000\r\n\r\nx");
+	run_loop_for(50);
+	assert_int_equal(body_budget_used(&f->budget), 700000);
+	run_loop_for(IDLE_TIMEOUT_MS + TIMEOUT_CHECK_MS);
+	assert_status(f->client, "HTTP/1.1 408 ");
+	assert_int_equal(f->requests, 0);
+	g_socket_close(f->client, NULL);
+	run_loop_for(50);
+	assert_int_equal(body_budget_used(&f->budget), 0);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
@@ -311,6 +415,9 @@
 		TEST(stop_waits_until_the_last_response_is_read),
 		TEST(slow_reader_gets_the_whole_last_response),
 		TEST(requests_in_progress_are_answered_before_a_close),
+		TEST(body_without_room_is_refused_at_its_head),
+		TEST(chunked_body_is_held_as_it_grows),
+		TEST(body_without_progress_times_out),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -712,25 +712,35 @@
 	return kilobytes << 10;
 }
 
+/* Sends the head of a request with a body of that size. */
+static GSocketConnection *announce_body(fixture_t *f, gsize size)
+{
+	GSocketConnection *connection = open_connection(test_port(PROXY_PORT));
+	char *length = g_strdup_printf("Content-Length: %zu\r\n", size);
+	char *request = request_text(f, "PUT", "/once/large", length);
+
+	send_bytes(connection, request);
+	g_free(request);
+	g_free(length);
+	return connection;
+}
+
 /* Fails if bodies within the limit end the process for its memory. */
 static void large_bodies_are_held_once(void **state)
 {
 	/* 60% of the memory that the users' sites give a process. */
 	const gsize peak_max = (gsize)260 * 60 / 100 << 20;
 	const gsize body_size = 32000000;
-	char *length = g_strdup_printf("Content-Length: %zu\r\n", body_size);
 	char *body = g_malloc0(body_size);
 	GSocketConnection *connections[4];
 	fixture_t *f = *state;
-	char *request, *answer;
+	char *answer;
 	gsize i;
 
 	put_config_with_limit(8, "", 64 << 20);
 	run_loop_for(CONFIG_BOUND_MS);
 	for (i = 0; i < G_N_ELEMENTS(connections); i++) {
-		connections[i] = open_connection(test_port(PROXY_PORT));
-		request = request_text(f, "PUT", "/once/large", length);
-		send_bytes(connections[i], request);
+		connections[i] = announce_body(f, body_size);
 		assert_true(g_output_stream_write_all(
 			g_io_stream_get_output_stream(
 				G_IO_STREAM(connections[i])),
@@ -738,7 +748,6 @@
 		answer = read_answers(connections[i], 1);
 		assert_int_equal(status_of(answer), 200);
 		assert_int_equal(count_runs(f, FALSE), 1);
-		g_free(request);
 		g_free(answer);
 	}
 	if (peak_memory(f->daemon) > peak_max)
@@ -746,7 +755,47 @@
 	for (i = 0; i < G_N_ELEMENTS(connections); i++)
 		g_object_unref(connections[i]);
 	g_free(body);
-	g_free(length);
+}
+
+/* Fails if several large bodies fill the memory, or hold up small requests. */
+static void large_bodies_at_once_are_bounded(void **state)
+{
+	const gsize peak_max = (gsize)260 * 60 / 100 << 20;
+	const gsize body_size = 32000000;
+	char *body = g_malloc0(body_size);
+	GSocketConnection *connections[4];
+	fixture_t *f = *state;
+	char *answer;
+	gsize i;
+
+	put_config_with_limit(8, "", 64 << 20);
+	run_loop_for(CONFIG_BOUND_MS);
+	for (i = 0; i < G_N_ELEMENTS(connections); i++) {
+		connections[i] = announce_body(f, body_size);
+		/* The order of arrival decides who has room. */
+		run_loop_for(50);
+	}
+	for (i = 2; i < G_N_ELEMENTS(connections); i++) {
+		answer = read_answers(connections[i], 1);
+		assert_int_equal(status_of(answer), 503);
+		assert_non_null(strstr(answer, "Retry-After: "));
+		g_free(answer);
+	}
+	assert_int_equal(request_status(f, "PUT", "/once/small"), 200);
+	for (i = 0; i < 2; i++) {
+		assert_true(g_output_stream_write_all(
+			g_io_stream_get_output_stream(
+				G_IO_STREAM(connections[i])),
+			body, body_size, NULL, NULL, NULL));
+		answer = read_answers(connections[i], 1);
+		assert_int_equal(status_of(answer), 200);
+		g_free(answer);
+	}
+	if (peak_memory(f->daemon) > peak_max)
+		fail_msg("%zu bytes of memory", peak_memory(f->daemon));
+	for (i = 0; i < G_N_ELEMENTS(connections); i++)
+		g_object_unref(connections[i]);
+	g_free(body);
 }
 
 /* Fails if the answer to another request is forwarded. */
@@ -1576,6 +1625,7 @@
 		TEST(safe_request_is_repeated_after_a_cut_answer),
 		TEST(endless_answer_is_bounded),
 		TEST(large_bodies_are_held_once),
+		TEST(large_bodies_at_once_are_bounded),
 		TEST(answers_to_other_requests_are_discarded),
 		TEST(pipelined_requests_run_side_by_side),
 		TEST(caller_disconnect_cancels_its_request),
