Detect silent connections to the store within the bound

Cause: TCP_USER_TIMEOUT, 4 s on every stream, overrides the number of keep-alive probes (tcp(7)), so a silent connection to the store ended after 4 s instead of 3 s, and one on which a watch was sent during the silence up to 4.4 s after that.

Connections to the store now end when nothing is acknowledged for half of reconnect_bound, 1.5 s with the users' bounds. The rest is for the pause between two watches, the new connection, the answer and its spread.

--- a/net/http_client.c
+++ b/net/http_client.c
@@ -67,7 +67,7 @@
 	gsize kept_bytes; /* of all responses being received */
 	gsize kept_bytes_max; /* 0 for no limit */
 	guint timeout_source; /* 0 without connections */
-	gboolean tcp_keepalive;
+	GTimeSpan silence_timeout; /* 0: that of every stream */
 };
 
 static GTimeSpan client_now(const http_client_t *client)
@@ -335,8 +335,9 @@
 
 	/* When this fails, the next timeout check ends the request as unsent. */
 	connection->stream = stream_connect(peer->address, &events, NULL);
-	if (connection->stream && peer->client->tcp_keepalive)
-		stream_enable_tcp_keepalive(connection->stream);
+	if (connection->stream && peer->client->silence_timeout)
+		stream_detect_silence(connection->stream,
+				      peer->client->silence_timeout);
 	connection->peer = peer;
 	connection->parser = http_message_parser_new(FALSE);
 	http_message_parser_set_limits(connection->parser,
@@ -479,9 +480,9 @@
 	return client;
 }
 
-void http_client_enable_tcp_keepalive(http_client_t *client)
+void http_client_detect_silence(http_client_t *client, GTimeSpan timeout)
 {
-	client->tcp_keepalive = TRUE;
+	client->silence_timeout = timeout;
 }
 
 void http_client_set_kept_bytes_max(http_client_t *client, gsize max)
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -70,10 +70,10 @@
 			       const catk_clock_t *clock);
 
 /*
- * Enables TCP keepalive on connections opened from now on, so that a request
- * on a connection whose peer is unreachable fails within a few seconds.
+ * Ends connections opened from now on when their peer has been silent for
+ * timeout; see stream_detect_silence().
  */
-void http_client_enable_tcp_keepalive(http_client_t *client);
+void http_client_detect_silence(http_client_t *client, GTimeSpan timeout);
 
 /*
  * Limits the bytes that are kept of all incomplete responses together, 0 for no
--- a/net/stream.c
+++ b/net/stream.c
@@ -16,10 +16,12 @@
  */
 #define USER_TIMEOUT_MS 4000
 
-/* An idle connection to an unreachable peer ends within 3 s. */
+/*
+ * Linux ends a connection by TCP_USER_TIMEOUT instead of by the number of probes
+ * that were not answered, but checks it only when a probe is due (tcp(7)).
+ */
 #define KEEPALIVE_IDLE_S 1
 #define KEEPALIVE_INTERVAL_S 1
-#define KEEPALIVE_COUNT 2
 
 /* Data that the kernel has not accepted completely yet. */
 typedef struct output {
@@ -355,7 +357,7 @@
 	return stream->bytes_buffered;
 }
 
-void stream_enable_tcp_keepalive(stream_t *stream)
+void stream_detect_silence(stream_t *stream, GTimeSpan timeout)
 {
 	GSocket *socket = stream->socket;
 
@@ -364,8 +366,8 @@
 			    NULL);
 	g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL,
 			    KEEPALIVE_INTERVAL_S, NULL);
-	g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_COUNT,
-			    NULL);
+	g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+			    (gint)(timeout / G_TIME_SPAN_MILLISECOND), NULL);
 }
 
 void stream_set_reading(stream_t *stream, gboolean reading)
--- a/net/stream.h
+++ b/net/stream.h
@@ -68,8 +68,12 @@
 /* Bytes written but not yet passed to the kernel. */
 gsize stream_bytes_buffered(const stream_t *stream);
 
-/* Enables TCP keepalive probes to detect an unreachable peer. */
-void stream_enable_tcp_keepalive(stream_t *stream);
+/*
+ * Ends the connection when the peer has acknowledged nothing for timeout: after
+ * timeout if data is in flight, otherwise at the first probe after it, which are
+ * sent each second.
+ */
+void stream_detect_silence(stream_t *stream, GTimeSpan timeout);
 
 /*
  * Pauses or resumes reading. While reading is paused, the end of the stream is
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -9,12 +9,17 @@
  *            requests received in this mode
  *   lose     never responds to requests received in this mode; pending watches
  *            continue
+ *   mute     makes all open connections silent for good: neither requests nor
+ *            acknowledgements pass; new connections work
  *   compact  discards the history once: pending watches, and later ones from an
  *            earlier revision, end with status 410
  *
  *   fake_store --port PORT [--page OBJECTS]
  */
 #include <argp.h>
+#include <linux/filter.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <glib-unix.h>
 #include <json-glib/json-glib.h>
 #include <signal.h>
@@ -26,6 +31,7 @@
 
 #define OBJECTS_PATH "/-/objects/"
 #define WATCH_CHECK_MS 5
+#define FDS_MAX 1024
 
 typedef struct object {
 	TAILQ_ENTRY(object) link;
@@ -245,6 +251,35 @@
 	}
 }
 
+static gboolean is_connection(int fd)
+{
+	struct sockaddr_in peer = { 0 };
+	socklen_t size = sizeof(peer);
+
+	return getpeername(fd, (struct sockaddr *)&peer, &size) == 0 &&
+	       peer.sin_family == AF_INET;
+}
+
+/*
+ * A filter drops what arrives, so the kernel acknowledges nothing. Watches are
+ * dropped, as what this side sends would still pass.
+ */
+static void mute_connections(void)
+{
+	struct sock_filter drop = BPF_STMT(BPF_RET | BPF_K, 0);
+	struct sock_fprog program = { .len = 1, .filter = &drop };
+	int fd;
+
+	for (fd = 0; fd < FDS_MAX; fd++)
+		if (is_connection(fd) &&
+		    setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+			       sizeof(program)))
+			g_error("cannot mute a connection: %s",
+				g_strerror(errno));
+	while (!TAILQ_EMPTY(&store.watches))
+		watch_free(TAILQ_FIRST(&store.watches));
+}
+
 static void set_fault(http_exchange_t *exchange, const char *mode)
 {
 	g_free(store.fault);
@@ -255,6 +290,8 @@
 		end_watches(410);
 	} else if (strcmp(mode, "swallow") == 0) {
 		end_watches(503);
+	} else if (strcmp(mode, "mute") == 0) {
+		mute_connections();
 	}
 	reply(exchange, 200, "{}");
 	/* The reply freed the request, which mode is a part of. */
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1030,6 +1030,42 @@
 	assert_true(requests_avoid_endpoint(f, "i-0"));
 }
 
+/*
+ * Fails if a version comes into force too late after all connections to the
+ * store went silent while a watch was in flight.
+ */
+static void silent_connections_do_not_hide_a_version(void **state)
+{
+	fixture_t *f = *state;
+
+	run_loop_for(WATCH_START_MS);
+	change_config();
+	run_loop_for(300);
+	set_fault("mute");
+	run_loop_for(300);
+	put_config(30, ROUTE("new", "/new/", "safe"));
+	assert_true(
+		wait_until(new_route_is_served, f, OUTAGE_RECOVERY_MS - 300));
+}
+
+/*
+ * Fails if a leaving endpoint gets requests too long after all connections to
+ * the store went silent in the pause between two watches.
+ */
+static void silent_connections_do_not_hide_a_leaving_endpoint(void **state)
+{
+	fixture_t *f = *state;
+
+	run_loop_for(WATCH_START_MS);
+	change_endpoint();
+	run_loop_for(300);
+	set_fault("mute");
+	run_loop_for(700);
+	put_endpoint(0, "draining", 2);
+	run_loop_for(OUTAGE_RECOVERY_MS - 700);
+	assert_true(requests_avoid_endpoint(f, "i-0"));
+}
+
 /* Fails if a lost watch hides a removed endpoint for longer than the bound. */
 static void lost_watch_does_not_hide_a_removed_endpoint(void **state)
 {
@@ -1637,6 +1673,8 @@
 		TEST(lost_watch_does_not_hide_a_version),
 		TEST(lost_watch_does_not_hide_a_leaving_endpoint),
 		TEST(lost_watch_does_not_hide_a_removed_endpoint),
+		TEST(silent_connections_do_not_hide_a_version),
+		TEST(silent_connections_do_not_hide_a_leaving_endpoint),
 		TEST(malformed_entry_hides_no_other_entry),
 		TEST(leaving_endpoint_gets_no_new_requests),
 		TEST(pausing_endpoint_gets_no_requests),
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -17,6 +17,7 @@
 
 #define STORE_PORT 740
 #define SMALL_PIECE_BYTES 7
+#define RECONNECT_BOUND (3 * G_TIME_SPAN_SECOND)
 #define OBJECTS 2 /* in each answer */
 
 typedef struct {
@@ -36,7 +37,8 @@
 	gchar *address = g_strdup_printf("127.0.0.1:%u", test_port(STORE_PORT));
 
 	f->server = answer_server_new(test_port(STORE_PORT));
-	f->store = store_new(address, &system_clock, &f->counters);
+	f->store = store_new(address, RECONNECT_BOUND, &system_clock,
+			     &f->counters);
 	g_free(address);
 	*state = f;
 	return 0;
