Hold no budget for a message that was taken

The parser kept the length that the last message announced. If a client sent a blank line after a request, as HTTP/1.1 tolerates, the connection held budget for a body of that length again, until its next request or its end.

Before: taken_body_is_not_kept fails in its new last line (100,000 bytes instead of 0). After: test_http_message passes.

--- a/net/http_message.c
+++ b/net/http_message.c
@@ -365,6 +365,7 @@
 
 	g_assert(parser->complete);
 	parser->message = NULL;
+	parser->announced_bytes = 0;
 	parser->complete = FALSE;
 	parser->has_headers = FALSE;
 	http_parser_pause(&parser->impl, 0);
--- a/tests/test_http_message.c
+++ b/tests/test_http_message.c
@@ -71,6 +71,9 @@
 	message = http_message_parser_take(parser);
 	assert_int_equal(g_bytes_get_size(message->body), 100000);
 	assert_in_range(http_message_parser_kept_bytes(parser), 0, 1000);
+	/* A blank line may precede the next request. */
+	assert_int_equal(parse(parser, "\r\n", &used), HTTP_PARSE_INCOMPLETE);
+	assert_int_equal(http_message_parser_body_bytes(parser), 0);
 	http_message_free(message);
 	http_message_parser_free(parser);
 	g_free(body);
