Handle signals from the start of the process

Cause: the handlers were set after the listeners were open.

main() now blocks the three signals first; daemon_run() sets the handlers before anything is opened, and unblocks them. The handlers run in the main loop, so a signal during the start is handled after it.

--- a/programs/catkinstalld.c
+++ b/programs/catkinstalld.c
@@ -114,6 +114,7 @@
 	settings_t *settings;
 	catk_error_t error;
 
+	daemon_block_signals();
 	log_init("catkinstalld");
 	argp_parse(&argp, argc, argv, 0, NULL, &options);
 	settings = read_settings(options.settings_path);
--- a/programs/daemon.c
+++ b/programs/daemon.c
@@ -385,19 +385,45 @@
 	return daemon->proxy != NULL;
 }
 
+static sigset_t handled_signals(void)
+{
+	sigset_t signals;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGHUP);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	return signals;
+}
+
+void daemon_block_signals(void)
+{
+	sigset_t signals = handled_signals();
+
+	sigprocmask(SIG_BLOCK, &signals, NULL);
+}
+
 /*
- * The handlers of signals stay until the process ends: without them a signal that
- * comes while it cleans up would kill it.
+ * The handlers stay until the process ends: without them a signal that comes
+ * while it cleans up would kill it. They run in the main loop only, so signals
+ * during the start are handled after it.
  */
-static void add_event_sources(daemon_t *daemon)
+static void handle_signals(daemon_t *daemon)
+{
+	sigset_t signals = handled_signals();
+
+	g_unix_signal_add(SIGHUP, on_reload, daemon);
+	g_unix_signal_add(SIGTERM, on_shutdown_signal, daemon);
+	g_unix_signal_add(SIGINT, on_shutdown_signal, daemon);
+	sigprocmask(SIG_UNBLOCK, &signals, NULL);
+}
+
+static void add_entry_timer(daemon_t *daemon)
 {
 	daemon->entry_timer =
 		g_source_new(&entry_source_funcs, sizeof(entry_source_t));
 	((entry_source_t *)daemon->entry_timer)->daemon = daemon;
 	g_source_attach(daemon->entry_timer, NULL);
-	g_unix_signal_add(SIGHUP, on_reload, daemon);
-	g_unix_signal_add(SIGTERM, on_shutdown_signal, daemon);
-	g_unix_signal_add(SIGINT, on_shutdown_signal, daemon);
 }
 
 static void remove_entry_timer(daemon_t *daemon)
@@ -412,6 +438,7 @@
 	daemon_t daemon = { .settings = settings, .reload = reload };
 	gboolean ok = FALSE;
 
+	handle_signals(&daemon);
 	daemon.log = log_start_events(&daemon.counters);
 	daemon.loop = g_main_loop_new(NULL, FALSE);
 	daemon.random = g_rand_new();
@@ -439,7 +466,7 @@
 		daemon.config_source = config_source_new(
 			settings, daemon.object_api, daemon.entry);
 	}
-	add_event_sources(&daemon);
+	add_entry_timer(&daemon);
 	LOG_EVENT(&daemon.log, "started",
 		  LOG_TEXT("instance", settings->instance),
 		  LOG_TEXT("data_centre", settings->data_centre),
--- a/programs/daemon.h
+++ b/programs/daemon.h
@@ -11,6 +11,13 @@
 	void *ctx;
 } daemon_reload_t;
 
+/*
+ * Holds back the signals that daemon_run() handles. Call it first in main(): a
+ * signal during the start is then handled after it instead of killing the
+ * process.
+ */
+void daemon_block_signals(void);
+
 /*
  * Runs an instance until its graceful shutdown is complete. Returns FALSE with
  * the error if it cannot start.
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1586,6 +1586,27 @@
 	assert_true(g_get_monotonic_time() < end);
 }
 
+/* Fails if a signal kills a process that has just opened its first listener. */
+static void signals_during_the_start_do_not_kill(void **state)
+{
+	static const int signals[] = { SIGTERM, SIGHUP, SIGINT };
+	fixture_t *f = *state;
+	GSocketConnection *connection;
+	guint i;
+
+	for (i = 0; i < 9; i++) {
+		process_free(f->daemon);
+		start_daemon(f);
+		do
+			connection = try_connection(test_port(CALLER_PORT));
+		while (!connection);
+		process_signal(f->daemon, signals[i % G_N_ELEMENTS(signals)]);
+		g_object_unref(connection);
+		process_signal(f->daemon, SIGTERM);
+		assert_int_equal(process_wait(f->daemon), 0);
+	}
+}
+
 /* Fails if a killed instance does not serve soon after its restart. */
 static void restarted_instance_serves_requests(void **state)
 {
@@ -1691,6 +1712,7 @@
 		TEST(signals_during_a_shutdown_cut_no_call),
 		TEST(signals_at_the_end_of_a_shutdown_do_not_kill),
 		TEST(shutdown_before_the_first_configuration_ends),
+		TEST(signals_during_the_start_do_not_kill),
 		TEST(restarted_instance_serves_requests),
 		TEST(settings_are_reloaded),
 		TEST(metrics_are_served),
