--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -712,11 +712,22 @@
 	return kilobytes << 10;
 }
 
-/* Sends the head of a request with a body of that size. */
-static GSocketConnection *announce_body(fixture_t *f, gsize size)
+/* 60% of the memory that the users' sites give a process. */
+#define MEMORY_PEAK_MAX ((gsize)260 * 60 / 100 << 20)
+#define LARGE_BODY_BYTES ((gsize)32000000)
+
+static void allow_large_bodies(void)
+{
+	put_config_with_limit(8, "", 64 << 20);
+	run_loop_for(CONFIG_BOUND_MS);
+}
+
+/* Sends the head of a request with a large body on a new connection. */
+static GSocketConnection *announce_large_body(fixture_t *f)
 {
 	GSocketConnection *connection = open_connection(test_port(PROXY_PORT));
-	char *length = g_strdup_printf("Content-Length: %zu\r\n", size);
+	char *length =
+		g_strdup_printf("Content-Length: %zu\r\n", LARGE_BODY_BYTES);
 	char *request = request_text(f, "PUT", "/once/large", length);
 
 	send_bytes(connection, request);
@@ -725,77 +736,77 @@
 	return connection;
 }
 
+static void send_large_body(GSocketConnection *connection)
+{
+	char *body = g_malloc0(LARGE_BODY_BYTES);
+
+	assert_true(g_output_stream_write_all(
+		g_io_stream_get_output_stream(G_IO_STREAM(connection)), body,
+		LARGE_BODY_BYTES, NULL, NULL, NULL));
+	g_free(body);
+}
+
+/* Reads one answer with this status and, unless NULL, this header. */
+static void assert_answer(GSocketConnection *connection, guint status,
+			  const char *header)
+{
+	char *answer = read_answers(connection, 1);
+
+	assert_int_equal(status_of(answer), status);
+	if (header)
+		assert_non_null(strstr(answer, header));
+	g_free(answer);
+}
+
+static void assert_memory_peak(const fixture_t *f)
+{
+	if (peak_memory(f->daemon) > MEMORY_PEAK_MAX)
+		fail_msg("%zu bytes of memory", peak_memory(f->daemon));
+}
+
 /* Fails if bodies within the limit end the process for its memory. */
 static void large_bodies_are_held_once(void **state)
 {
-	/* 60% of the memory that the users' sites give a process. */
-	const gsize peak_max = (gsize)260 * 60 / 100 << 20;
-	const gsize body_size = 32000000;
-	char *body = g_malloc0(body_size);
 	GSocketConnection *connections[4];
 	fixture_t *f = *state;
-	char *answer;
 	gsize i;
 
-	put_config_with_limit(8, "", 64 << 20);
-	run_loop_for(CONFIG_BOUND_MS);
+	allow_large_bodies();
 	for (i = 0; i < G_N_ELEMENTS(connections); i++) {
-		connections[i] = announce_body(f, body_size);
-		assert_true(g_output_stream_write_all(
-			g_io_stream_get_output_stream(
-				G_IO_STREAM(connections[i])),
-			body, body_size, NULL, NULL, NULL));
-		answer = read_answers(connections[i], 1);
-		assert_int_equal(status_of(answer), 200);
+		connections[i] = announce_large_body(f);
+		send_large_body(connections[i]);
+		assert_answer(connections[i], 200, NULL);
 		assert_int_equal(count_runs(f, FALSE), 1);
-		g_free(answer);
 	}
-	if (peak_memory(f->daemon) > peak_max)
-		fail_msg("%zu bytes of memory", peak_memory(f->daemon));
+	assert_memory_peak(f);
 	for (i = 0; i < G_N_ELEMENTS(connections); i++)
 		g_object_unref(connections[i]);
-	g_free(body);
 }
 
 /* Fails if several large bodies fill the memory, or hold up small requests. */
 static void large_bodies_at_once_are_bounded(void **state)
 {
-	const gsize peak_max = (gsize)260 * 60 / 100 << 20;
-	const gsize body_size = 32000000;
-	char *body = g_malloc0(body_size);
+	const gsize with_room = 2;
 	GSocketConnection *connections[4];
 	fixture_t *f = *state;
-	char *answer;
 	gsize i;
 
-	put_config_with_limit(8, "", 64 << 20);
-	run_loop_for(CONFIG_BOUND_MS);
+	allow_large_bodies();
 	for (i = 0; i < G_N_ELEMENTS(connections); i++) {
-		connections[i] = announce_body(f, body_size);
+		connections[i] = announce_large_body(f);
 		/* The order of arrival decides who has room. */
 		run_loop_for(50);
 	}
-	for (i = 2; i < G_N_ELEMENTS(connections); i++) {
-		answer = read_answers(connections[i], 1);
-		assert_int_equal(status_of(answer), 503);
-		assert_non_null(strstr(answer, "Retry-After: "));
-		g_free(answer);
-	}
+	for (i = with_room; i < G_N_ELEMENTS(connections); i++)
+		assert_answer(connections[i], 503, "Retry-After: ");
 	assert_int_equal(request_status(f, "PUT", "/once/small"), 200);
-	for (i = 0; i < 2; i++) {
-		assert_true(g_output_stream_write_all(
-			g_io_stream_get_output_stream(
-				G_IO_STREAM(connections[i])),
-			body, body_size, NULL, NULL, NULL));
-		answer = read_answers(connections[i], 1);
-		assert_int_equal(status_of(answer), 200);
-		g_free(answer);
+	for (i = 0; i < with_room; i++) {
+		send_large_body(connections[i]);
+		assert_answer(connections[i], 200, NULL);
 	}
-	if (peak_memory(f->daemon) > peak_max)
-		fail_msg("%zu bytes of memory", peak_memory(f->daemon));
+	assert_memory_peak(f);
 	for (i = 0; i < G_N_ELEMENTS(connections); i++)
 		g_object_unref(connections[i]);
-	g_free(body);
 }
 
 /* Fails if the answer to another request is forwarded. */
