--- a/codec/settings_json.c
+++ b/codec/settings_json.c
@@ -92,7 +92,8 @@
 	  FIELD_MILLISECONDS, 1500, 60000, 3000, "ms",
 	  "time after an outage of the metadata store from which "
 	  "change_bound_ms holds; with it, the time after which a watch that "
-	  "is not answered is replaced" },
+	  "is not answered is replaced. A connection to the store on which "
+	  "nothing is acknowledged for half of it is closed" },
 	{ "first_start", ENTRY_FIELD(first_start), FIELD_UINT, 0, 1, 0,
 	  "(flag)",
 	  "1 if the whole fleet starts for the first time: instances then wait "
