--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1041,10 +1041,7 @@
 	assert_true(requests_avoid_endpoint(f, "i-0"));
 }
 
-/*
- * Fails if a version comes into force too late after all connections to the
- * store went silent while a watch was in flight.
- */
+/* Fails if connections that go silent under a watch hide a version. */
 static void silent_connections_do_not_hide_a_version(void **state)
 {
 	fixture_t *f = *state;
@@ -1059,10 +1056,7 @@
 		wait_until(new_route_is_served, f, OUTAGE_RECOVERY_MS - 300));
 }
 
-/*
- * Fails if a leaving endpoint gets requests too long after all connections to
- * the store went silent in the pause between two watches.
- */
+/* Fails if connections that go silent between watches hide a departure. */
 static void silent_connections_do_not_hide_a_leaving_endpoint(void **state)
 {
 	fixture_t *f = *state;
