--- a/lib/admission/body_budget.h
+++ b/lib/admission/body_budget.h
@@ -4,7 +4,8 @@
  * the limit of a request would fill the memory together.
  *
  * Large bodies may use a part of the budget only, so that they never exclude
- * small ones. One large body is always allowed, up to the whole budget.
+ * small ones. One large body is always allowed, up to the whole budget; small
+ * ones keep their part then, so all together may exceed the budget by it.
  */
 #ifndef CATK_BODY_BUDGET_H
 #define CATK_BODY_BUDGET_H
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -21,7 +21,7 @@
  */
 #define LINGER_TIMEOUT (1 * G_TIME_SPAN_SECOND)
 
-/* Header of a refusal for want of room; large bodies take about a second. */
+/* Header of a refusal for want of room: by then another body may have left. */
 #define BODY_REFUSED_HEADERS "Retry-After: 1\r\n"
 
 /* Space for the headers of most responses. */
