Decode organisations, warm-up limits and downloads

Cause: configurations declare tenants with keys and rate limits, public routes and a rate for endpoints that have just started, and none of it was read. Routes of type download, which are to be treated as safe, were not idempotent, so that they were neither retried nor sent on used connections.

Change: lib/organisation holds the organisations of a configuration and their keys; the schema owns it. Services have a warm-up limit, routes may be public. A version with a key that two organisations hold is rejected.

Result: test_decode/downloads_are_idempotent failed before; nothing acts on the organisations and the new settings yet.

--- a/codec/settings_json.c
+++ b/codec/settings_json.c
@@ -32,7 +32,8 @@
 	FIELD_SIZE,
 	FIELD_INT64,
 	FIELD_MILLISECONDS, /* a GTimeSpan, written in milliseconds */
-	FIELD_SECONDS /* a GTimeSpan, written in seconds with a fraction */
+	FIELD_SECONDS, /* a GTimeSpan, written in seconds with a fraction */
+	FIELD_FRACTION /* a double */
 } field_type_t;
 
 typedef struct {
@@ -98,6 +99,34 @@
 	  "(flag)",
 	  "1 if the whole fleet starts for the first time: instances then wait "
 	  "longer for others that read the metadata store for them" },
+	{ "preferred_instances", ENTRY_FIELD(preferred_instances), FIELD_UINT,
+	  0, 1000, 0, "instances",
+	  "instances of a data centre that prefer the same endpoint there, so "
+	  "that its connections are reused; 0 for all" },
+	{ "crossing_price_percent", ENTRY_FIELD(crossing_price_percent),
+	  FIELD_UINT, 0, 100, 0, "percent",
+	  "share of a call's value that sending it to another data centre "
+	  "costs; 0 to decide without a price" },
+	{ "quota_window_s", ENTRY_FIELD(quota_window), FIELD_SECONDS, 0, 3600,
+	  0, "s",
+	  "time window over which the rate limits of organisations are judged; "
+	  "0 for no limits" },
+	{ "quota_overage", ENTRY_FIELD(quota_overage), FIELD_FRACTION, 0, 10, 0,
+	  "(fraction)",
+	  "fraction by which the instances together may exceed a rate limit" },
+	{ "quota_slack", ENTRY_FIELD(quota_slack), FIELD_UINT, 0, 100000, 0,
+	  "requests", "requests per window beyond that" },
+	{ "warmup_overage", ENTRY_FIELD(warmup_overage), FIELD_FRACTION, 0, 100,
+	  1, "(factor)",
+	  "requests per second that the instances together may send to an "
+	  "endpoint that has just started, relative to the rate that its "
+	  "service declares" },
+	{ "warmup_slack", ENTRY_FIELD(warmup_slack), FIELD_UINT, 0, 100000, 0,
+	  "requests", "requests per second beyond that" },
+	{ "evacuation_bound_ms", ENTRY_FIELD(evacuation_bound),
+	  FIELD_MILLISECONDS, 0, 600000, 0, "ms",
+	  "time within which the evacuation of a data centre must be known; 0 "
+	  "if there are none" },
 	{ "retry_saved", ENTRY_FIELD(retry_saved), FIELD_UINT, 0, 100000, 0,
 	  "retries",
 	  "burst of retries per service, over all instances together, beyond "
@@ -173,17 +202,24 @@
 	case FIELD_SECONDS:
 		*(GTimeSpan *)field = value * G_TIME_SPAN_SECOND;
 		break;
+	case FIELD_FRACTION:
+		*(double *)field = (double)value;
+		break;
 	}
 }
 
-static void read_seconds(json_reader_t *reader, JsonObject *object,
-			 settings_t *settings, const numeric_key_t *key)
+/* Reads a value that may have a fraction. */
+static void read_fraction(json_reader_t *reader, JsonObject *object,
+			  settings_t *settings, const numeric_key_t *key)
 {
-	double seconds = json_reader_number(reader, "$", object, key->key,
-					    (double)key->min, (double)key->max);
+	double value = json_reader_number(reader, "$", object, key->key,
+					  (double)key->min, (double)key->max);
+	void *field = (char *)settings + key->offset;
 
-	*(GTimeSpan *)((char *)settings + key->offset) =
-		(GTimeSpan)(seconds * G_TIME_SPAN_SECOND);
+	if (key->type == FIELD_FRACTION)
+		*(double *)field = value;
+	else
+		*(GTimeSpan *)field = (GTimeSpan)(value * G_TIME_SPAN_SECOND);
 }
 
 static void read_strings(json_reader_t *reader, JsonObject *object,
@@ -211,9 +247,10 @@
 		const numeric_key_t *key = &numeric_keys[i];
 		gint64 value = key->default_value;
 
-		if (key->type == FIELD_SECONDS &&
+		if ((key->type == FIELD_SECONDS ||
+		     key->type == FIELD_FRACTION) &&
 		    json_object_has_member(object, key->key)) {
-			read_seconds(reader, object, settings, key);
+			read_fraction(reader, object, settings, key);
 			continue;
 		}
 		if (json_object_has_member(object, key->key))
--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -57,6 +57,25 @@
 	/* Concurrent attempts at a service, 0 for an adaptive limit. */
 	guint concurrency_max;
 	guint probe_fanout; /* endpoints probed per call, 0 for none */
+	/*
+	 * Instances of a data centre that prefer the same endpoint there, 0 if
+	 * each instance uses all endpoints alike.
+	 */
+	guint preferred_instances;
+	/*
+	 * Share of a call's value that a crossing to another data centre costs,
+	 * 0 if the fixed rules decide.
+	 */
+	guint crossing_price_percent;
+	/* Rate limits of organisations: see lib/quota. */
+	GTimeSpan quota_window; /* over which a limit is judged, 0: no limits */
+	double quota_overage; /* fraction by which a limit may be exceeded */
+	guint quota_slack; /* requests beyond it per window */
+	/* Bound of requests per second to an endpoint that has just started. */
+	double warmup_overage; /* factor to the rate that the service declares */
+	guint warmup_slack; /* requests beyond it */
+	/* Time within which an evacuation must be known, 0 for none. */
+	GTimeSpan evacuation_bound;
 	/* Decides when a call is retried; NULL for retry_rule_at_most_once. */
 	const struct retry_rule *retry_rule;
 	/*
--- a/lib/schema/schema.c
+++ b/lib/schema/schema.c
@@ -9,6 +9,7 @@
 	TAILQ_INIT(&schema->services);
 	TAILQ_INIT(&schema->routes);
 	schema_init_routes(schema);
+	schema->organisations = organisations_new();
 	return schema;
 }
 
@@ -48,6 +49,7 @@
 	TAILQ_FOREACH_SAFE (service, &schema->services, link, next)
 		service_free(service);
 	schema_free_routes(schema);
+	organisations_free(schema->organisations);
 	for (i = 0; i < schema->priority_count; i++)
 		g_free(schema->priorities[i].name);
 	g_free(schema);
@@ -74,7 +76,7 @@
 gboolean schema_check_range(const char *field, double value, double min,
 			    double max, catk_error_t *err)
 {
-	if (value < min || value > max) {
+	if (!(value >= min && value <= max)) {
 		catk_error_set(err, CATK_INVALID_ARGUMENT, OUTCOME_NOT_RUN,
 			       "%s is %g: set it between %g and %g", field,
 			       value, min, max);
@@ -171,6 +173,21 @@
 	return TRUE;
 }
 
+gboolean schema_set_warmup(schema_service_t *service, GTimeSpan duration,
+			   double per_second, catk_error_t *err)
+{
+	if (!schema_check_range(
+		    "warm-up in s", (double)duration / G_TIME_SPAN_SECOND, 0,
+		    (double)SCHEMA_DEADLINE_MAX / G_TIME_SPAN_SECOND, err) ||
+	    !schema_check_range("requests per second during the warm-up",
+				per_second, 0, SCHEMA_WARMUP_PER_SECOND_MAX,
+				err))
+		return FALSE;
+	service->warmup_duration = duration;
+	service->warmup_per_second = per_second;
+	return TRUE;
+}
+
 gboolean schema_address_is_valid(const char *address)
 {
 	const char *colon = strrchr(address, ':');
--- a/lib/schema/schema.h
+++ b/lib/schema/schema.h
@@ -1,6 +1,7 @@
 /*
- * The configured priorities, services with their methods, and routes. Each
- * declaration is checked when it is added; a complete schema is read-only.
+ * The configured priorities, services with their methods, routes and
+ * organisations. Each declaration is checked when it is added; a complete
+ * schema is read-only.
  */
 #ifndef CATK_SCHEMA_H
 #define CATK_SCHEMA_H
@@ -9,6 +10,7 @@
 
 #include "lib/common/error.h"
 #include "lib/common/intrusive.h"
+#include "lib/organisation/organisation.h"
 
 #define SCHEMA_PRIORITIES_MAX 8
 #define SCHEMA_NAME_MAX 64 /* bytes, without the terminating zero */
@@ -17,6 +19,7 @@
 #define SCHEMA_SLOTS_MAX 1024
 #define SCHEMA_CONNECTIONS_MAX 10000
 #define SCHEMA_PROBES_PER_SECOND_MAX 1000.0
+#define SCHEMA_WARMUP_PER_SECOND_MAX 1e6
 
 /* Index 0 is the most urgent. */
 typedef struct {
@@ -47,6 +50,13 @@
 	/* Key of the platform's instance list, NULL for fixed addresses. */
 	char *instance_list;
 	char *health_path; /* path of HTTP health checks, NULL for none */
+	/*
+	 * For an endpoint that has just started: how long it stays cold, and
+	 * how many requests per second it bears meanwhile from all entries, 0
+	 * for no limit.
+	 */
+	GTimeSpan warmup_duration;
+	double warmup_per_second;
 	TAILQ_HEAD(schema_endpoint_list, schema_endpoint) endpoints;
 	TAILQ_HEAD(schema_method_list, schema_method) methods;
 } schema_service_t;
@@ -69,6 +79,7 @@
 	char *prefix; /* begins and ends with '/' */
 	GTimeSpan objective; /* for the latency, 0 for none */
 	guint attempts_max; /* per request */
+	gboolean is_public; /* its requests need no key of an organisation */
 	TAILQ_HEAD(schema_target_list, schema_target) targets;
 } schema_route_t;
 
@@ -88,6 +99,7 @@
 	GHashTable *routes_by_name; /* name -> schema_route_t */
 	GHashTable *routes_by_match; /* host and prefix -> schema_route_t */
 	schema_request_limits_t request_limits;
+	organisations_t *organisations;
 } schema_t;
 
 /* Creates an empty schema. Free with schema_free(). */
@@ -125,6 +137,14 @@
 gboolean schema_set_instance_list(schema_service_t *service, const char *name,
 				  catk_error_t *err);
 
+/*
+ * Limits the requests to endpoints that have just started. Returns FALSE with
+ * CATK_INVALID_ARGUMENT for a duration outside 0 to SCHEMA_DEADLINE_MAX or
+ * per_second outside 0 to SCHEMA_WARMUP_PER_SECOND_MAX.
+ */
+gboolean schema_set_warmup(schema_service_t *service, GTimeSpan duration,
+			   double per_second, catk_error_t *err);
+
 /*
  * Adds an endpoint by its address, "ip:port". Returns FALSE with
  * CATK_INVALID_ARGUMENT when the address has another form or is repeated.
--- a/lib/schema/schema_route.c
+++ b/lib/schema/schema_route.c
@@ -108,6 +108,7 @@
 	route->prefix = g_strdup(attributes->prefix);
 	route->objective = attributes->objective;
 	route->attempts_max = attributes->attempts_max;
+	route->is_public = attributes->is_public;
 	TAILQ_INIT(&route->targets);
 	TAILQ_INSERT_TAIL(&schema->routes, route, link);
 	index_route(schema, route);
--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -219,6 +219,110 @@
 			fail_msg("accepted as a configuration: %s", invalid[i]);
 }
 
+#define ORGANISATION(name, spec)                                     \
+	"{\"entry_kind\":\"tenants\",\"metadata\":{\"name\":\"" name \
+	"\"},\"spec\":{" spec "}}"
+
+/* Fails if a field of an organisation is lost, or a key finds another one. */
+static void organisations_are_decoded(void **state)
+{
+	const organisation_t *organisation;
+	guint64 version;
+	schema_t *schema = decode_config_text(
+		SPLIT_CONFIG_WITH("public", "true") "," ORGANISATION(
+			"acme", "\"api_keys\":[\"k1\",\"k2\"],"
+				"\"priority\":1,\"rate_per_s\":27.5,"
+				"\"burst\":30") "," ORGANISATION("bare", ""),
+		&version);
+
+	(void)state;
+	assert_non_null(schema);
+	assert_true(TAILQ_FIRST(&schema->routes)->is_public);
+	organisation = organisations_find_by_key(schema->organisations, "k2");
+	assert_non_null(organisation);
+	assert_string_equal(organisation->name, "acme");
+	assert_int_equal(organisation->priority, 1);
+	assert_true(organisation->rate == 27.5);
+	assert_true(organisation->burst == 30);
+	organisation = organisations_find(schema->organisations, "bare");
+	assert_non_null(organisation);
+	assert_int_equal(organisation->priority, ORGANISATION_NO_PRIORITY);
+	assert_true(organisation->rate == 0);
+	assert_null(organisations_find_by_key(schema->organisations, NULL));
+	assert_null(organisations_find_by_key(schema->organisations, "k3"));
+	schema_free(schema);
+}
+
+/* Fails if a key may stand for two organisations, or for none. */
+static void invalid_organisations_are_rejected(void **state)
+{
+	static const char *const invalid[] = {
+		ORGANISATION("a", "\"api_keys\":[\"k\"]") "," ORGANISATION(
+			"b", "\"api_keys\":[\"k\"]"),
+		ORGANISATION("a", "\"api_keys\":[\"k\",\"k\"]"),
+		ORGANISATION("a", "\"api_keys\":[\"\"]"),
+		ORGANISATION("a", "\"api_keys\":[\"two words\"]"),
+		ORGANISATION("a", "\"api_keys\":[7]"),
+		ORGANISATION("a", "\"api_keys\":\"k\""),
+		ORGANISATION("a", "") "," ORGANISATION("a", ""),
+		ORGANISATION("a\\r\\nX: y", ""),
+		ORGANISATION("a", "\"rate_per_s\":-1"),
+		ORGANISATION("a", "\"rate_per_s\":\"5\""),
+		ORGANISATION("a", "\"burst\":-0.5"),
+		ORGANISATION("a", "\"priority\":1.5"),
+		SPLIT_CONFIG_WITH("public", "1"),
+	};
+	guint64 version;
+	gsize i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(invalid); i++)
+		if (decode_config_text(invalid[i], &version))
+			fail_msg("accepted as a configuration: %s", invalid[i]);
+}
+
+/* Fails if the limit for endpoints that have just started is lost. */
+static void warmup_of_services_is_decoded(void **state)
+{
+	const schema_service_t *service;
+	guint64 version;
+	schema_t *schema = decode_config_text(
+		"{\"entry_kind\":\"services\",\"metadata\":{\"name\":\"s\"},"
+		"\"spec\":{\"max_connections\":220,\"warmup_s\":3.5,"
+		"\"warmup_per_s\":5.8}}",
+		&version);
+
+	(void)state;
+	assert_non_null(schema);
+	service = schema_find_service(schema, "s");
+	assert_int_equal(service->warmup_duration,
+			 3500 * G_TIME_SPAN_MILLISECOND);
+	assert_true(service->warmup_per_second == 5.8);
+	schema_free(schema);
+	assert_null(decode_config_text(
+		"{\"entry_kind\":\"services\",\"metadata\":{\"name\":\"s\"},"
+		"\"spec\":{\"max_connections\":220,\"warmup_s\":-1}}",
+		&version));
+}
+
+/* Fails if large answers, which may be requested again, run at most once. */
+static void downloads_are_idempotent(void **state)
+{
+	guint64 version;
+	schema_t *schema = decode_config_text(
+		"{\"entry_kind\":\"routes\",\"metadata\":{\"name\":\"r\"},"
+		"\"spec\":{\"host\":\"a\",\"path_prefix\":\"/\","
+		"\"route_type\":\"download\",\"timeout_ms\":10,"
+		"\"priority\":0,\"max_attempts\":1,\"service\":\"s\"}}"
+		"," SERVICE("s"),
+		&version);
+
+	(void)state;
+	assert_non_null(schema);
+	assert_true(TAILQ_FIRST(&schema->routes)->method.idempotent);
+	schema_free(schema);
+}
+
 /* Fails if requests of an unknown route type may be repeated. */
 static void unknown_route_type_is_not_idempotent(void **state)
 {
@@ -244,6 +348,10 @@
 		cmocka_unit_test(endpoint_numbers_out_of_range_are_rejected),
 		cmocka_unit_test(config_fields_are_decoded),
 		cmocka_unit_test(invalid_config_is_rejected),
+		cmocka_unit_test(organisations_are_decoded),
+		cmocka_unit_test(invalid_organisations_are_rejected),
+		cmocka_unit_test(warmup_of_services_is_decoded),
+		cmocka_unit_test(downloads_are_idempotent),
 		cmocka_unit_test(unknown_route_type_is_not_idempotent),
 	};
 
