Require the key of an organisation and pass on its name

Change: a routed request needs a key unless its route is public; without a valid one it is refused with 401 as not run. The key is checked again before each attempt, so that a withdrawn one ends queued requests and retries, and is removed from what is sent to the endpoint, which gets the name of the organisation. Queues are fair between organisations: their name is the name of the caller. An organisation's priority replaces that of the route.

Result: six tests of test_routed_calls and one of test_call.

--- a/lib/call/call.c
+++ b/lib/call/call.c
@@ -7,11 +7,19 @@
 	call->routed = TRUE;
 	call->attempts_max = route->attempts_max;
 	call->caller_retried = attributes->elapsed > 0;
+	call->needs_key = !route->is_public;
 	if (route->objective > 0)
 		call->objective =
 			call->admitted + route->objective - attributes->elapsed;
 }
 
+static void apply_organisation(call_t *call, const organisation_t *organisation)
+{
+	call_set_organisation(call, organisation->name);
+	if (organisation->priority != ORGANISATION_NO_PRIORITY)
+		call->queue.priority = (guint)organisation->priority;
+}
+
 call_t *call_new(const call_attributes_t *attributes)
 {
 	call_t *call = g_new0(call_t, 1);
@@ -29,14 +37,25 @@
 	call->queue.priority = attributes->method->priority;
 	call->queue.deadline = attributes->deadline;
 	call->queue.caller = call->caller;
+	call->credential = g_strdup(attributes->credential);
 	if (attributes->route)
 		apply_route(call, attributes);
+	if (attributes->organisation)
+		apply_organisation(call, attributes->organisation);
 	TAILQ_INIT(&call->attempts);
 	TAILQ_INIT(&call->ended_attempts);
 	TAILQ_INIT(&call->waiters);
 	return call;
 }
 
+void call_set_organisation(call_t *call, const char *name)
+{
+	if (g_strcmp0(call->organisation, name) == 0)
+		return;
+	g_free(call->organisation);
+	call->organisation = g_strdup(name);
+}
+
 static void free_attempts(struct attempt_list *attempts)
 {
 	attempt_t *attempt, *next;
@@ -62,6 +81,8 @@
 	g_free(call->service);
 	g_free(call->method);
 	g_free(call->caller);
+	g_free(call->credential);
+	g_free(call->organisation);
 	g_free(call->log_name);
 	g_free(call);
 }
--- a/lib/call/call.h
+++ b/lib/call/call.h
@@ -57,6 +57,14 @@
 	char *service;
 	char *method;
 	char *caller;
+	/*
+	 * The key that the caller sent, NULL for none. It is a secret: kept to
+	 * be checked again before each attempt, never logged or dumped.
+	 */
+	char *credential;
+	gboolean needs_key; /* its route is not public */
+	/* Of the key when it was last checked, NULL for none. */
+	char *organisation;
 	GBytes *body;
 	GTimeSpan admitted; /* instant */
 	GTimeSpan deadline; /* instant */
@@ -100,6 +108,8 @@
 	const schema_route_t *route; /* NULL for a call by service and method */
 	GTimeSpan elapsed; /* since the caller's first attempt */
 	const char *log_name; /* identifies the request in logs; may be NULL */
+	const char *credential; /* the caller's key, NULL for none */
+	const organisation_t *organisation; /* of the key, NULL for none */
 } call_attributes_t;
 
 /*
@@ -127,6 +137,9 @@
 /* Copies attributes. Free with call_free(). */
 call_t *call_new(const call_attributes_t *attributes);
 
+/* Sets the organisation of the call's key, NULL for none. */
+void call_set_organisation(call_t *call, const char *name);
+
 /* Frees the call with its waiters and attempts. It must not be queued. */
 void call_free(call_t *call);
 
--- a/lib/common/counters.h
+++ b/lib/common/counters.h
@@ -11,6 +11,7 @@
 	X(CALLS_RECEIVED, "calls_received", "calls")                         \
 	X(CALLS_SUCCEEDED, "calls_succeeded", "calls")                       \
 	X(CALLS_REFUSED, "calls_refused_not_run", "calls")                   \
+	X(CALLS_UNAUTHENTICATED, "calls_without_valid_key", "calls")         \
 	X(CALLS_UNKNOWN, "calls_outcome_unknown", "calls")                   \
 	X(CALLS_RAN_FAILED, "calls_ran_failed", "calls")                     \
 	X(CALLS_CANCELLED, "calls_cancelled_by_caller", "calls")             \
--- a/lib/common/error.c
+++ b/lib/common/error.c
@@ -7,6 +7,7 @@
 	[CATK_OK] = "ok",
 	[CATK_INVALID_ARGUMENT] = "invalid_argument",
 	[CATK_NOT_FOUND] = "not_found",
+	[CATK_UNAUTHENTICATED] = "unauthenticated",
 	[CATK_CONFLICT] = "conflict",
 	[CATK_TOO_LARGE] = "too_large",
 	[CATK_RATE_LIMITED] = "rate_limited",
--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -106,6 +106,7 @@
 	const char *path; /* without query */
 	const char *name; /* identifies the request in logs, NULL for none */
 	GTimeSpan remaining; /* until the caller's deadline, 0 for none */
+	const char *credential; /* the caller's key, NULL for none */
 	GBytes *body; /* referenced */
 	/* Not NULL; passed back with attempts and the answer. */
 	void *caller_ref;
@@ -149,6 +150,11 @@
 	guint attempt; /* number, counting the caller's attempts as well */
 	guint connections_max; /* from this instance to the address */
 	gboolean needs_new_connection; /* of a routed call; see attempt_t */
+	/*
+	 * Organisation of the caller, empty for a caller without one, NULL if
+	 * the configuration has no organisations.
+	 */
+	const char *organisation;
 	GBytes *body;
 } attempt_request_t;
 
--- a/lib/entry/entry_attempts.c
+++ b/lib/entry/entry_attempts.c
@@ -89,6 +89,14 @@
 	return call->routed && waiter ? waiter->caller_ref : NULL;
 }
 
+/* As in attempt_request_t. */
+static const char *organisation_of(const entry_t *entry, const call_t *call)
+{
+	if (organisations_is_empty(config_schema(entry->config)->organisations))
+		return NULL;
+	return call->organisation ? call->organisation : "";
+}
+
 static void start_attempt(entry_t *entry, entry_service_t *service,
 			  call_t *call, const endpoint_t *endpoint,
 			  GTimeSpan now)
@@ -111,6 +119,7 @@
 			call->caller_attempt - 1 + call_attempts_counted(call),
 		.connections_max = upstream_connection_share(service->upstream),
 		.needs_new_connection = attempt->needs_new_connection,
+		.organisation = organisation_of(entry, call),
 		.body = call->body,
 	};
 
@@ -146,7 +155,25 @@
 }
 
 /*
- * Reads the clock, checks the deadline and the request id, records the dispatch
+ * Checks the key of a routed call against the configuration in force, which may
+ * have withdrawn it or given it to another organisation since the call arrived.
+ */
+static gboolean check_key_again(const entry_t *entry, call_t *call,
+				catk_error_t *error)
+{
+	const organisation_t *organisation;
+
+	if (!call->routed)
+		return TRUE;
+	if (!entry_check_key(entry, call->credential, call->needs_key,
+			     &organisation, error))
+		return FALSE;
+	call_set_organisation(call, organisation ? organisation->name : NULL);
+	return TRUE;
+}
+
+/*
+ * Reads the clock, checks the deadline, the key and the request id, records the dispatch
  * and starts the attempt without returning to the main loop. A pause of the
  * process before this function thus cannot cause a late dispatch. Returns FALSE
  * if no endpoint has capacity.
@@ -172,6 +199,10 @@
 		entry_finish_refused(entry, call, &error);
 		return TRUE;
 	}
+	if (!check_key_again(entry, call, &error)) {
+		entry_finish_refused(entry, call, &error);
+		return TRUE;
+	}
 	criteria = entry_call_criteria(service, call, now);
 	endpoint = upstream_choose_for(service->upstream, &criteria, now);
 	if (!endpoint) {
--- a/lib/entry/entry_calls.c
+++ b/lib/entry/entry_calls.c
@@ -82,6 +82,42 @@
 	entry_answer_error(entry, request->caller_ref, &error);
 }
 
+gboolean entry_check_key(const entry_t *entry, const char *credential,
+			 gboolean needs_key,
+			 const organisation_t **organisation,
+			 catk_error_t *error)
+{
+	const organisations_t *organisations =
+		config_schema(entry->config)->organisations;
+
+	*organisation = organisations_find_by_key(organisations, credential);
+	if (*organisation || !needs_key ||
+	    organisations_is_empty(organisations))
+		return TRUE;
+	catk_error_set(error, CATK_UNAUTHENTICATED, OUTCOME_NOT_RUN,
+		       "%s in configuration version %" G_GUINT64_FORMAT
+		       ": send the key of an organisation",
+		       credential ? "the key of the request is not valid" :
+				    "the request needs a key",
+		       config_version(entry->config));
+	counters_add(entry->counters, COUNTER_CALLS_UNAUTHENTICATED, 1);
+	return FALSE;
+}
+
+static void answer_without_valid_key(entry_t *entry,
+				     const routed_request_t *request,
+				     const schema_route_t *route,
+				     const catk_error_t *error)
+{
+	LOG_EVENT(&entry->actions.log, "key_refused",
+		  LOG_TEXT("request", request->name ? request->name : ""),
+		  LOG_TEXT("method", route->method.name),
+		  LOG_NUMBER("has_key", request->credential != NULL),
+		  LOG_NUMBER("config_version",
+			     (gint64)config_version(entry->config)));
+	entry_answer_error(entry, request->caller_ref, error);
+}
+
 void entry_route(entry_t *entry, const routed_request_t *request)
 {
 	const schema_t *schema = config_schema(entry->config);
@@ -89,11 +125,18 @@
 	const char *service = NULL;
 	call_attributes_t attributes = { .caller = "", .caller_attempt = 1 };
 	GTimeSpan remaining;
+	catk_error_t error;
 
 	count_received(entry);
 	if (schema)
 		route = schema_match_route(schema, request->host,
 					   request->path);
+	if (route &&
+	    !entry_check_key(entry, request->credential, !route->is_public,
+			     &attributes.organisation, &error)) {
+		answer_without_valid_key(entry, request, route, &error);
+		return;
+	}
 	if (route)
 		service = route_splits_next(entry->splits, route);
 	if (!service) {
@@ -107,6 +150,10 @@
 			entry->deadlines, route, request->remaining);
 	}
 	attributes.log_name = request->name;
+	attributes.credential = request->credential;
+	/* Queues are fair between organisations. */
+	if (attributes.organisation)
+		attributes.caller = attributes.organisation->name;
 	attributes.service = service;
 	attributes.method = &route->method;
 	attributes.route = route;
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -100,6 +100,16 @@
 /* The service of that name, or NULL. */
 entry_service_t *entry_find_service(entry_t *entry, const char *name);
 
+/*
+ * Looks up the organisation of a caller's key in the configuration in force,
+ * which must exist; sets *organisation to NULL if there is none. Returns FALSE
+ * with CATK_UNAUTHENTICATED, and counts it, if a valid key is needed.
+ */
+gboolean entry_check_key(const entry_t *entry, const char *credential,
+			 gboolean needs_key,
+			 const organisation_t **organisation,
+			 catk_error_t *error);
+
 /* Starts queued calls while an endpoint has capacity. */
 void entry_dispatch(entry_t *entry, entry_service_t *service);
 
--- a/net/http_reply.c
+++ b/net/http_reply.c
@@ -9,6 +9,8 @@
 		return SOUP_STATUS_OK;
 	case CATK_INVALID_ARGUMENT:
 		return SOUP_STATUS_BAD_REQUEST;
+	case CATK_UNAUTHENTICATED:
+		return SOUP_STATUS_UNAUTHORIZED;
 	case CATK_NOT_FOUND:
 		return SOUP_STATUS_NOT_FOUND;
 	case CATK_CONFLICT:
--- a/net/proxy.c
+++ b/net/proxy.c
@@ -121,6 +121,7 @@
 	request.host = http_message_header(message, "Host");
 	request.path = path;
 	request.name = proxy->codec.request_id(proxy->codec.ctx, message);
+	request.credential = proxy->codec.credential(proxy->codec.ctx, message);
 	g_hash_table_add(proxy->exchanges, exchange);
 	entry_route(proxy->entry, &request);
 	g_free(path);
@@ -409,8 +410,9 @@
 
 	g_string_append_printf(text, "%s %s HTTP/1.1\r\n", request->method,
 			       request->target);
-	http_message_append_headers(request, text,
-				    proxy->codec.replaced_headers);
+	http_message_append_headers(
+		request, text,
+		proxy->codec.replaced_headers(proxy->codec.ctx, attempt));
 	proxy->codec.write_request_headers(proxy->codec.ctx, attempt, text);
 	if (size || http_message_header(request, "Content-Length"))
 		g_string_append_printf(
--- a/net/proxy.h
+++ b/net/proxy.h
@@ -19,6 +19,8 @@
 	 */
 	gboolean (*read_request)(void *ctx, const http_message_t *request,
 				 GTimeSpan *remaining, catk_error_t *err);
+	/* Returns the caller's key, or NULL. */
+	const char *(*credential)(void *ctx, const http_message_t *request);
 	/* Returns the id that the response must repeat, or NULL. */
 	const char *(*request_id)(void *ctx, const http_message_t *request);
 	/*
@@ -57,10 +59,11 @@
 	guint (*write_error)(void *ctx, const catk_error_t *error,
 			     GString *headers);
 	/*
-	 * Headers that write_request_headers() replaces, NULL-terminated; the
-	 * caller's are not forwarded.
+	 * Returns the headers that write_request_headers() replaces,
+	 * NULL-terminated; the caller's are not forwarded.
 	 */
-	const char *const *replaced_headers;
+	const char *const *(*replaced_headers)(
+		void *ctx, const attempt_request_t *attempt);
 	void *ctx;
 } proxy_codec_t;
 
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -135,10 +135,37 @@
 	call_free(call);
 }
 
+/* Fails if the priority of an organisation does not replace that of the route. */
+static void priority_of_the_organisation_goes_first(void **state)
+{
+	schema_method_t method = { .name = "m", .priority = 2 };
+	organisation_t organisation = { .name = (char *)"acme", .priority = 1 };
+	GBytes *body = g_bytes_new_static("b", 1);
+	call_attributes_t attributes = { .service = "s",
+					 .method = &method,
+					 .caller = "acme",
+					 .organisation = &organisation,
+					 .body = body,
+					 .deadline = DEADLINE,
+					 .caller_attempt = 1 };
+	call_t *call = call_new(&attributes);
+
+	(void)state;
+	assert_int_equal(call->queue.priority, 1);
+	assert_string_equal(call->organisation, "acme");
+	call_free(call);
+	organisation.priority = ORGANISATION_NO_PRIORITY;
+	call = call_new(&attributes);
+	assert_int_equal(call->queue.priority, 2);
+	call_free(call);
+	g_bytes_unref(body);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(retry_requires_proof),
+		cmocka_unit_test(priority_of_the_organisation_goes_first),
 		cmocka_unit_test(every_attempt_requires_proof),
 		cmocka_unit_test(first_answer_ends_the_call),
 		cmocka_unit_test(repeated_endpoint_needs_a_new_connection),
--- a/tests/test_routed_calls.c
+++ b/tests/test_routed_calls.c
@@ -38,6 +38,7 @@
 	guint64 attempt_id; /* of the last attempt */
 	GTimeSpan remaining; /* of the last attempt */
 	char endpoint[UPSTREAM_ID_MAX + 1]; /* of the last attempt */
+	char *organisation; /* of the last attempt */
 	gboolean needs_new_connection; /* of the last attempt */
 	char probes[PROBES_MAX][UPSTREAM_ID_MAX + 1]; /* unanswered */
 	guint probe_count;
@@ -67,6 +68,8 @@
 	f->remaining = request->remaining;
 	f->needs_new_connection = request->needs_new_connection;
 	g_strlcpy(f->endpoint, request->endpoint, sizeof(f->endpoint));
+	g_free(f->organisation);
+	f->organisation = g_strdup(request->organisation);
 }
 
 static void on_cancel(void *ctx, guint64 attempt_id)
@@ -210,6 +213,7 @@
 
 	entry_free(f->entry);
 	g_rand_free(f->random);
+	g_free(f->organisation);
 	g_free(f);
 	return 0;
 }
@@ -1005,11 +1009,155 @@
 	assert_int_equal(f->answers[1].count, 1);
 }
 
+/* Puts a configuration in force in which acme holds the key, if not NULL. */
+static void activate_key(fixture_t *f, guint64 version, const char *name,
+			 const char *key)
+{
+	const organisation_t attributes = {
+		.name = (char *)name, .priority = ORGANISATION_NO_PRIORITY
+	};
+	schema_t *schema = new_schema();
+	GBytes *document = g_bytes_new_static("{}", 2);
+	organisation_t *organisation =
+		organisations_add(schema->organisations, &attributes, NULL);
+
+	assert_non_null(organisation);
+	TAILQ_LAST(&schema->routes, schema_route_list)->is_public = TRUE;
+	if (key)
+		assert_true(organisations_add_key(schema->organisations,
+						  organisation, key, NULL));
+	entry_activate_config(f->entry, version, schema, document);
+	g_bytes_unref(document);
+}
+
+static void send_request_with_key(fixture_t *f, guint ref, const char *path,
+				  const char *key)
+{
+	GBytes *body = g_bytes_new_static("", 0);
+	routed_request_t request = {
+		.host = "a.example",
+		.path = path,
+		.remaining = CALLER_DEADLINE,
+		.credential = key,
+		.body = body,
+		.caller_ref = GUINT_TO_POINTER(ref),
+	};
+
+	entry_route(f->entry, &request);
+	g_bytes_unref(body);
+}
+
+/* Fails if a request without the key of an organisation runs. */
+static void request_needs_a_key(void **state)
+{
+	fixture_t *f = *state;
+
+	activate_key(f, 2, "acme", "k1");
+	send_request_with_key(f, 1, "/safe/", NULL);
+	assert_answered(f, 1, CATK_UNAUTHENTICATED, OUTCOME_NOT_RUN);
+	send_request_with_key(f, 2, "/safe/", "k2");
+	assert_answered(f, 2, CATK_UNAUTHENTICATED, OUTCOME_NOT_RUN);
+	assert_int_equal(f->probe_count, 0);
+	send_request_with_key(f, 3, "/safe/", "k1");
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->started, 1);
+	assert_string_equal(f->organisation, "acme");
+}
+
+/*
+ * Fails if a request on a public route is refused for its key, or passes on the
+ * name of an organisation that its caller does not belong to.
+ */
+static void public_route_needs_no_key(void **state)
+{
+	endpoint_info_t info = { .id = "t-0",
+				 .address = "127.0.0.1:20",
+				 .data_centre = "here",
+				 .slots = 3 };
+	const load_report_t idle = { .slots = 3, .slowdown_percent = 100 };
+	fixture_t *f = *state;
+
+	activate_key(f, 2, "acme", "k1");
+	assert_true(entry_set_endpoints(f->entry, "t", &info, 1));
+	advance(f, 10 * G_TIME_SPAN_SECOND);
+	send_request_with_key(f, 1, "/apart/", "k2");
+	entry_probe_ended(f->entry, "t", "t-0", &idle);
+	assert_int_equal(f->started, 1);
+	assert_string_equal(f->organisation, "");
+}
+
+/* Fails if a queued request is sent although its key was withdrawn. */
+static void withdrawn_key_ends_a_queued_request(void **state)
+{
+	fixture_t *f = *state;
+
+	activate_key(f, 2, "acme", "k1");
+	send_request_with_key(f, 1, "/safe/", "k1");
+	answer_probes(f, "", 0, 0, 500);
+	assert_int_equal(f->started, 0);
+	activate_key(f, 3, "acme", NULL);
+	advance(f, 60 * MS);
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->started, 0);
+	assert_answered(f, 1, CATK_UNAUTHENTICATED, OUTCOME_NOT_RUN);
+}
+
+/*
+ * Fails if a second attempt is made with a withdrawn key, or if the caller is
+ * told that a request whose first attempt may have run has not run.
+ */
+static void withdrawn_key_ends_retries(void **state)
+{
+	fixture_t *f = *state;
+
+	activate_key(f, 2, "acme", "k1");
+	send_request_with_key(f, 1, "/safe/", "k1");
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->started, 1);
+	activate_key(f, 3, "acme", NULL);
+	end_attempt(f, ATTEMPT_FAILED, 0);
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->started, 1);
+	assert_answered(f, 1, CATK_UNAUTHENTICATED, OUTCOME_UNKNOWN);
+}
+
+/* Fails if an attempt carries the name of the former holder of a key. */
+static void moved_key_carries_its_new_organisation(void **state)
+{
+	fixture_t *f = *state;
+
+	activate_key(f, 2, "acme", "k1");
+	send_request_with_key(f, 1, "/safe/", "k1");
+	answer_probes(f, "", 0, 0, 500);
+	activate_key(f, 3, "other", "k1");
+	advance(f, 60 * MS);
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->started, 1);
+	assert_string_equal(f->organisation, "other");
+}
+
+/* Fails if headers of organisations are changed where there are none. */
+static void no_key_is_needed_without_organisations(void **state)
+{
+	fixture_t *f = *state;
+
+	send_request_with_key(f, 1, "/safe/", "k1");
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->started, 1);
+	assert_null(f->organisation);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		TEST(request_needs_a_key),
+		TEST(public_route_needs_no_key),
+		TEST(withdrawn_key_ends_a_queued_request),
+		TEST(withdrawn_key_ends_retries),
+		TEST(moved_key_carries_its_new_organisation),
+		TEST(no_key_is_needed_without_organisations),
 		TEST(late_answer_in_a_shutdown_is_passed_on),
 		TEST(slowed_endpoint_is_avoided),
 		TEST(request_waits_for_the_end_of_a_slowdown),
