Start anew when the metadata store was restored from a copy

Cause: a store that comes back from an older copy assigns revisions again. A watch would continue at a revision that now stands for another change, and endpoints that had left would come back with the old copy.

The catalogue ignores an entry of a new era whose endpoint was removed and has not registered again since.

Result: test_store (three tests of eras) and test_catalogue/removed_endpoint_is_not_restored, which fails without the rule.

--- a/lib/catalogue/catalogue.c
+++ b/lib/catalogue/catalogue.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "lib/common/store_position.h"
+
 /* The last change of an endpoint. */
 typedef struct {
 	guint64 number; /* 0 for entries of the first list */
@@ -195,12 +197,31 @@
 		report_leaving(catalogue, entry, CATALOGUE_PRESENT, source);
 }
 
+/*
+ * TRUE for an entry that an older copy of the store has brought back: its
+ * endpoint had left before and has not registered again since.
+ */
+static gboolean is_restored(const catalogue_t *catalogue,
+			    const catalogue_entry_t *entry)
+{
+	const removal_t *removal = find_removal(catalogue, entry->info.id);
+
+	return removal &&
+	       store_position_era(entry->revision) >
+		       store_position_era(removal->entry.revision) &&
+	       (entry->start_time < removal->entry.start_time ||
+		(entry->start_time == removal->entry.start_time &&
+		 entry->sequence <= removal->entry.sequence));
+}
+
 void catalogue_put(catalogue_t *catalogue, const catalogue_entry_t *entry,
 		   GTimeSpan now)
 {
 	known_endpoint_t *endpoint =
 		g_hash_table_lookup(catalogue->by_id, entry->info.id);
 
+	if (is_restored(catalogue, entry))
+		return;
 	if (!endpoint || !is_older(entry, &endpoint->entry))
 		put_entry(catalogue, entry, NULL, now);
 	endpoint = g_hash_table_lookup(catalogue->by_id, entry->info.id);
--- a/tests/test_catalogue.c
+++ b/tests/test_catalogue.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "lib/catalogue/catalogue.h"
+#include "lib/common/store_position.h"
 
 #define NOW (100 * G_TIME_SPAN_SECOND)
 #define LIST_REVISION 1000 /* above the revisions of all entries */
@@ -94,6 +95,43 @@
 	assert_false(f->infos[0].leaving);
 }
 
+static void put_in_era(fixture_t *f, const char *id, guint64 sequence,
+		       guint64 era)
+{
+	catalogue_entry_t entry = { .service = "s",
+				    .start_time = 10,
+				    .sequence = sequence,
+				    .revision = store_position(era, 5) };
+
+	g_strlcpy(entry.info.id, id, sizeof(entry.info.id));
+	g_strlcpy(entry.info.address, "127.0.0.1:1",
+		  sizeof(entry.info.address));
+	catalogue_put(f->catalogue, &entry, NOW);
+}
+
+/*
+ * Fails if a store that was restored from an older copy brings back an endpoint
+ * that has left, or if one that registers there again is ignored.
+ */
+static void removed_endpoint_is_not_restored(void **state)
+{
+	fixture_t *f = *state;
+
+	put_in_era(f, "i-1", 7, 0);
+	put_in_era(f, "i-2", 7, 0);
+	catalogue_remove(f->catalogue, "i-1", NOW);
+	catalogue_begin_list(f->catalogue);
+	put_in_era(f, "i-1", 6, 1);
+	put_in_era(f, "i-2", 6, 1);
+	catalogue_end_list(f->catalogue, store_position(1, 5), NOW);
+	catalogue_tick(f->catalogue, NOW);
+	assert_int_equal(f->count, 1);
+	assert_string_equal(f->infos[0].id, "i-2");
+	put_in_era(f, "i-1", 8, 1);
+	catalogue_tick(f->catalogue, NOW);
+	assert_int_equal(f->count, 2);
+}
+
 /* Fails if a removal is delayed although there was no outage of the store. */
 static void removal_is_immediate(void **state)
 {
@@ -329,6 +367,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		TEST(removed_endpoint_is_not_restored),
 		TEST(older_entry_is_ignored),
 		TEST(restart_resets_the_sequence),
 		TEST(removal_is_immediate),
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -1,7 +1,7 @@
 /*
- * Tests the client of the metadata store with answers that are cut: a part of a
- * list or of a watch must not be taken for the whole, which would remove
- * endpoints or lose changes.
+ * Tests the client of the metadata store with answers that are cut, or that come
+ * from another era of the store: a part of a list or of a watch must not be
+ * taken for the whole, which would remove endpoints or lose changes.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -10,6 +10,7 @@
 #include <cmocka.h>
 #include <string.h>
 
+#include "lib/common/store_position.h"
 #include "net/system_clock.h"
 #include "platform/store.h"
 #include "tests/support.h"
@@ -65,6 +66,19 @@
 	f->as_of = result->as_of;
 }
 
+static void make_step(fixture_t *f, const feed_step_t *step,
+		      const raw_answer_t *answer)
+{
+	gint64 limit = g_get_monotonic_time() + 5 * G_TIME_SPAN_SECOND;
+
+	answer_server_set(f->server, answer);
+	f->ended = FALSE;
+	store_call(f->store, FEED_ENDPOINTS, step, on_done, f);
+	while (!f->ended && g_get_monotonic_time() < limit)
+		g_main_context_iteration(NULL, FALSE);
+	assert_true(f->ended);
+}
+
 static void call_store(fixture_t *f, feed_step_kind_t kind,
 		       const raw_answer_t *answer)
 {
@@ -73,14 +87,8 @@
 		.revision = 1,
 		.timeout = 5 * G_TIME_SPAN_SECOND,
 	};
-	gint64 limit = g_get_monotonic_time() + 5 * G_TIME_SPAN_SECOND;
 
-	answer_server_set(f->server, answer);
-	f->ended = FALSE;
-	store_call(f->store, FEED_ENDPOINTS, &step, on_done, f);
-	while (!f->ended && g_get_monotonic_time() < limit)
-		g_main_context_iteration(NULL, FALSE);
-	assert_true(f->ended);
+	make_step(f, &step, answer);
 }
 
 #define ONE "{\"metadata\":{\"name\":\"i-1\",\"revision\":7},\"spec\":{}}"
@@ -166,11 +174,83 @@
 		check_cuts(*state, FEED_WATCH, framing, CHANGES);
 }
 
+/* Makes a step and answers it in an era, -1 for an answer without one. */
+static feed_outcome_t step_in_era(fixture_t *f, feed_step_kind_t kind,
+				  guint64 revision, const char *after, int era)
+{
+	const feed_step_t step = {
+		.kind = kind,
+		.revision = revision,
+		.after = after,
+		.timeout = 5 * G_TIME_SPAN_SECOND,
+	};
+	const char *body = kind == FEED_WATCH ? CHANGES : LIST;
+	gchar *header = era < 0 ? g_strdup("") :
+				  g_strdup_printf("Store-Era: %d\r\n", era);
+	gchar *text = g_strdup_printf(OK "%sContent-Length: %zu\r\n\r\n%s",
+				      header, strlen(body), body);
+	raw_answer_t answer = { .text = text,
+				.size = strlen(text),
+				.end = ANSWER_KEEP };
+
+	make_step(f, &step, &answer);
+	g_free(header);
+	g_free(text);
+	return f->outcome;
+}
+
+/*
+ * Fails if a watch continues in a restored store, which may have assigned its
+ * revision again to another change.
+ */
+static void watch_does_not_continue_in_a_new_era(void **state)
+{
+	fixture_t *f = *state;
+	guint64 first;
+
+	assert_int_equal(step_in_era(f, FEED_LIST, 0, NULL, 4), FEED_ANSWERED);
+	first = f->as_of;
+	assert_int_equal(store_position_revision(first), 812);
+	assert_int_equal(step_in_era(f, FEED_WATCH, first, NULL, 4),
+			 FEED_ANSWERED);
+	assert_int_equal(step_in_era(f, FEED_WATCH, first, NULL, 5),
+			 FEED_HISTORY_LOST);
+	assert_int_equal(f->objects, 0);
+	assert_int_equal(step_in_era(f, FEED_LIST, 0, NULL, 5), FEED_ANSWERED);
+	assert_true(f->as_of > first);
+}
+
+/* Fails if a list is put together from pages of two eras. */
+static void list_does_not_continue_in_a_new_era(void **state)
+{
+	fixture_t *f = *state;
+
+	assert_int_equal(step_in_era(f, FEED_LIST, 0, NULL, -1), FEED_ANSWERED);
+	assert_int_equal(step_in_era(f, FEED_LIST, 0, "i-2", -1),
+			 FEED_ANSWERED);
+	assert_int_equal(step_in_era(f, FEED_LIST, 0, "i-2", 1),
+			 FEED_HISTORY_LOST);
+	assert_int_equal(f->objects, 0);
+}
+
+/* Fails if a delayed answer brings back the state of an earlier era. */
+static void answer_of_an_earlier_era_is_discarded(void **state)
+{
+	fixture_t *f = *state;
+
+	assert_int_equal(step_in_era(f, FEED_LIST, 0, NULL, 7), FEED_ANSWERED);
+	assert_int_equal(step_in_era(f, FEED_LIST, 0, NULL, 6), FEED_FAILED);
+	assert_int_equal(f->objects, 0);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		TEST(watch_does_not_continue_in_a_new_era),
+		TEST(list_does_not_continue_in_a_new_era),
+		TEST(answer_of_an_earlier_era_is_discarded),
 		TEST(cut_list_is_no_shorter_list),
 		TEST(cut_changes_are_not_the_whole),
 	};
