--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -13,6 +13,8 @@
  *            acknowledgements pass; new connections work
  *   compact  discards the history once: pending watches, and later ones from an
  *            earlier revision, end with status 410
+ *   copy     keeps a copy of the current state
+ *   restore  returns to the copy in a new era; pending watches are cut
  *
  *   fake_store --port PORT [--page OBJECTS]
  */
@@ -40,6 +42,10 @@
 	char *spec; /* JSON text */
 	guint64 revision;
 	gboolean deleted; /* deleted objects are kept for watches */
+	/* In the copy, revision 0 if the object is not part of it. */
+	char *copied_spec;
+	guint64 copied_revision;
+	gboolean copied_deleted;
 } object_t;
 
 /* A pending watch request. */
@@ -56,6 +62,8 @@
 	guint page; /* objects per page of a list */
 	guint64 revision;
 	guint64 compacted; /* watches from earlier revisions fail */
+	guint64 copied_revision; /* of the whole store in the copy */
+	guint64 era; /* times that the store was restored */
 	char *fault;
 	http_server_t *server;
 	TAILQ_HEAD(object_list, object) objects; /* sorted by name */
@@ -66,9 +74,12 @@
 static void reply(http_exchange_t *exchange, guint status, const char *text)
 {
 	GBytes *body = g_bytes_new(text, strlen(text));
+	gchar *headers = g_strdup_printf("Content-Type: application/json\r\n"
+					 "Store-Era: %" G_GUINT64_FORMAT "\r\n",
+					 store.era);
 
-	http_exchange_reply(exchange, status,
-			    "Content-Type: application/json\r\n", body);
+	http_exchange_reply(exchange, status, headers, body);
+	g_free(headers);
 	g_bytes_unref(body);
 }
 
@@ -191,7 +202,7 @@
 {
 	watch_t *watch;
 
-	if (since < store.compacted) {
+	if (since < store.compacted || since > store.revision) {
 		reply(exchange, 410, "{}");
 		return;
 	}
@@ -280,6 +291,48 @@
 		watch_free(TAILQ_FIRST(&store.watches));
 }
 
+static void copy_state(void)
+{
+	object_t *object;
+
+	store.copied_revision = store.revision;
+	TAILQ_FOREACH (object, &store.objects, link) {
+		g_free(object->copied_spec);
+		object->copied_spec = g_strdup(object->spec);
+		object->copied_revision = object->revision;
+		object->copied_deleted = object->deleted;
+	}
+}
+
+static void object_free(object_t *object)
+{
+	TAILQ_REMOVE(&store.objects, object, link);
+	g_free(object->kind);
+	g_free(object->name);
+	g_free(object->spec);
+	g_free(object->copied_spec);
+	g_free(object);
+}
+
+static void restore_copy(void)
+{
+	object_t *object, *next;
+
+	store.era++;
+	store.revision = store.copied_revision;
+	TAILQ_FOREACH_SAFE (object, &store.objects, link, next) {
+		if (!object->copied_revision) {
+			object_free(object);
+			continue;
+		}
+		g_free(object->spec);
+		object->spec = g_strdup(object->copied_spec);
+		object->revision = object->copied_revision;
+		object->deleted = object->copied_deleted;
+	}
+	end_watches(503);
+}
+
 static void set_fault(http_exchange_t *exchange, const char *mode)
 {
 	g_free(store.fault);
@@ -292,6 +345,10 @@
 		end_watches(503);
 	} else if (strcmp(mode, "mute") == 0) {
 		mute_connections();
+	} else if (strcmp(mode, "copy") == 0) {
+		copy_state();
+	} else if (strcmp(mode, "restore") == 0) {
+		restore_copy();
 	}
 	reply(exchange, 200, "{}");
 	/* The reply freed the request, which mode is a part of. */
