Send nothing to an evacuated data centre

Change: lib/evacuation holds the evacuated data centres. The instances that read the store follow them with a third feed; others hear of a new set by the position that each message carries, and ask for it. Endpoints of an evacuated data centre get no attempts and no probes; waiting calls and retries choose others. Active only with the setting evacuation_bound_ms.

--- a/codec/peer_codec.c
+++ b/codec/peer_codec.c
@@ -63,6 +63,7 @@
 
 	envelope->config_version = message->config_version;
 	envelope->store_revision = message->store_revision;
+	envelope->evacuation_position = message->evacuation_position;
 	size = catk__envelope__get_packed_size(envelope);
 	bytes = g_byte_array_sized_new((guint)size);
 	g_byte_array_set_size(bytes, (guint)size);
@@ -237,12 +238,26 @@
 	return bytes;
 }
 
+static GByteArray *encode_evacuations(const peer_message_t *message)
+{
+	const peer_evacuations_t *evacuations = &message->u.evacuations;
+	Catk__Envelope envelope = CATK__ENVELOPE__INIT;
+	Catk__Evacuations wire = CATK__EVACUATIONS__INIT;
+
+	wire.data_centres = (char **)evacuations->data_centres;
+	wire.n_data_centres = evacuations->count;
+	envelope.body_case = CATK__ENVELOPE__BODY_EVACUATIONS;
+	envelope.evacuations = &wire;
+	return pack(&envelope, message);
+}
+
 GByteArray *peer_codec_encode(const peer_message_t *message)
 {
 	Catk__Envelope envelope = CATK__ENVELOPE__INIT;
 	Catk__Hello hello = CATK__HELLO__INIT;
 	Catk__ConfigPull pull = CATK__CONFIG_PULL__INIT;
 	Catk__ForwardCancel cancel = CATK__FORWARD_CANCEL__INIT;
+	Catk__EvacuationPull evacuation_pull = CATK__EVACUATION_PULL__INIT;
 
 	switch (message->kind) {
 	case PEER_HELLO:
@@ -272,6 +287,12 @@
 		return encode_subscribe(message);
 	case PEER_ENDPOINTS:
 		return encode_endpoints(message);
+	case PEER_EVACUATION_PULL:
+		envelope.body_case = CATK__ENVELOPE__BODY_EVACUATION_PULL;
+		envelope.evacuation_pull = &evacuation_pull;
+		break;
+	case PEER_EVACUATIONS:
+		return encode_evacuations(message);
 	}
 	return pack(&envelope, message);
 }
@@ -431,10 +452,24 @@
 	subscribe->want_all = wire->want_all;
 }
 
+static gboolean decode_evacuations(const Catk__Evacuations *wire,
+				   peer_evacuations_t *evacuations)
+{
+	gsize i;
+
+	if (wire->n_data_centres > EVACUATION_DATA_CENTRES_MAX)
+		return FALSE;
+	for (i = 0; i < wire->n_data_centres; i++)
+		evacuations->data_centres[i] = wire->data_centres[i];
+	evacuations->count = (guint)wire->n_data_centres;
+	return TRUE;
+}
+
 static gboolean decode_body(const Catk__Envelope *wire, peer_message_t *message)
 {
 	message->config_version = wire->config_version;
 	message->store_revision = wire->store_revision;
+	message->evacuation_position = wire->evacuation_position;
 	switch (wire->body_case) {
 	case CATK__ENVELOPE__BODY_HELLO:
 		message->kind = PEER_HELLO;
@@ -470,6 +505,13 @@
 	case CATK__ENVELOPE__BODY_ENDPOINTS:
 		message->kind = PEER_ENDPOINTS;
 		return decode_endpoints(wire->endpoints, &message->u.endpoints);
+	case CATK__ENVELOPE__BODY_EVACUATION_PULL:
+		message->kind = PEER_EVACUATION_PULL;
+		return TRUE;
+	case CATK__ENVELOPE__BODY_EVACUATIONS:
+		message->kind = PEER_EVACUATIONS;
+		return decode_evacuations(wire->evacuations,
+					  &message->u.evacuations);
 	default:
 		return FALSE;
 	}
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -94,6 +94,13 @@
 	return NULL;
 }
 
+static gboolean is_evacuated(void *ctx, const char *data_centre)
+{
+	const entry_t *entry = ctx;
+
+	return evacuations_contains(entry->evacuations, data_centre);
+}
+
 static entry_service_t *add_service(entry_t *entry, const char *name)
 {
 	entry_service_t *service = g_new0(entry_service_t, 1);
@@ -105,6 +112,8 @@
 		.data_centre = membership_self(entry->membership)->data_centre,
 		.log = &entry->actions.log,
 		.probe_burst = entry->limits.probe_fanout ? PROBE_BURST : 1,
+		.is_evacuated = is_evacuated,
+		.evacuated_ctx = entry,
 	};
 
 	service->upstream =
--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -20,6 +20,7 @@
 #include "lib/common/event_log.h"
 #include "lib/config/config.h"
 #include "lib/entry/peer_message.h"
+#include "lib/evacuation/evacuation.h"
 #include "lib/feed/feed.h"
 #include "lib/membership/membership.h"
 #include "lib/request_id/request_id.h"
@@ -262,6 +263,12 @@
 /* Propagates changes of the catalogue to services and subscribers. */
 void entry_endpoints_changed(entry_t *entry);
 
+/*
+ * The data centres that are evacuated. The reader of the store updates them;
+ * nothing is sent to their endpoints from then on.
+ */
+evacuations_t *entry_evacuations(entry_t *entry);
+
 /*
  * TRUE if this instance should read the store. In a large fleet only the
  * sources (see lib/subscription/subscription.h) do, and other instances while
--- a/lib/entry/entry_dump.c
+++ b/lib/entry/entry_dump.c
@@ -115,6 +115,7 @@
 	dump_shutdown(entry, w);
 	membership_dump(entry->membership, w);
 	dump_subscription(entry, w);
+	evacuations_dump(entry->evacuations, w);
 	w->begin_array(w->ctx, "upstreams");
 	TAILQ_FOREACH (service, &entry->services, link)
 		upstream_dump(service->upstream, w, entry_now(entry));
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -7,6 +7,7 @@
 #include "lib/admission/retry_budget.h"
 #include "lib/call/call.h"
 #include "lib/entry/entry.h"
+#include "lib/evacuation/evacuation.h"
 #include "lib/membership/fleet_size.h"
 #include "lib/route/route_deadline.h"
 #include "lib/route/route_split.h"
@@ -53,6 +54,7 @@
 	GHashTable *calls_by_ref; /* caller_ref -> call_t */
 	guint64 next_attempt;
 	catalogue_t *catalogue;
+	evacuations_t *evacuations;
 	subscription_t *subscription;
 	feed_t *feeds[FEED_KIND_COUNT];
 	/* Other instances read the objects of that kind for this one. */
--- a/lib/entry/entry_peers.c
+++ b/lib/entry/entry_peers.c
@@ -41,6 +41,9 @@
 	guint64 requested_version; /* in the last PEER_CONFIG_PULL */
 	GTimeSpan next_pull; /* when that version may be requested again */
 	guint64 announced_version; /* passed to the membership */
+	/* In the last PEER_EVACUATION_PULL. */
+	guint64 requested_evacuations;
+	GTimeSpan next_evacuation_pull; /* when it may be requested again */
 };
 
 /* Sets the state of this instance that every message carries. */
@@ -49,6 +52,7 @@
 	message->config_version = config_version(entry->config);
 	message->store_revision =
 		subscription_watch_revision(entry->subscription);
+	message->evacuation_position = evacuations_position(entry->evacuations);
 }
 
 void entry_send_to_peer(entry_t *entry, const char *address,
@@ -384,6 +388,44 @@
 		entry_now(entry) + REJECTED_CONFIG_RETRY_DELAY;
 }
 
+static void request_evacuations(entry_t *entry, guint64 connection,
+				guint64 position)
+{
+	peer_message_t message = { .kind = PEER_EVACUATION_PULL };
+	entry_peers_t *peers = entry->peers;
+	GTimeSpan now = entry_now(entry);
+
+	if (position <= evacuations_position(entry->evacuations) ||
+	    (position <= peers->requested_evacuations &&
+	     now < peers->next_evacuation_pull))
+		return;
+	peers->requested_evacuations = position;
+	peers->next_evacuation_pull = now + CONFIG_PULL_TIMEOUT;
+	entry_reply_to_peer(entry, connection, &message);
+}
+
+static void send_evacuations(entry_t *entry, guint64 connection)
+{
+	peer_message_t message = { .kind = PEER_EVACUATIONS };
+	peer_evacuations_t *evacuations = &message.u.evacuations;
+
+	if (!evacuations_position(entry->evacuations))
+		return;
+	evacuations->count =
+		evacuations_list(entry->evacuations, evacuations->data_centres,
+				 G_N_ELEMENTS(evacuations->data_centres));
+	entry_reply_to_peer(entry, connection, &message);
+}
+
+static void handle_evacuations(entry_t *entry, const peer_message_t *message)
+{
+	const peer_evacuations_t *evacuations = &message->u.evacuations;
+
+	evacuations_replace(entry->evacuations, evacuations->data_centres,
+			    evacuations->count, message->evacuation_position,
+			    "peer");
+}
+
 void entry_receive_peer_message(entry_t *entry, guint64 connection,
 				const peer_message_t *message)
 {
@@ -417,7 +459,14 @@
 	case PEER_ENDPOINTS:
 		entry_receive_endpoints(entry, &message->u.endpoints);
 		break;
+	case PEER_EVACUATION_PULL:
+		send_evacuations(entry, connection);
+		break;
+	case PEER_EVACUATIONS:
+		handle_evacuations(entry, message);
+		break;
 	}
+	request_evacuations(entry, connection, message->evacuation_position);
 	request_config(entry, connection, message->config_version);
 	subscription_record_peer_revision(
 		entry->subscription, message->store_revision, entry_now(entry));
--- a/lib/entry/entry_subscription.c
+++ b/lib/entry/entry_subscription.c
@@ -27,6 +27,12 @@
  */
 #define CONFIGURATION_SPREAD_TIME (1 * G_TIME_SPAN_SECOND)
 
+/*
+ * The same for evacuations: each instance hears of the new set by a ping and
+ * asks for it, as it does for a version of the configuration.
+ */
+#define EVACUATIONS_SPREAD_TIME (2 * G_TIME_SPAN_SECOND)
+
 static void on_endpoints_changed(void *ctx, const char *service,
 				 const endpoint_info_t *infos, gsize count)
 {
@@ -40,8 +46,25 @@
 	entry_log_leaving(ctx, endpoint, state, source);
 }
 
+/* Waiting calls may have to use other endpoints, or may use these again. */
+static void on_evacuations_changed(void *ctx)
+{
+	entry_t *entry = ctx;
+	entry_service_t *service;
+
+	TAILQ_FOREACH (service, &entry->services, link) {
+		upstream_update_evacuated(service->upstream, entry_now(entry));
+		entry_dispatch(entry, service);
+	}
+}
+
 void entry_subscription_init(entry_t *entry)
 {
+	const evacuations_events_t evacuations_events = {
+		.changed = on_evacuations_changed,
+		.log = &entry->actions.log,
+		.ctx = entry,
+	};
 	catalogue_events_t events = { .changed = on_endpoints_changed,
 				      .leaving = on_endpoint_leaving,
 				      .ctx = entry };
@@ -59,6 +82,11 @@
 	feed_limits.changes_pause =
 		entry->limits.change_bound / ENDPOINTS_PAUSE_DIVISOR;
 	entry->feeds[FEED_ENDPOINTS] = feed_new(&feed_limits, entry->random);
+	feed_limits.change_bound = entry->limits.evacuation_bound;
+	feed_limits.spread_time = EVACUATIONS_SPREAD_TIME;
+	feed_limits.changes_pause = CONFIGURATION_PAUSE;
+	entry->feeds[FEED_EVACUATIONS] = feed_new(&feed_limits, entry->random);
+	entry->evacuations = evacuations_new(&evacuations_events);
 	entry->subscription = subscription_new(entry->limits.change_bound,
 					       entry->limits.first_start,
 					       entry->random, entry_now(entry));
@@ -71,6 +99,7 @@
 	for (i = 0; i < FEED_KIND_COUNT; i++)
 		feed_free(entry->feeds[i]);
 	subscription_free(entry->subscription);
+	evacuations_free(entry->evacuations);
 	catalogue_free(entry->catalogue);
 }
 
@@ -79,6 +108,11 @@
 	return entry->catalogue;
 }
 
+evacuations_t *entry_evacuations(entry_t *entry)
+{
+	return entry->evacuations;
+}
+
 feed_t *entry_feed(entry_t *entry, feed_kind_t kind)
 {
 	return entry->feeds[kind];
@@ -130,6 +164,8 @@
 {
 	if (kind == FEED_CONFIGURATION)
 		return config_version(entry->config) > 0;
+	if (kind == FEED_EVACUATIONS)
+		return evacuations_position(entry->evacuations) > 0;
 	return catalogue_is_complete(entry->catalogue);
 }
 
@@ -142,6 +178,8 @@
 	feed_t *feed = entry->feeds[kind];
 	feed_step_t wait = { .kind = FEED_WAIT, .until = CATK_NEVER };
 
+	if (kind == FEED_EVACUATIONS && !entry->limits.evacuation_bound)
+		return wait;
 	if (!has_contents(entry, kind)) {
 		if (waits_for_sources(entry) && !is_source(entry))
 			return wait;
--- a/lib/entry/peer_message.h
+++ b/lib/entry/peer_message.h
@@ -7,6 +7,7 @@
 
 #include "lib/catalogue/catalogue.h"
 #include "lib/common/error.h"
+#include "lib/evacuation/evacuation.h"
 #include "lib/membership/membership.h"
 #include "lib/subscription/subscription.h"
 
@@ -22,7 +23,9 @@
 	PEER_FORWARD_ANSWER,
 	PEER_FORWARD_CANCEL, /* the forwarder no longer needs the answer */
 	PEER_SUBSCRIBE, /* to a source, renewed periodically */
-	PEER_ENDPOINTS /* answers PEER_SUBSCRIBE, and on each change */
+	PEER_ENDPOINTS, /* answers PEER_SUBSCRIBE, and on each change */
+	PEER_EVACUATION_PULL, /* requests the evacuated data centres */
+	PEER_EVACUATIONS /* answers PEER_EVACUATION_PULL */
 } peer_message_kind_t;
 
 /* Largest document of a configuration, in bytes: a value of the object API. */
@@ -62,6 +65,12 @@
 	guint count; /* at most PEER_ENDPOINTS_MAX */
 } peer_endpoints_t;
 
+/* The evacuated data centres at the position in evacuation_position. */
+typedef struct {
+	const char *data_centres[EVACUATION_DATA_CENTRES_MAX];
+	guint count;
+} peer_evacuations_t;
+
 /*
  * Only the member of u that kind selects is valid. Strings, bodies and updates
  * are owned by the creator of the message.
@@ -71,6 +80,8 @@
 	guint64 config_version; /* in force at the sender, 0 for none */
 	/* Up to which the sender has read changes, 0 for none. */
 	guint64 store_revision;
+	/* Of the evacuated data centres as known to the sender, 0 for none. */
+	guint64 evacuation_position;
 	union {
 		guint protocol_version; /* PEER_HELLO */
 		membership_message_t membership;
@@ -89,6 +100,7 @@
 		guint64 cancelled; /* number of PEER_FORWARD_CANCEL */
 		peer_subscribe_t subscribe;
 		peer_endpoints_t endpoints;
+		peer_evacuations_t evacuations;
 	} u;
 } peer_message_t;
 
--- a/lib/feed/feed.c
+++ b/lib/feed/feed.c
@@ -44,6 +44,7 @@
 	static const char *const names[FEED_KIND_COUNT] = {
 		[FEED_CONFIGURATION] = "configuration",
 		[FEED_ENDPOINTS] = "endpoints",
+		[FEED_EVACUATIONS] = "evacuations",
 	};
 
 	return names[kind];
--- a/lib/feed/feed.h
+++ b/lib/feed/feed.h
@@ -13,6 +13,7 @@
 typedef enum {
 	FEED_CONFIGURATION,
 	FEED_ENDPOINTS,
+	FEED_EVACUATIONS,
 	FEED_KIND_COUNT
 } feed_kind_t;
 
--- a/lib/upstream/health.c
+++ b/lib/upstream/health.c
@@ -49,7 +49,8 @@
 static gboolean is_in_service(const endpoint_t *endpoint)
 {
 	return endpoint->listed && !endpoint->info.leaving &&
-	       !endpoint->notices.leaving && !endpoint->draining;
+	       !endpoint->notices.leaving && !endpoint->draining &&
+	       !endpoint->evacuated;
 }
 
 GTimeSpan health_accepts_work_at(const endpoint_t *endpoint, GTimeSpan now)
--- a/lib/upstream/upstream.c
+++ b/lib/upstream/upstream.c
@@ -244,6 +244,16 @@
 	health_start_ramp(endpoint, now);
 }
 
+static gboolean is_evacuated(const upstream_t *upstream,
+			     const endpoint_t *endpoint)
+{
+	const upstream_options_t *options = &upstream->options;
+
+	return options->is_evacuated &&
+	       options->is_evacuated(options->evacuated_ctx,
+				     endpoint->info.data_centre);
+}
+
 static void apply_info(upstream_t *upstream, const endpoint_info_t *info,
 		       gboolean first_list, GTimeSpan now)
 {
@@ -264,6 +274,7 @@
 	endpoint->warmup_until =
 		info->warmup_remaining > 0 ? now + info->warmup_remaining : 0;
 	endpoint->info = *info;
+	endpoint->evacuated = is_evacuated(upstream, endpoint);
 	endpoint->listed = TRUE;
 	endpoint->was_unlisted = FALSE;
 }
@@ -304,6 +315,16 @@
 		upstream->routing.endpoints_changed(upstream->routing.ctx);
 }
 
+void upstream_update_evacuated(upstream_t *upstream, GTimeSpan now)
+{
+	endpoint_t *endpoint;
+
+	TAILQ_FOREACH (endpoint, &upstream->endpoints, link)
+		endpoint->evacuated = is_evacuated(upstream, endpoint);
+	if (update_usable(upstream, now) && upstream->routing.endpoints_changed)
+		upstream->routing.endpoints_changed(upstream->routing.ctx);
+}
+
 static gint compare_latency(gconstpointer a, gconstpointer b)
 {
 	double x = *(const double *)a;
@@ -510,7 +531,8 @@
 	const routing_t *routing = &upstream->routing;
 
 	if (!endpoint->listed || endpoint->info.leaving ||
-	    endpoint->notices.leaving || now < endpoint->notices.paused_until ||
+	    endpoint->evacuated || endpoint->notices.leaving ||
+	    now < endpoint->notices.paused_until ||
 	    now < endpoint->ejected_until)
 		return FALSE;
 	if (endpoint->reported_at &&
--- a/lib/upstream/upstream.h
+++ b/lib/upstream/upstream.h
@@ -108,6 +108,13 @@
 	const char *data_centre; /* of this entry; outlives the upstream */
 	const event_log_t *log; /* receives changes of health, NULL for none */
 	guint probe_burst; /* probe tokens per endpoint, at least 1 */
+	/*
+	 * TRUE if the data centre is evacuated: its endpoints then receive no
+	 * requests and no probes. NULL if none ever is. Call
+	 * upstream_update_evacuated() when the result changes.
+	 */
+	gboolean (*is_evacuated)(void *ctx, const char *data_centre);
+	void *evacuated_ctx;
 } upstream_options_t;
 
 /* Selection criteria of one call. */
@@ -149,6 +156,9 @@
 void upstream_set_endpoints(upstream_t *upstream, const endpoint_info_t *infos,
 			    gsize count, GTimeSpan now);
 
+/* Applies a change of the data centres that are evacuated. */
+void upstream_update_evacuated(upstream_t *upstream, GTimeSpan now);
+
 /*
  * Selects the endpoint for the next attempt. Returns NULL if none can take one.
  * avoid is the id of an endpoint to select only as a last resort, or NULL.
--- a/lib/upstream/upstream_dump.c
+++ b/lib/upstream/upstream_dump.c
@@ -18,6 +18,7 @@
 	w->string(w->ctx, "data_centre", endpoint->info.data_centre);
 	w->boolean(w->ctx, "leaving", endpoint->info.leaving);
 	w->boolean(w->ctx, "says_leaving", endpoint->notices.leaving);
+	w->boolean(w->ctx, "evacuated", endpoint->evacuated);
 	w->integer(w->ctx, "paused_us",
 		   MAX(endpoint->notices.paused_until - now, 0));
 	dump_health(endpoint, w, now);
--- a/lib/upstream/upstream_internal.h
+++ b/lib/upstream/upstream_internal.h
@@ -32,6 +32,7 @@
 	notices_t notices;
 	gboolean listed;
 	gboolean was_unlisted; /* missing from the previous list */
+	gboolean evacuated; /* its data centre is */
 
 	/* Oldest first. */
 	TAILQ_HEAD(pending_attempt_list, pending_attempt) pending_attempts;
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -592,6 +592,96 @@
   assert(message->base.descriptor == &catk__endpoints__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   catk__evacuation_pull__init
+                     (Catk__EvacuationPull         *message)
+{
+  static const Catk__EvacuationPull init_value = CATK__EVACUATION_PULL__INIT;
+  *message = init_value;
+}
+size_t catk__evacuation_pull__get_packed_size
+                     (const Catk__EvacuationPull *message)
+{
+  assert(message->base.descriptor == &catk__evacuation_pull__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t catk__evacuation_pull__pack
+                     (const Catk__EvacuationPull *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &catk__evacuation_pull__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t catk__evacuation_pull__pack_to_buffer
+                     (const Catk__EvacuationPull *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &catk__evacuation_pull__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Catk__EvacuationPull *
+       catk__evacuation_pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Catk__EvacuationPull *)
+     protobuf_c_message_unpack (&catk__evacuation_pull__descriptor,
+                                allocator, len, data);
+}
+void   catk__evacuation_pull__free_unpacked
+                     (Catk__EvacuationPull *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &catk__evacuation_pull__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   catk__evacuations__init
+                     (Catk__Evacuations         *message)
+{
+  static const Catk__Evacuations init_value = CATK__EVACUATIONS__INIT;
+  *message = init_value;
+}
+size_t catk__evacuations__get_packed_size
+                     (const Catk__Evacuations *message)
+{
+  assert(message->base.descriptor == &catk__evacuations__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t catk__evacuations__pack
+                     (const Catk__Evacuations *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &catk__evacuations__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t catk__evacuations__pack_to_buffer
+                     (const Catk__Evacuations *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &catk__evacuations__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Catk__Evacuations *
+       catk__evacuations__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Catk__Evacuations *)
+     protobuf_c_message_unpack (&catk__evacuations__descriptor,
+                                allocator, len, data);
+}
+void   catk__evacuations__free_unpacked
+                     (Catk__Evacuations *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &catk__evacuations__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   catk__envelope__init
                      (Catk__Envelope         *message)
 {
@@ -1768,7 +1858,63 @@
   (ProtobufCMessageInit) catk__endpoints__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor catk__envelope__field_descriptors[13] =
+#define catk__evacuation_pull__field_descriptors NULL
+#define catk__evacuation_pull__field_indices_by_name NULL
+#define catk__evacuation_pull__number_ranges NULL
+const ProtobufCMessageDescriptor catk__evacuation_pull__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "catk.EvacuationPull",
+  "EvacuationPull",
+  "Catk__EvacuationPull",
+  "catk",
+  sizeof(Catk__EvacuationPull),
+  0,
+  catk__evacuation_pull__field_descriptors,
+  catk__evacuation_pull__field_indices_by_name,
+  0,  catk__evacuation_pull__number_ranges,
+  (ProtobufCMessageInit) catk__evacuation_pull__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor catk__evacuations__field_descriptors[1] =
+{
+  {
+    "data_centres",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Catk__Evacuations, n_data_centres),
+    offsetof(Catk__Evacuations, data_centres),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned catk__evacuations__field_indices_by_name[] = {
+  0,   /* field[0] = data_centres */
+};
+static const ProtobufCIntRange catk__evacuations__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor catk__evacuations__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "catk.Evacuations",
+  "Evacuations",
+  "Catk__Evacuations",
+  "catk",
+  sizeof(Catk__Evacuations),
+  1,
+  catk__evacuations__field_descriptors,
+  catk__evacuations__field_indices_by_name,
+  1,  catk__evacuations__number_ranges,
+  (ProtobufCMessageInit) catk__evacuations__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor catk__envelope__field_descriptors[16] =
 {
   {
     "config_version",
@@ -1926,6 +2072,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuation_position",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Catk__Envelope, evacuation_position),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuation_pull",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Catk__Envelope, body_case),
+    offsetof(Catk__Envelope, evacuation_pull),
+    &catk__evacuation_pull__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuations",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Catk__Envelope, body_case),
+    offsetof(Catk__Envelope, evacuations),
+    &catk__evacuations__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned catk__envelope__field_indices_by_name[] = {
   4,   /* field[4] = ack */
@@ -1933,6 +2115,9 @@
   5,   /* field[5] = config_pull */
   0,   /* field[0] = config_version */
   11,   /* field[11] = endpoints */
+  13,   /* field[13] = evacuation_position */
+  14,   /* field[14] = evacuation_pull */
+  15,   /* field[15] = evacuations */
   8,   /* field[8] = forward_answer */
   7,   /* field[7] = forward_call */
   9,   /* field[9] = forward_cancel */
@@ -1945,7 +2130,7 @@
 static const ProtobufCIntRange catk__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor catk__envelope__descriptor =
 {
@@ -1955,7 +2140,7 @@
   "Catk__Envelope",
   "catk",
   sizeof(Catk__Envelope),
-  13,
+  16,
   catk__envelope__field_descriptors,
   catk__envelope__field_indices_by_name,
   1,  catk__envelope__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -28,6 +28,8 @@
 typedef struct Catk__Subscribe Catk__Subscribe;
 typedef struct Catk__Endpoint Catk__Endpoint;
 typedef struct Catk__Endpoints Catk__Endpoints;
+typedef struct Catk__EvacuationPull Catk__EvacuationPull;
+typedef struct Catk__Evacuations Catk__Evacuations;
 typedef struct Catk__Envelope Catk__Envelope;
 
 
@@ -276,6 +278,32 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0 }
 
 
+/*
+ * Requests the evacuated data centres.
+ */
+struct  Catk__EvacuationPull
+{
+  ProtobufCMessage base;
+};
+#define CATK__EVACUATION_PULL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&catk__evacuation_pull__descriptor) \
+     }
+
+
+/*
+ * The data centres that are evacuated at the envelope's evacuation_position.
+ */
+struct  Catk__Evacuations
+{
+  ProtobufCMessage base;
+  size_t n_data_centres;
+  char **data_centres;
+};
+#define CATK__EVACUATIONS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&catk__evacuations__descriptor) \
+    , 0,NULL }
+
+
 typedef enum {
   CATK__ENVELOPE__BODY__NOT_SET = 0,
   CATK__ENVELOPE__BODY_HELLO = 2,
@@ -288,7 +316,9 @@
   CATK__ENVELOPE__BODY_FORWARD_ANSWER = 9,
   CATK__ENVELOPE__BODY_FORWARD_CANCEL = 10,
   CATK__ENVELOPE__BODY_SUBSCRIBE = 11,
-  CATK__ENVELOPE__BODY_ENDPOINTS = 12
+  CATK__ENVELOPE__BODY_ENDPOINTS = 12,
+  CATK__ENVELOPE__BODY_EVACUATION_PULL = 15,
+  CATK__ENVELOPE__BODY_EVACUATIONS = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CATK__ENVELOPE__BODY__CASE)
 } Catk__Envelope__BodyCase;
 
@@ -303,6 +333,10 @@
    * up to which the sender has read endpoint changes
    */
   uint64_t store_revision;
+  /*
+   * of the evacuations known to the sender
+   */
+  uint64_t evacuation_position;
   Catk__Envelope__BodyCase body_case;
   union {
     Catk__Hello *hello;
@@ -316,11 +350,13 @@
     Catk__ForwardCancel *forward_cancel;
     Catk__Subscribe *subscribe;
     Catk__Endpoints *endpoints;
+    Catk__EvacuationPull *evacuation_pull;
+    Catk__Evacuations *evacuations;
   };
 };
 #define CATK__ENVELOPE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&catk__envelope__descriptor) \
-    , 0, 0, CATK__ENVELOPE__BODY__NOT_SET, {0} }
+    , 0, 0, 0, CATK__ENVELOPE__BODY__NOT_SET, {0} }
 
 
 /* Catk__Member methods */
@@ -570,6 +606,44 @@
 void   catk__endpoints__free_unpacked
                      (Catk__Endpoints *message,
                       ProtobufCAllocator *allocator);
+/* Catk__EvacuationPull methods */
+void   catk__evacuation_pull__init
+                     (Catk__EvacuationPull         *message);
+size_t catk__evacuation_pull__get_packed_size
+                     (const Catk__EvacuationPull   *message);
+size_t catk__evacuation_pull__pack
+                     (const Catk__EvacuationPull   *message,
+                      uint8_t             *out);
+size_t catk__evacuation_pull__pack_to_buffer
+                     (const Catk__EvacuationPull   *message,
+                      ProtobufCBuffer     *buffer);
+Catk__EvacuationPull *
+       catk__evacuation_pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   catk__evacuation_pull__free_unpacked
+                     (Catk__EvacuationPull *message,
+                      ProtobufCAllocator *allocator);
+/* Catk__Evacuations methods */
+void   catk__evacuations__init
+                     (Catk__Evacuations         *message);
+size_t catk__evacuations__get_packed_size
+                     (const Catk__Evacuations   *message);
+size_t catk__evacuations__pack
+                     (const Catk__Evacuations   *message,
+                      uint8_t             *out);
+size_t catk__evacuations__pack_to_buffer
+                     (const Catk__Evacuations   *message,
+                      ProtobufCBuffer     *buffer);
+Catk__Evacuations *
+       catk__evacuations__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   catk__evacuations__free_unpacked
+                     (Catk__Evacuations *message,
+                      ProtobufCAllocator *allocator);
 /* Catk__Envelope methods */
 void   catk__envelope__init
                      (Catk__Envelope         *message);
@@ -630,6 +704,12 @@
 typedef void (*Catk__Endpoints_Closure)
                  (const Catk__Endpoints *message,
                   void *closure_data);
+typedef void (*Catk__EvacuationPull_Closure)
+                 (const Catk__EvacuationPull *message,
+                  void *closure_data);
+typedef void (*Catk__Evacuations_Closure)
+                 (const Catk__Evacuations *message,
+                  void *closure_data);
 typedef void (*Catk__Envelope_Closure)
                  (const Catk__Envelope *message,
                   void *closure_data);
@@ -652,6 +732,8 @@
 extern const ProtobufCMessageDescriptor catk__subscribe__descriptor;
 extern const ProtobufCMessageDescriptor catk__endpoint__descriptor;
 extern const ProtobufCMessageDescriptor catk__endpoints__descriptor;
+extern const ProtobufCMessageDescriptor catk__evacuation_pull__descriptor;
+extern const ProtobufCMessageDescriptor catk__evacuations__descriptor;
 extern const ProtobufCMessageDescriptor catk__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/support_fleet.h
+++ b/tests/support_fleet.h
@@ -9,7 +9,7 @@
 #include "lib/entry/entry.h"
 
 #define FLEET_INSTANCES_MAX 512
-#define FLEET_MESSAGE_KINDS (PEER_ENDPOINTS + 1)
+#define FLEET_MESSAGE_KINDS (PEER_EVACUATIONS + 1)
 #define FLEET_STEP (20 * G_TIME_SPAN_MILLISECOND) /* also the latency */
 
 typedef struct {
--- a/tests/test_routed_calls.c
+++ b/tests/test_routed_calls.c
@@ -1147,11 +1147,64 @@
 	assert_null(f->organisation);
 }
 
+static void evacuate(fixture_t *f, const char *data_centre, guint64 position)
+{
+	const char *names[] = { data_centre };
+
+	evacuations_replace(entry_evacuations(f->entry), names,
+			    data_centre ? 1 : 0, position, "e2");
+}
+
+/*
+ * Fails if a request goes to an evacuated data centre, at once or from the
+ * queue, or if it does not return there afterwards.
+ */
+static void evacuated_data_centre_gets_no_request(void **state)
+{
+	fixture_t *f = *state;
+
+	send_request(f, 1, "/safe/");
+	answer_probes(f, "", 0, 0, 500);
+	assert_int_equal(f->started, 0);
+	evacuate(f, "here", 10);
+	advance(f, 60 * MS);
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->started, 1);
+	assert_string_equal(f->endpoint, "i-remote");
+	send_request(f, 2, "/once/");
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->started, 2);
+	assert_string_equal(f->endpoint, "i-remote");
+	evacuate(f, NULL, 11);
+	advance(f, G_TIME_SPAN_SECOND);
+	send_request(f, 3, "/once/");
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->started, 3);
+	assert_string_not_equal(f->endpoint, "i-remote");
+}
+
+/* Fails if a second attempt goes to a data centre that was evacuated since. */
+static void retry_leaves_an_evacuated_data_centre(void **state)
+{
+	fixture_t *f = *state;
+
+	send_request(f, 1, "/safe/");
+	answer_probes(f, "", 0, 0, 100);
+	assert_string_not_equal(f->endpoint, "i-remote");
+	evacuate(f, "here", 10);
+	end_attempt(f, ATTEMPT_FAILED, 0);
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->started, 2);
+	assert_string_equal(f->endpoint, "i-remote");
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		TEST(evacuated_data_centre_gets_no_request),
+		TEST(retry_leaves_an_evacuated_data_centre),
 		TEST(request_needs_a_key),
 		TEST(public_route_needs_no_key),
 		TEST(withdrawn_key_ends_a_queued_request),
