Hold requests until the first configuration is known

Cause: an instance refused requests with 503 until it had read its first configuration, 0.1 to 0.25 s after its start.

A caller that leaves is removed, a stop refuses all.

test_routed_calls/missing_configuration_is_reported_as_unavailable expected the refusal at once.

Result: three tests of test_routed_calls.

--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -38,6 +38,7 @@
 	entry->splits = route_splits_new(random);
 	entry->deadlines = route_deadlines_new();
 	entry->next_attempt = 1;
+	startup_queue_init(&entry->startup_queue, entry_now(entry));
 	entry->next_housekeeping = entry_now(entry);
 	return entry;
 }
@@ -70,6 +71,7 @@
 	if (!entry)
 		return;
 	entry_free_calls(entry);
+	startup_queue_clear(&entry->startup_queue);
 	while (!TAILQ_EMPTY(&entry->services))
 		service_free(entry, TAILQ_FIRST(&entry->services));
 	g_hash_table_destroy(entry->calls_by_sequence);
@@ -185,6 +187,7 @@
 		catalogue_report_all(entry->catalogue);
 		subscription_notify_all(entry->subscription);
 		entry_endpoints_changed(entry);
+		entry_route_startup_requests(entry);
 	}
 	return result;
 }
@@ -430,6 +433,7 @@
 	entry_service_t *service;
 
 	entry_expire_calls(entry);
+	entry_refuse_startup_requests(entry, FALSE);
 	entry_peers_tick(entry);
 	if (entry_now(entry) >= entry->next_housekeeping)
 		housekeeping(entry);
@@ -479,6 +483,7 @@
 		g_hash_table_size(entry->calls_by_ref);
 	entry_log_shutdown_started(entry, reason);
 	membership_leave(entry->membership);
+	entry_refuse_startup_requests(entry, TRUE);
 	entry_refuse_unstarted_calls(entry);
 }
 
--- a/lib/entry/entry_calls.c
+++ b/lib/entry/entry_calls.c
@@ -4,6 +4,14 @@
 #include <string.h>
 #include <xxhash.h>
 
+/*
+ * Delay after which callers of an instance without configuration retry. One
+ * that has no configuration a second after its start often has an outage of the
+ * store, so other instances are the callers' better choice.
+ */
+#define NO_CONFIG_RETRY_MIN (100 * G_TIME_SPAN_MILLISECOND)
+#define NO_CONFIG_RETRY_MAX (400 * G_TIME_SPAN_MILLISECOND)
+
 static guint64 request_fingerprint(const call_request_t *request)
 {
 	XXH3_state_t *state = XXH3_createState();
@@ -58,30 +66,66 @@
 		entry->shutdown.calls.received++;
 }
 
-static void answer_no_route(entry_t *entry, const routed_request_t *request)
+static void log_no_route(const entry_t *entry, const routed_request_t *request)
 {
-	catk_error_t error;
-
-	if (!config_schema(entry->config))
-		catk_error_set(&error, CATK_UNAVAILABLE, OUTCOME_NOT_RUN,
-			       "this instance has no configuration yet: use "
-			       "another instance or retry later");
-	else
-		catk_error_set(&error, CATK_NOT_FOUND, OUTCOME_NOT_RUN,
-			       "no route of configuration version "
-			       "%" G_GUINT64_FORMAT
-			       " matches this host and path: declare one or "
-			       "correct the address",
-			       config_version(entry->config));
 	LOG_EVENT(&entry->actions.log, "no_route",
 		  LOG_TEXT("request", request->name ? request->name : ""),
 		  LOG_TEXT("host", request->host),
 		  LOG_TEXT("path", request->path),
 		  LOG_NUMBER("config_version",
 			     (gint64)config_version(entry->config)));
+}
+
+static void answer_no_route(entry_t *entry, const routed_request_t *request)
+{
+	catk_error_t error;
+
+	catk_error_set(&error, CATK_NOT_FOUND, OUTCOME_NOT_RUN,
+		       "no route of configuration version %" G_GUINT64_FORMAT
+		       " matches this host and path: declare one or correct "
+		       "the address",
+		       config_version(entry->config));
+	log_no_route(entry, request);
 	entry_answer_error(entry, request->caller_ref, &error);
 }
 
+/* Callers return spread over time, to this instance or to another one. */
+static void refuse_without_config(entry_t *entry, void *caller_ref)
+{
+	catk_error_t error;
+
+	catk_error_set(&error, CATK_UNAVAILABLE, OUTCOME_NOT_RUN,
+		       "this instance has no configuration yet: use another "
+		       "instance or retry later");
+	error.retry_after = g_rand_int_range(entry->random, NO_CONFIG_RETRY_MIN,
+					     NO_CONFIG_RETRY_MAX);
+	entry_answer_error(entry, caller_ref, &error);
+}
+
+/* The request waits for the configuration, or is refused if it may not. */
+static void route_without_config(entry_t *entry,
+				 const routed_request_t *request)
+{
+	const startup_request_t attributes = {
+		.host = (char *)request->host,
+		.path = (char *)request->path,
+		.name = (char *)request->name,
+		.credential = (char *)request->credential,
+		.body = request->body,
+		.deadline = request->remaining > 0 ?
+				    entry_now(entry) + request->remaining :
+				    0,
+		.caller_ref = request->caller_ref,
+	};
+
+	if (!entry_is_leaving(entry) &&
+	    startup_queue_add(&entry->startup_queue, &attributes,
+			      entry_now(entry)))
+		return;
+	log_no_route(entry, request);
+	refuse_without_config(entry, request->caller_ref);
+}
+
 gboolean entry_check_key(const entry_t *entry, const char *credential,
 			 gboolean needs_key,
 			 const organisation_t **organisation,
@@ -118,10 +162,11 @@
 	entry_answer_error(entry, request->caller_ref, error);
 }
 
-void entry_route(entry_t *entry, const routed_request_t *request)
+static void route_request(entry_t *entry, const routed_request_t *request)
 {
 	const schema_t *schema = config_schema(entry->config);
-	const schema_route_t *route = NULL;
+	const schema_route_t *route =
+		schema_match_route(schema, request->host, request->path);
 	const char *service = NULL;
 	call_attributes_t attributes = { .caller = "", .caller_attempt = 1 };
 	GTimeSpan remaining;
@@ -164,6 +209,51 @@
 	      request->caller_ref);
 }
 
+void entry_route(entry_t *entry, const routed_request_t *request)
+{
+	count_received(entry);
+	if (config_schema(entry->config))
+		route_request(entry, request);
+	else
+		route_without_config(entry, request);
+}
+
+void entry_route_startup_requests(entry_t *entry)
+{
+	startup_request_t *waiting;
+
+	while ((waiting = startup_queue_take(&entry->startup_queue))) {
+		routed_request_t request = {
+			.host = waiting->host,
+			.path = waiting->path,
+			.name = waiting->name,
+			.credential = waiting->credential,
+			.body = waiting->body,
+			.caller_ref = waiting->caller_ref,
+		};
+
+		/* A deadline that has passed ends the call at once. */
+		if (waiting->deadline)
+			request.remaining =
+				MAX(waiting->deadline - entry_now(entry), 1);
+		route_request(entry, &request);
+		startup_request_free(waiting);
+	}
+}
+
+void entry_refuse_startup_requests(entry_t *entry, gboolean all)
+{
+	startup_request_t *waiting;
+
+	while ((waiting =
+			all ? startup_queue_take(&entry->startup_queue) :
+			      startup_queue_take_expired(&entry->startup_queue,
+							 entry_now(entry)))) {
+		refuse_without_config(entry, waiting->caller_ref);
+		startup_request_free(waiting);
+	}
+}
+
 /* Answers a request whose id is already used, expired, sealed or not issued. */
 static void answer_by_id_state(entry_t *entry, const call_request_t *request,
 			       guint64 sequence, request_id_state_t state,
@@ -377,7 +467,8 @@
 	catk_error_t error;
 
 	if (!call) {
-		if (entry_cancel_forwarded_call(entry, caller_ref))
+		if (entry_cancel_forwarded_call(entry, caller_ref) ||
+		    startup_queue_remove(&entry->startup_queue, caller_ref))
 			count_cancelled(entry);
 		return;
 	}
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -5,6 +5,7 @@
 #define CATK_ENTRY_INTERNAL_H
 
 #include "lib/admission/retry_budget.h"
+#include "lib/admission/startup_queue.h"
 #include "lib/call/call.h"
 #include "lib/entry/entry.h"
 #include "lib/evacuation/evacuation.h"
@@ -48,6 +49,7 @@
 	request_ids_t *ids;
 	TAILQ_HEAD(entry_service_list, entry_service) services;
 
+	startup_queue_t startup_queue; /* until the first configuration */
 	TAILQ_HEAD(call_list, call) calls; /* earliest deadline first */
 	GHashTable *calls_by_sequence; /* request id sequence -> call_t */
 	GHashTable *calls_by_attempt; /* attempt id -> call_t */
@@ -112,6 +114,12 @@
 			 const organisation_t **organisation,
 			 catk_error_t *error);
 
+/* Route the requests that waited for the first configuration. */
+void entry_route_startup_requests(entry_t *entry);
+
+/* Refuses requests that must wait no longer for it, all of them if asked to. */
+void entry_refuse_startup_requests(entry_t *entry, gboolean all);
+
 /* Starts queued calls while an endpoint has capacity. */
 void entry_dispatch(entry_t *entry, entry_service_t *service);
 
--- a/tests/test_routed_calls.c
+++ b/tests/test_routed_calls.c
@@ -11,6 +11,7 @@
 #include <cmocka.h>
 #include <string.h>
 
+#include "lib/admission/startup_queue.h"
 #include "lib/entry/entry.h"
 
 #define MS G_TIME_SPAN_MILLISECOND
@@ -540,8 +541,8 @@
 }
 
 /*
- * Fails if an instance without configuration answers "not found" instead of
- * "unavailable".
+ * Fails if a request before the first configuration is refused as if no route
+ * matched, or waits longer than a configuration usually takes.
  */
 static void missing_configuration_is_reported_as_unavailable(void **state)
 {
@@ -550,7 +551,58 @@
 	entry_free(f->entry);
 	f->entry = new_entry(f);
 	send_request(f, 1, "/once/");
+	advance(f, STARTUP_WAIT_MAX - MS);
+	assert_int_equal(f->answers[1].count, 0);
+	advance(f, MS);
 	assert_answered(f, 1, CATK_UNAVAILABLE, OUTCOME_NOT_RUN);
+	assert_true(f->answers[1].error.retry_after > 0);
+	send_request(f, 2, "/once/");
+	assert_answered(f, 2, CATK_UNAVAILABLE, OUTCOME_NOT_RUN);
+}
+
+/*
+ * Fails if the callers that return to a fleet which has just started use up
+ * their retries before the configuration is known.
+ */
+static void request_waits_for_the_first_configuration(void **state)
+{
+	GBytes *document = g_bytes_new_static("{}", 2);
+	fixture_t *f = *state;
+
+	entry_free(f->entry);
+	f->entry = new_entry(f);
+	send_request(f, 1, "/safe/");
+	send_request(f, 2, "/nowhere/");
+	send_request(f, 3, "/safe/");
+	send_request_within(f, 4, "/safe/", 50 * MS);
+	entry_cancel(f->entry, GUINT_TO_POINTER(3));
+	advance(f, 60 * MS);
+	assert_answered(f, 4, CATK_UNAVAILABLE, OUTCOME_NOT_RUN);
+	entry_activate_config(f->entry, 1, new_schema(), document);
+	assert_answered(f, 2, CATK_NOT_FOUND, OUTCOME_NOT_RUN);
+	list_endpoints(f, 2);
+	advance(f, 100 * MS);
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->started, 1);
+	assert_true(f->remaining <= CALLER_DEADLINE - 160 * MS);
+	end_attempt(f, ATTEMPT_ANSWERED, 200);
+	assert_answered(f, 1, CATK_OK, OUTCOME_RAN);
+	assert_int_equal(f->answers[3].count, 0);
+	g_bytes_unref(document);
+}
+
+/* Fails if a stop leaves a request without an answer that waits for it. */
+static void stop_refuses_requests_without_configuration(void **state)
+{
+	fixture_t *f = *state;
+
+	entry_free(f->entry);
+	f->entry = new_entry(f);
+	send_request(f, 1, "/once/");
+	entry_shutdown(f->entry, "test");
+	assert_answered(f, 1, CATK_UNAVAILABLE, OUTCOME_NOT_RUN);
+	send_request(f, 2, "/once/");
+	assert_answered(f, 2, CATK_UNAVAILABLE, OUTCOME_NOT_RUN);
 }
 
 /* Fails if an attempt is given more time than its call has left. */
@@ -1222,6 +1274,8 @@
 		TEST(late_request_leaves_the_last_slot),
 		TEST(refusal_with_a_free_slot_causes_no_backoff),
 		TEST(missing_configuration_is_reported_as_unavailable),
+		TEST(request_waits_for_the_first_configuration),
+		TEST(stop_refuses_requests_without_configuration),
 		TEST(attempt_gets_the_remaining_time),
 		TEST(freed_entry_requests_no_action),
 		TEST(request_without_capacity_is_refused_early),
