Read evacuations from sources only, and lists not twice at a start

Cause: after a loss of power each instance read the lists of configuration, endpoints and evacuations at its start, gave the watches up when it knew more instances, and read the lists again 0.4 s later: six lists and three watches an instance.

Change: evacuations are read by the sources only, in a small fleet by all instances once the members are known. An instance that has read the list of endpoints keeps its watches until a source serves it.

Result: tests of subscriptions pass unchanged.

--- a/lib/entry/entry_subscription.c
+++ b/lib/entry/entry_subscription.c
@@ -152,20 +152,37 @@
 {
 	if (is_source(entry))
 		return TRUE;
-	if (waits_for_sources(entry))
+	/*
+	 * One that has read the list already, when it knew few others, keeps
+	 * its watch until a source serves it: a new list would cost more.
+	 */
+	if (waits_for_sources(entry) &&
+	    !catalogue_is_complete(entry->catalogue))
 		return FALSE;
 	return !has_sources(entry) ||
 	       subscription_should_read_store(entry->subscription,
 					      entry_now(entry));
 }
 
+/*
+ * Evacuations are rare and known late in their bound, so only sources read them.
+ * Other instances are told by messages.
+ */
+static gboolean should_read_evacuations(const entry_t *entry)
+{
+	if (!entry->limits.evacuation_bound)
+		return FALSE;
+	return has_sources(entry) ?
+		       is_source(entry) :
+		       !subscription_is_starting(entry->subscription,
+						 entry_now(entry));
+}
+
 /* Whether this instance has what a first list of the store would tell it. */
 static gboolean has_contents(const entry_t *entry, feed_kind_t kind)
 {
 	if (kind == FEED_CONFIGURATION)
 		return config_version(entry->config) > 0;
-	if (kind == FEED_EVACUATIONS)
-		return evacuations_position(entry->evacuations) > 0;
 	return catalogue_is_complete(entry->catalogue);
 }
 
@@ -178,9 +195,12 @@
 	feed_t *feed = entry->feeds[kind];
 	feed_step_t wait = { .kind = FEED_WAIT, .until = CATK_NEVER };
 
-	if (kind == FEED_EVACUATIONS && !entry->limits.evacuation_bound)
-		return wait;
-	if (!has_contents(entry, kind)) {
+	if (kind == FEED_EVACUATIONS) {
+		if (!should_read_evacuations(entry)) {
+			entry->feed_paused[kind] = TRUE;
+			return wait;
+		}
+	} else if (!has_contents(entry, kind)) {
 		if (waits_for_sources(entry) && !is_source(entry))
 			return wait;
 	} else if (!entry_should_read_store(entry)) {
