Limit the requests to endpoints that are warming up

An endpoint that has just started bears warmup_per_s requests a second and crashes well above. Nothing bounded what the instances together send it: a new endpoint attracts requests, as it is idle.

Two instances per cold endpoint, chosen by rendezvous hash among the live instances of its data centre, may use it, with a token bucket each; the others skip it. It is cold if its registration or a probe answer (X-Warmup-Ms) says so, or if its start is new to the instance. A sender gives it one request now and then, and probes it first, so that it joins. Services without warmup_per_s are served as before.

--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -101,6 +101,26 @@
 	return evacuations_contains(entry->evacuations, data_centre);
 }
 
+/* Suspects may be live; without them the senders would change too often. */
+static gboolean next_instance(void *ctx, const void **position,
+			      warmup_instance_t *instance)
+{
+	const entry_t *entry = ctx;
+	const member_t *member = *position;
+
+	do
+		member = member ? membership_next(member) :
+				  membership_first(entry->membership);
+	while (member && member->state != MEMBER_LIVE &&
+	       member->state != MEMBER_SUSPECT);
+	*position = member;
+	if (!member)
+		return FALSE;
+	instance->name = member->name;
+	instance->data_centre = member->data_centre;
+	return TRUE;
+}
+
 static entry_service_t *add_service(entry_t *entry, const char *name)
 {
 	entry_service_t *service = g_new0(entry_service_t, 1);
@@ -114,6 +134,10 @@
 		.probe_burst = entry->limits.probe_fanout ? PROBE_BURST : 1,
 		.is_evacuated = is_evacuated,
 		.evacuated_ctx = entry,
+		.warmup_overage = entry->limits.warmup_overage,
+		.warmup_slack = entry->limits.warmup_slack,
+		.next_instance = next_instance,
+		.next_instance_ctx = entry,
 	};
 
 	service->upstream =
--- a/lib/entry/entry_measure.c
+++ b/lib/entry/entry_measure.c
@@ -148,8 +148,8 @@
 	catk_error_t error;
 
 	catk_error_set(&error, CATK_UNAVAILABLE, OUTCOME_NOT_RUN,
-		       "every endpoint of %.64s is leaving or has asked for a "
-		       "pause: retry after the given time",
+		       "every endpoint of %.64s is leaving, is warming up or "
+		       "has asked for a pause: retry after the given time",
 		       call->service);
 	error.retry_after = entry_retry_after(entry, service, call, FALSE);
 	entry_finish_refused(entry, call, &error);
--- a/lib/upstream/endpoint.c
+++ b/lib/upstream/endpoint.c
@@ -105,12 +105,36 @@
 		endpoint->backoff_until = 0;
 }
 
+static void apply_reported_warmup(const upstream_t *upstream,
+				  endpoint_t *endpoint,
+				  const load_report_t *report,
+				  GTimeSpan requested_at, GTimeSpan now)
+{
+	gboolean was_cold = warmup_limit_is_cold(&endpoint->warmup, now);
+	warmup_rules_t rules = upstream_warmup_rules(upstream);
+	warmup_endpoint_t key = endpoint_for_warmup(endpoint);
+
+	warmup_limit_reported(&endpoint->warmup, &rules, &key,
+			      report->warmup_remaining, requested_at, now);
+	if (was_cold || !warmup_limit_is_cold(&endpoint->warmup, now) ||
+	    !upstream->options.log)
+		return;
+	LOG_EVENT(upstream->options.log, "endpoint_cold",
+		  LOG_TEXT("service", upstream->service),
+		  LOG_TEXT("endpoint", endpoint_id(endpoint)),
+		  LOG_NUMBER("duration_us", report->warmup_remaining),
+		  LOG_NUMBER("is_sender", endpoint->warmup.is_sender));
+}
+
 void endpoint_apply_report(upstream_t *upstream, endpoint_t *endpoint,
 			   const load_report_t *report, GTimeSpan requested_at,
 			   GTimeSpan now)
 {
 	if (report->slots)
 		apply_load(upstream, endpoint, report, now);
+	if (report->has_warmup)
+		apply_reported_warmup(upstream, endpoint, report, requested_at,
+				      now);
 	apply_draining(endpoint, report->draining, requested_at, now);
 }
 
--- a/lib/upstream/health.c
+++ b/lib/upstream/health.c
@@ -55,11 +55,13 @@
 
 GTimeSpan health_accepts_work_at(const endpoint_t *endpoint, GTimeSpan now)
 {
+	GTimeSpan usable_at = warmup_limit_usable_at(&endpoint->warmup, now);
+
 	if (!is_in_service(endpoint))
 		return CATK_NEVER;
 	return now < endpoint->notices.paused_until ?
-		       endpoint->notices.paused_until :
-		       0;
+		       MAX(endpoint->notices.paused_until, usable_at) :
+		       usable_at;
 }
 
 gboolean health_accepts_work(const endpoint_t *endpoint, GTimeSpan now)
@@ -162,7 +164,8 @@
 {
 	if (!health_accepts_work(endpoint, now) ||
 	    now < endpoint->backoff_until ||
-	    now < available_at(upstream, endpoint))
+	    now < available_at(upstream, endpoint) ||
+	    now < warmup_limit_token_at(&endpoint->warmup, now))
 		return AVAILABLE_NO;
 	/* Each attempt occupies a connection. */
 	if (endpoint->in_flight >= upstream_connection_share(upstream))
@@ -372,5 +375,7 @@
 	lower_to_future_instant(&earliest, endpoint->next_trial_at, now);
 	lower_to_future_instant(&earliest, available_at(upstream, endpoint),
 				now);
+	lower_to_future_instant(
+		&earliest, warmup_limit_token_at(&endpoint->warmup, now), now);
 	return earliest;
 }
--- a/lib/upstream/routing_expected_latency.c
+++ b/lib/upstream/routing_expected_latency.c
@@ -337,6 +337,25 @@
 	}
 }
 
+/*
+ * Moves a cold endpoint that should get the next attempt to the front, as it is
+ * selected only with a recent report.
+ */
+static void put_due_cold_first(GPtrArray *endpoints, GTimeSpan now)
+{
+	guint i;
+
+	for (i = 0; i < endpoints->len; i++) {
+		endpoint_t *endpoint = endpoints->pdata[i];
+
+		if (!warmup_limit_is_due(&endpoint->warmup, now))
+			continue;
+		endpoints->pdata[i] = endpoints->pdata[0];
+		endpoints->pdata[0] = endpoint;
+		return;
+	}
+}
+
 static guint take_probes(GPtrArray *endpoints, const char **ids, guint max,
 			 guint unanswered_max, GTimeSpan now)
 {
@@ -370,6 +389,7 @@
 		if (is_probe_useful(upstream, endpoint, scope, now))
 			g_ptr_array_add(wanted, endpoint);
 	shuffle(wanted, upstream->random);
+	put_due_cold_first(wanted, now);
 	count = take_probes(wanted, ids, max, UNANSWERED_PROBES_MAX, now);
 	if (count < max)
 		count += take_probes(wanted, ids + count, max - count,
--- a/lib/upstream/upstream.c
+++ b/lib/upstream/upstream.c
@@ -197,6 +197,57 @@
 			       probe_burst(upstream, share), now + delay);
 }
 
+warmup_rules_t upstream_warmup_rules(const upstream_t *upstream)
+{
+	const upstream_options_t *options = &upstream->options;
+
+	return (warmup_rules_t){
+		.per_second = upstream->warmup_per_second,
+		.duration = upstream->warmup_duration,
+		.overage = options->warmup_overage,
+		.slack = options->warmup_slack,
+		.instances = upstream->entries,
+		.instance = options->instance ? options->instance : "",
+		.next_instance = options->next_instance,
+		.next_instance_ctx = options->next_instance_ctx,
+		.random = upstream->random,
+	};
+}
+
+warmup_endpoint_t endpoint_for_warmup(const endpoint_t *endpoint)
+{
+	return (warmup_endpoint_t){ .id = endpoint_id(endpoint),
+				    .data_centre = endpoint->info.data_centre };
+}
+
+static void apply_listed_warmup(const upstream_t *upstream,
+				endpoint_t *endpoint, gboolean is_new,
+				GTimeSpan now)
+{
+	warmup_rules_t rules = upstream_warmup_rules(upstream);
+	warmup_endpoint_t key = endpoint_for_warmup(endpoint);
+
+	warmup_limit_listed(&endpoint->warmup, &rules, &key,
+			    endpoint->warmup_until - now, is_new, now);
+}
+
+static void configure_warmup(upstream_t *upstream,
+			     const schema_service_t *service, GTimeSpan now)
+{
+	gboolean changed = upstream->warmup_per_second !=
+			   service->warmup_per_second;
+	endpoint_t *endpoint;
+
+	upstream->warmup_per_second = service->warmup_per_second;
+	upstream->warmup_duration = service->warmup_duration;
+	if (!changed)
+		return;
+	TAILQ_FOREACH (endpoint, &upstream->endpoints, link) {
+		endpoint->warmup.listed_until = 0;
+		apply_listed_warmup(upstream, endpoint, FALSE, now);
+	}
+}
+
 void upstream_configure(upstream_t *upstream, const schema_service_t *service,
 			GTimeSpan now)
 {
@@ -204,6 +255,7 @@
 
 	upstream->slots = service->slots;
 	upstream->connections = service->connections;
+	configure_warmup(upstream, service, now);
 	if (upstream->probes_per_second == service->probes_per_second)
 		return;
 	upstream->probes_per_second = service->probes_per_second;
@@ -261,6 +313,8 @@
 	gboolean started_again =
 		endpoint &&
 		notices_update_start(endpoint, info->start_time, now);
+	gboolean is_new = endpoint ? started_again || endpoint->was_unlisted :
+				     upstream->was_listed;
 
 	if (!endpoint) {
 		endpoint = add_endpoint(upstream, info, now);
@@ -274,6 +328,7 @@
 	endpoint->warmup_until =
 		info->warmup_remaining > 0 ? now + info->warmup_remaining : 0;
 	endpoint->info = *info;
+	apply_listed_warmup(upstream, endpoint, is_new, now);
 	endpoint->evacuated = is_evacuated(upstream, endpoint);
 	endpoint->listed = TRUE;
 	endpoint->was_unlisted = FALSE;
@@ -282,11 +337,15 @@
 /* Returns TRUE if the usability of any endpoint has changed. */
 static gboolean update_usable(upstream_t *upstream, GTimeSpan now)
 {
+	warmup_rules_t rules = upstream_warmup_rules(upstream);
 	gboolean changed = FALSE;
+	warmup_endpoint_t key;
 	endpoint_t *endpoint;
 	gboolean usable;
 
 	TAILQ_FOREACH (endpoint, &upstream->endpoints, link) {
+		key = endpoint_for_warmup(endpoint);
+		warmup_limit_refresh(&endpoint->warmup, &rules, &key, now);
 		usable = health_accepts_work(endpoint, now) &&
 			 !health_is_blocked(endpoint, now);
 		changed |= usable != endpoint->usable;
@@ -308,6 +367,7 @@
 	}
 	for (i = 0; i < count; i++)
 		apply_info(upstream, &infos[i], first_list, now);
+	upstream->was_listed |= count > 0;
 	free_unlisted(upstream, now);
 	notices_expire(upstream, now);
 	update_usable(upstream, now);
@@ -318,9 +378,16 @@
 void upstream_update_evacuated(upstream_t *upstream, GTimeSpan now)
 {
 	endpoint_t *endpoint;
+	gboolean returns;
 
-	TAILQ_FOREACH (endpoint, &upstream->endpoints, link)
+	TAILQ_FOREACH (endpoint, &upstream->endpoints, link) {
+		returns = endpoint->evacuated;
 		endpoint->evacuated = is_evacuated(upstream, endpoint);
+		returns &= !endpoint->evacuated;
+		/* It has rested and was not probed meanwhile. */
+		if (returns)
+			apply_listed_warmup(upstream, endpoint, TRUE, now);
+	}
 	if (update_usable(upstream, now) && upstream->routing.endpoints_changed)
 		upstream->routing.endpoints_changed(upstream->routing.ctx);
 }
@@ -376,6 +443,40 @@
 	}
 }
 
+/* A cold endpoint that should get the next attempt, NULL if none is due. */
+static endpoint_t *due_cold_endpoint(const GPtrArray *endpoints,
+				     const char *avoid, GTimeSpan now)
+{
+	endpoint_t *endpoint;
+	guint i;
+
+	for (i = 0; i < endpoints->len; i++) {
+		endpoint = endpoints->pdata[i];
+		if (warmup_limit_is_due(&endpoint->warmup, now) &&
+		    !endpoint->info.doubtful &&
+		    g_strcmp0(endpoint_id(endpoint), avoid) != 0)
+			return endpoint;
+	}
+	return NULL;
+}
+
+static endpoint_t *choose_cold(upstream_t *upstream,
+			       const upstream_criteria_t *criteria,
+			       GTimeSpan now)
+{
+	endpoint_t *due =
+		due_cold_endpoint(upstream->eligible, criteria->avoid, now);
+	candidates_t candidates = { .items = &due, .count = 1 };
+
+	/* New endpoints are among the fallback while their share ramps up. */
+	if (!due)
+		due = due_cold_endpoint(upstream->fallback, criteria->avoid,
+					now);
+	return due ? upstream->routing.choose(upstream->routing.ctx,
+					      &candidates, criteria, now) :
+		     NULL;
+}
+
 const endpoint_t *upstream_choose(upstream_t *upstream, const char *avoid,
 				  GTimeSpan now)
 {
@@ -389,12 +490,17 @@
 				      GTimeSpan now)
 {
 	candidates_t candidates;
+	endpoint_t *cold = NULL;
 	GPtrArray *source;
 
 	if (update_usable(upstream, now) && upstream->routing.endpoints_changed)
 		upstream->routing.endpoints_changed(upstream->routing.ctx);
 	refresh_median(upstream, now);
 	collect_candidates(upstream, criteria->avoid, now);
+	if (upstream->warmup_per_second > 0)
+		cold = choose_cold(upstream, criteria, now);
+	if (cold)
+		return cold;
 	source = upstream->eligible->len ? upstream->eligible :
 					   upstream->fallback;
 	if (source->len == 0)
@@ -463,6 +569,9 @@
 	if (!endpoint)
 		return;
 	endpoint_add_attempt(endpoint, now);
+	if (warmup_limit_is_cold(&endpoint->warmup, now))
+		counters_add(upstream->counters, COUNTER_ATTEMPTS_COLD, 1);
+	warmup_limit_take(&endpoint->warmup, now);
 	upstream->in_flight++;
 	health_attempt_started(upstream, endpoint, now);
 }
@@ -501,6 +610,8 @@
 	if (report)
 		endpoint_apply_report(upstream, endpoint, report, now - latency,
 				      now);
+	if (end == ATTEMPT_MISDIRECTED)
+		warmup_limit_give_back(&endpoint->warmup, now - latency, now);
 	health_attempt_ended(upstream, endpoint, end, latency, now);
 	if (routing->attempt_ended)
 		routing->attempt_ended(routing->ctx, endpoint, end, latency,
--- a/lib/upstream/upstream.h
+++ b/lib/upstream/upstream.h
@@ -13,6 +13,7 @@
 #include "lib/common/intrusive.h"
 #include "lib/probe/probe_budget.h"
 #include "lib/schema/schema.h"
+#include "lib/upstream/warmup_limit.h"
 
 #define UPSTREAM_ADDRESS_MAX 64 /* bytes, of "ip:port" */
 #define UPSTREAM_DATA_CENTRE_MAX 64 /* bytes */
@@ -46,6 +47,9 @@
 	gboolean draining;
 	/* Current service time in percent of the usual one, 0 for unknown. */
 	guint slowdown_percent;
+	/* Time until it reaches its full speed, 0 if it has reached it. */
+	GTimeSpan warmup_remaining;
+	gboolean has_warmup; /* FALSE: warmup_remaining is unknown */
 } load_report_t;
 
 /* The answer with which a notice came. */
@@ -115,6 +119,12 @@
 	 */
 	gboolean (*is_evacuated)(void *ctx, const char *data_centre);
 	void *evacuated_ctx;
+	/* Bound of requests to endpoints that are cold: see warmup_rules_t. */
+	double warmup_overage;
+	guint warmup_slack;
+	/* The live instances, NULL if this is the only one. */
+	warmup_next_instance_t next_instance;
+	void *next_instance_ctx;
 } upstream_options_t;
 
 /* Selection criteria of one call. */
--- a/lib/upstream/upstream_dump.c
+++ b/lib/upstream/upstream_dump.c
@@ -21,6 +21,11 @@
 	w->boolean(w->ctx, "evacuated", endpoint->evacuated);
 	w->integer(w->ctx, "paused_us",
 		   MAX(endpoint->notices.paused_until - now, 0));
+	w->integer(w->ctx, "cold_us",
+		   MAX(endpoint->warmup.cold_until - now, 0));
+	w->boolean(w->ctx, "warmup_sender",
+		   warmup_limit_is_cold(&endpoint->warmup, now) &&
+			   endpoint->warmup.is_sender);
 	dump_health(endpoint, w, now);
 	w->integer(w->ctx, "in_flight", endpoint->in_flight);
 	w->integer(w->ctx, "reported_in_flight", endpoint->report.in_flight);
--- a/lib/upstream/upstream_internal.h
+++ b/lib/upstream/upstream_internal.h
@@ -64,6 +64,7 @@
 	double concurrency_limit; /* adaptive, 0 before the first attempt */
 	GTimeSpan pacing_until; /* pause that enforces a limit below 1 */
 	GTimeSpan warmup_until; /* slow after its start until then, or 0 */
+	warmup_limit_t warmup;
 	double failure_rate; /* moving average, at failure_rate_at */
 	GTimeSpan failure_rate_at;
 	guint unanswered_probes; /* consecutive */
@@ -114,6 +115,9 @@
 	guint entries; /* that share the connections and probe budgets */
 	guint local_entries; /* of them, in this entry's data centre */
 	double probes_per_second;
+	double warmup_per_second; /* requests to a cold endpoint, 0: no limit */
+	GTimeSpan warmup_duration;
+	gboolean was_listed; /* endpoints have been listed before */
 	guint endpoint_count;
 	guint in_flight;
 	double mean_latency; /* moving average in microseconds, 0 for none */
@@ -159,6 +163,13 @@
 				   const candidates_t *candidates,
 				   GTimeSpan now);
 
+/*
+ * Rules of the limit for cold endpoints, and an endpoint as these identify it.
+ * Both are valid while the upstream and the endpoint are.
+ */
+warmup_rules_t upstream_warmup_rules(const upstream_t *upstream);
+warmup_endpoint_t endpoint_for_warmup(const endpoint_t *endpoint);
+
 /* Slots that the endpoint reported, else the default of the service. */
 guint endpoint_slots(const upstream_t *upstream, const endpoint_t *endpoint);
 
@@ -215,13 +226,13 @@
 
 /*
  * Returns TRUE if the endpoint is listed and neither leaving, draining nor
- * paused.
+ * paused, nor cold and left to other instances.
  */
 gboolean health_accepts_work(const endpoint_t *endpoint, GTimeSpan now);
 
 /*
  * Instant from which the endpoint accepts work: 0 if it does now, the end of
- * its pause, or CATK_NEVER.
+ * its pause or warm-up, or CATK_NEVER.
  */
 GTimeSpan health_accepts_work_at(const endpoint_t *endpoint, GTimeSpan now);
 
--- a/tests/test_http_codec.c
+++ b/tests/test_http_codec.c
@@ -179,6 +179,46 @@
 	http_message_free(response);
 }
 
+static load_report_t probe_answer_with(const char *header)
+{
+	proxy_codec_t codec = http_codec();
+	gchar *text = g_strdup_printf("HTTP/1.1 200 OK\r\n%s"
+				      "X-Server-Load: 0,0,3,100\r\n"
+				      "Content-Length: 0\r\n\r\n",
+				      header);
+	http_message_t *response = parse_response(text);
+	load_report_t report = { 0 };
+
+	assert_true(
+		codec.read_probe_response(codec.ctx, "i-1", response, &report));
+	http_message_free(response);
+	g_free(text);
+	return report;
+}
+
+/* Fails if a cold endpoint is not recognised by its answers to probes. */
+static void warmup_of_probe_answers_is_read(void **state)
+{
+	const char *const unusable[] = { "", "X-Warmup-Ms: \r\n",
+					 "X-Warmup-Ms: -1\r\n",
+					 "X-Warmup-Ms: 1e3\r\n",
+					 "X-Warmup-Ms: soon\r\n" };
+	load_report_t report = probe_answer_with("X-Warmup-Ms: 1250\r\n");
+	guint i;
+
+	(void)state;
+	assert_true(report.has_warmup);
+	assert_int_equal(report.warmup_remaining,
+			 1250 * G_TIME_SPAN_MILLISECOND);
+	report = probe_answer_with("X-Warmup-Ms: 0\r\n");
+	assert_true(report.has_warmup);
+	assert_int_equal(report.warmup_remaining, 0);
+	report = probe_answer_with("X-Warmup-Ms: 99999999999999999999\r\n");
+	assert_int_equal(report.warmup_remaining, G_TIME_SPAN_HOUR);
+	for (i = 0; i < G_N_ELEMENTS(unusable); i++)
+		assert_false(probe_answer_with(unusable[i]).has_warmup);
+}
+
 /* Reads the notice of a response to a request that was sent to i-1. */
 static gboolean decode_notice(const char *headers, notice_source_t source,
 			      endpoint_notice_t *notice)
@@ -316,6 +356,7 @@
 		cmocka_unit_test(load_report_is_read),
 		cmocka_unit_test(load_out_of_range_is_no_report),
 		cmocka_unit_test(probe_answer_of_another_endpoint_is_rejected),
+		cmocka_unit_test(warmup_of_probe_answers_is_read),
 		cmocka_unit_test(leaving_header_is_read_in_every_answer),
 		cmocka_unit_test(notice_of_another_endpoint_is_ignored),
 		cmocka_unit_test(retry_after_of_a_503_is_a_pause),
--- a/tests/test_routed_calls.c
+++ b/tests/test_routed_calls.c
@@ -1200,6 +1200,49 @@
 
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
+/* Sends a request and answers probes until it has started or is answered. */
+static void run_request(fixture_t *f, guint ref)
+{
+	guint before = f->started;
+	guint i;
+
+	send_request(f, ref, "/safe/");
+	for (i = 0; i < 60 && f->started == before && !f->answers[ref].count;
+	     i++) {
+		answer_probes(f, "", 0, 0, 100);
+		advance(f, 10 * MS);
+	}
+}
+
+/*
+ * Fails if a request is sent to a cold endpoint beyond the limit of its
+ * service, or is refused without the promise that it does not run.
+ */
+static void requests_beyond_the_warmup_limit_are_refused(void **state)
+{
+	fixture_t *f = *state;
+	GBytes *document = g_bytes_new_static("{}", 2);
+	endpoint_info_t info = { .id = "i-0",
+				 .address = "127.0.0.1:1",
+				 .data_centre = "here",
+				 .slots = 3,
+				 .warmup_remaining = 20 * G_TIME_SPAN_SECOND };
+	schema_t *schema = new_schema();
+
+	assert_true(schema_set_warmup(TAILQ_FIRST(&schema->services),
+				      20 * G_TIME_SPAN_SECOND, 1, NULL));
+	entry_activate_config(f->entry, 2, schema, document);
+	assert_true(entry_set_endpoints(f->entry, "s", &info, 1));
+	advance(f, 10 * G_TIME_SPAN_SECOND);
+	run_request(f, 1);
+	assert_int_equal(f->started, 1);
+	run_request(f, 2);
+	assert_int_equal(f->started, 1);
+	assert_answered(f, 2, CATK_OVERLOADED, OUTCOME_NOT_RUN);
+	assert_true(f->answers[2].error.retry_after > 0);
+	g_bytes_unref(document);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -1243,6 +1286,7 @@
 		TEST(refused_request_is_not_retried_in_a_pause),
 		TEST(request_that_may_have_run_is_not_refused_in_a_pause),
 		TEST(pause_of_one_service_does_not_affect_another),
+		TEST(requests_beyond_the_warmup_limit_are_refused),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
