Test evacuations in a fleet, and await them before serving

An instance that had started anew was ready with its first configuration, although the message with the evacuated data centres had been lost: it served requests from endpoints there. It is now ready once it knows them, or has waited evacuation_bound_ms for them since its first configuration.

Evacuations with an unusable name are counted in evacuations_ignored.

--- a/lib/common/counters.h
+++ b/lib/common/counters.h
@@ -34,6 +34,7 @@
 	X(IDS_SEALED, "request_ids_sealed", "ids")                           \
 	X(ANSWERS_EVICTED, "held_answers_evicted", "answers")                \
 	X(CONFIG_ACCEPTED, "config_versions_put_in_force", "versions")       \
+	X(EVACUATIONS_IGNORED, "evacuations_ignored", "objects")             \
 	X(CONFIG_REJECTED, "config_versions_rejected", "versions")           \
 	X(OBJECT_API_CALLS, "object_api_calls", "calls")                     \
 	X(OBJECT_API_FAILURES, "object_api_failures", "calls")               \
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -200,10 +200,15 @@
 					       schema_t *schema,
 					       GBytes *document)
 {
+	gboolean is_first = !config_version(entry->config);
 	config_activate_result_t result =
 		config_activate(entry->config, version, schema, document);
 
 	if (result == CONFIG_ACTIVATED) {
+		if (is_first)
+			entry->evacuations_awaited_until =
+				entry_now(entry) +
+				entry->limits.evacuation_bound;
 		configure_services(entry);
 		entry_log_config(entry);
 		catalogue_report_all(entry->catalogue);
@@ -387,9 +392,18 @@
 	return TRUE;
 }
 
+/* If nobody tells in time, serving is better than none. */
+static gboolean awaits_evacuations(const entry_t *entry)
+{
+	return entry->limits.evacuation_bound &&
+	       !evacuations_position(entry->evacuations) &&
+	       entry_now(entry) < entry->evacuations_awaited_until;
+}
+
 gboolean entry_is_ready(const entry_t *entry)
 {
-	return !entry_is_leaving(entry) && config_version(entry->config) > 0;
+	return !entry_is_leaving(entry) && config_version(entry->config) > 0 &&
+	       !awaits_evacuations(entry);
 }
 
 static void send_probes(entry_t *entry, entry_service_t *service)
--- a/lib/entry/entry.h
+++ b/lib/entry/entry.h
@@ -367,7 +367,10 @@
 				       resolve_result_t *result,
 				       catk_error_t *err);
 
-/* TRUE if a configuration is in force and this instance is not leaving. */
+/*
+ * TRUE if a configuration is in force, the evacuations are known, or have been
+ * awaited for evacuation_bound, and this instance is not leaving.
+ */
 gboolean entry_is_ready(const entry_t *entry);
 
 /* Handles a call. actions.answer may be called before this returns. */
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -55,6 +55,8 @@
 	guint64 next_attempt;
 	catalogue_t *catalogue;
 	evacuations_t *evacuations;
+	/* Until then the entry waits for the first set before it is ready. */
+	GTimeSpan evacuations_awaited_until;
 	subscription_t *subscription;
 	feed_t *feeds[FEED_KIND_COUNT];
 	/* Other instances read the objects of that kind for this one. */
--- a/lib/entry/entry_subscription.c
+++ b/lib/entry/entry_subscription.c
@@ -62,6 +62,7 @@
 {
 	const evacuations_events_t evacuations_events = {
 		.changed = on_evacuations_changed,
+		.counters = entry->counters,
 		.log = &entry->actions.log,
 		.ctx = entry,
 	};
--- a/lib/evacuation/evacuation.c
+++ b/lib/evacuation/evacuation.c
@@ -109,6 +109,9 @@
 	    (!name[0] || strlen(name) > EVACUATION_NAME_MAX ||
 	     evacuations->count == EVACUATION_DATA_CENTRES_MAX)) {
 		log_change(evacuations, "evacuation_ignored", name, source);
+		if (evacuations->events.counters)
+			counters_add(evacuations->events.counters,
+				     COUNTER_EVACUATIONS_IGNORED, 1);
 		return;
 	}
 	if (!evacuation) {
--- a/lib/evacuation/evacuation.h
+++ b/lib/evacuation/evacuation.h
@@ -6,6 +6,7 @@
 #ifndef CATK_EVACUATION_H
 #define CATK_EVACUATION_H
 
+#include "lib/common/counters.h"
 #include "lib/common/dump.h"
 #include "lib/common/event_log.h"
 #include "lib/common/intrusive.h"
@@ -20,6 +21,7 @@
 	/* The set has changed. */
 	void (*changed)(void *ctx);
 	const event_log_t *log; /* receives each change, NULL for none */
+	counters_t *counters; /* NULL for none */
 	void *ctx;
 } evacuations_events_t;
 
--- a/tests/support_fleet.c
+++ b/tests/support_fleet.c
@@ -8,6 +8,7 @@
 
 #define ENDPOINTS_MAX 1024
 #define START_TIME (100 * G_TIME_SPAN_SECOND)
+#define DATA_CENTRES_MAX 8
 #define STORE_PAGE 500 /* endpoints in an answer to a list */
 
 /* A connection id encodes both ends, so that replies can be routed. */
@@ -35,6 +36,7 @@
 	entry_t *entry; /* NULL while it does not run */
 	guint64 incarnation;
 	gboolean silent; /* cut off from the others and the store */
+	gboolean cut_from_store;
 	store_call_t calls[FEED_KIND_COUNT];
 	GTimeSpan sent_by; /* its link is busy until then */
 	GTimeSpan received_by;
@@ -48,6 +50,9 @@
 	guint64 change_revisions[ENDPOINTS_MAX]; /* also of removals */
 	guint64 revision; /* of the store */
 	gboolean store_down;
+	gboolean answers_lost[FEED_KIND_COUNT];
+	gboolean evacuated[DATA_CENTRES_MAX];
+	guint64 evacuation_revisions[DATA_CENTRES_MAX]; /* of the last change */
 	guint64 config_revision;
 	guint64 config_version;
 	GBytes *config_document;
@@ -58,7 +63,9 @@
 	counters_t counters;
 	TAILQ_HEAD(packet_list, packet) packets;
 	fleet_traffic_t traffic[FLEET_MESSAGE_KINDS];
-	guint store_calls;
+	guint store_calls[FEED_KIND_COUNT];
+	peer_message_kind_t lost_kind;
+	guint messages_until_loss; /* 0: no message is lost */
 } fleet;
 
 static GTimeSpan read_clock(void *ctx)
@@ -104,6 +111,19 @@
 	return peer_codec_encode(&copy);
 }
 
+static gboolean is_lost(peer_message_kind_t kind)
+{
+	if (!fleet.messages_until_loss || kind != fleet.lost_kind)
+		return FALSE;
+	return --fleet.messages_until_loss == 0;
+}
+
+void fleet_lose_message(peer_message_kind_t kind, guint number)
+{
+	fleet.lost_kind = kind;
+	fleet.messages_until_loss = number;
+}
+
 static void send_packet(guint from, guint to, guint64 connection,
 			const peer_message_t *message)
 {
@@ -113,7 +133,8 @@
 
 	count_message(from, to, message->kind, bytes->len);
 	sent = pass_link(&fleet.instances[from].sent_by, fleet.now, bytes->len);
-	if (!is_connected(from) || !is_connected(to)) {
+	if (!is_connected(from) || !is_connected(to) ||
+	    is_lost(message->kind)) {
 		g_byte_array_unref(bytes);
 		return;
 	}
@@ -164,6 +185,11 @@
 	parse_config(ctx, version, document);
 }
 
+static void data_centre_name(guint index, char *name, gsize size)
+{
+	g_snprintf(name, size, "kathmandu-%u", index);
+}
+
 static void start_instance(guint index)
 {
 	instance_t *instance = &fleet.instances[index];
@@ -173,11 +199,14 @@
 				 .retention = 1,
 				 .answer_bytes_max = 1 },
 		.admission = { .queue_max = 50, .caller_share_percent = 100 },
-		.entries_max = 16,
+		.entries_max = fleet.options.entries_max ?
+				       fleet.options.entries_max :
+				       16,
 		.attempts_max = 2,
 		.resolve_addresses = ENTRY_RESOLVE_ADDRESSES_MAX,
 		.change_bound = fleet.options.change_bound,
 		.reconnect_bound = fleet.options.reconnect_bound,
+		.evacuation_bound = fleet.options.evacuation_bound,
 		.first_start = fleet.options.first_start &&
 			       !instance->incarnation,
 	};
@@ -190,8 +219,8 @@
 
 	memset(instance->calls, 0, sizeof(instance->calls));
 	g_snprintf(self.name, sizeof(self.name), "edge-kathmandu-%u", index);
-	g_snprintf(self.data_centre, sizeof(self.data_centre), "kathmandu-%u",
-		   index % fleet.options.data_centres);
+	data_centre_name(index % fleet.options.data_centres, self.data_centre,
+			 sizeof(self.data_centre));
 	g_snprintf(self.peer_address, sizeof(self.peer_address), "%u", index);
 	g_snprintf(self.caller_address, sizeof(self.caller_address),
 		   "10.1.0.%u:8161", index);
@@ -269,6 +298,17 @@
 	fleet.instances[index].silent = silent;
 }
 
+/* Calls that wait for an answer then are never answered. */
+void fleet_cut_from_store(guint index, gboolean cut)
+{
+	instance_t *instance = &fleet.instances[index];
+	guint kind;
+
+	instance->cut_from_store = cut;
+	for (kind = 0; kind < FEED_KIND_COUNT; kind++)
+		instance->calls[kind].lost = TRUE;
+}
+
 void fleet_set_store_down(gboolean down)
 {
 	guint i, kind;
@@ -279,6 +319,11 @@
 			fleet.instances[i].calls[kind].lost = TRUE;
 }
 
+void fleet_lose_store_calls(feed_kind_t kind)
+{
+	fleet.answers_lost[kind] = TRUE;
+}
+
 entry_t *fleet_entry(guint index)
 {
 	return fleet.instances[index].entry;
@@ -308,6 +353,13 @@
 	fleet.endpoint_revisions[id] = listed ? fleet.revision : 0;
 }
 
+void fleet_set_evacuated(guint data_centre, gboolean evacuated)
+{
+	g_assert_true(data_centre < DATA_CENTRES_MAX);
+	fleet.evacuated[data_centre] = evacuated;
+	fleet.evacuation_revisions[data_centre] = ++fleet.revision;
+}
+
 static void endpoint_name(guint id, char *name, gsize size)
 {
 	g_snprintf(name, size, "i-%08x", id);
@@ -358,10 +410,48 @@
 			     fleet.config_document);
 }
 
+/* Returns the number of changes since the revision of the call. */
+static guint apply_evacuations(instance_t *instance, const store_call_t *call)
+{
+	evacuations_t *evacuations = entry_evacuations(instance->entry);
+	char name[EVACUATION_NAME_MAX + 1];
+	guint changes = 0, i;
+
+	if (call->kind == FEED_LIST)
+		evacuations_begin_list(evacuations);
+	for (i = 0; i < DATA_CENTRES_MAX; i++) {
+		if (fleet.evacuation_revisions[i] <= call->revision)
+			continue;
+		changes++;
+		data_centre_name(i, name, sizeof(name));
+		if (fleet.evacuated[i])
+			evacuations_put(evacuations, name);
+		else
+			evacuations_remove(evacuations, name);
+	}
+	if (call->kind == FEED_LIST)
+		evacuations_end_list(evacuations, fleet.revision);
+	else
+		evacuations_changes_read(evacuations, fleet.revision);
+	return changes;
+}
+
+static gboolean has_evacuation_news(guint64 revision)
+{
+	guint i;
+
+	for (i = 0; i < DATA_CENTRES_MAX; i++)
+		if (fleet.evacuation_revisions[i] > revision)
+			return TRUE;
+	return FALSE;
+}
+
 static gboolean has_news(feed_kind_t kind, guint64 revision)
 {
 	guint id;
 
+	if (kind == FEED_EVACUATIONS)
+		return has_evacuation_news(revision);
 	if (kind == FEED_CONFIGURATION)
 		return fleet.config_revision > revision;
 	for (id = 0; id < ENDPOINTS_MAX; id++)
@@ -399,6 +489,8 @@
 	entry_store_call_ended(instance->entry, kind, &answered);
 	if (kind == FEED_ENDPOINTS)
 		changes = apply_endpoints(instance, &call);
+	else if (kind == FEED_EVACUATIONS)
+		changes = apply_evacuations(instance, &call);
 	else if (call.kind == FEED_LIST || has_news(kind, call.revision))
 		apply_config(instance);
 	else
@@ -437,9 +529,10 @@
 	call->answer_at =
 		fleet.now + (next.kind == FEED_WATCH ? next.watch_wait : 0);
 	call->timeout_at = fleet.now + next.timeout;
-	call->lost = fleet.store_down;
+	call->lost = fleet.store_down || instance->cut_from_store ||
+		     fleet.answers_lost[kind];
 	entry_store_call_sent(instance->entry, kind, &next);
-	fleet.store_calls++;
+	fleet.store_calls[kind]++;
 }
 
 static void run_store(instance_t *instance, feed_kind_t kind)
@@ -524,6 +617,30 @@
 	return count;
 }
 
+gboolean fleet_knows_evacuations(guint index)
+{
+	const evacuations_t *known =
+		entry_evacuations(fleet.instances[index].entry);
+	char name[EVACUATION_NAME_MAX + 1];
+	guint i;
+
+	for (i = 0; i < DATA_CENTRES_MAX; i++) {
+		data_centre_name(i, name, sizeof(name));
+		if (evacuations_contains(known, name) != fleet.evacuated[i])
+			return FALSE;
+	}
+	return TRUE;
+}
+
+guint fleet_count_evacuations(void)
+{
+	guint count = 0, i;
+
+	for (i = 0; i < fleet.options.instances; i++)
+		count += is_connected(i) && fleet_knows_evacuations(i);
+	return count;
+}
+
 static gboolean knows_all(const instance_t *instance)
 {
 	GArray *known =
@@ -572,13 +689,27 @@
 	return total;
 }
 
+guint fleet_store_calls_of(feed_kind_t kind)
+{
+	return fleet.store_calls[kind];
+}
+
 guint fleet_store_calls(void)
 {
-	return fleet.store_calls;
+	guint calls = 0, kind;
+
+	for (kind = 0; kind < FEED_KIND_COUNT; kind++)
+		calls += fleet.store_calls[kind];
+	return calls;
+}
+
+gboolean fleet_reads_store(guint index, feed_kind_t kind)
+{
+	return fleet.instances[index].calls[kind].kind != FEED_WAIT;
 }
 
 void fleet_reset_counts(void)
 {
 	memset(fleet.traffic, 0, sizeof(fleet.traffic));
-	fleet.store_calls = 0;
+	memset(fleet.store_calls, 0, sizeof(fleet.store_calls));
 }
--- a/tests/support_fleet.h
+++ b/tests/support_fleet.h
@@ -21,6 +21,8 @@
 	guint64 parsed_bytes_per_s; /* of a configuration, by each instance */
 	GTimeSpan change_bound;
 	GTimeSpan reconnect_bound;
+	GTimeSpan evacuation_bound; /* 0: evacuations are not read */
+	guint entries_max; /* as the instances are told, 0 for 16 */
 	gboolean first_start; /* as the instances are told */
 	guint32 random_seed;
 } fleet_options_t;
@@ -56,6 +58,9 @@
  */
 void fleet_set_store_down(gboolean down);
 
+/* The store answers no calls of that kind that are sent from now on. */
+void fleet_lose_store_calls(feed_kind_t kind);
+
 /* Returns the entry of an instance, NULL while it does not run. */
 entry_t *fleet_entry(guint index);
 
@@ -65,6 +70,27 @@
 /* Adds an endpoint to the store, or removes it. */
 void fleet_set_endpoint(guint id, gboolean listed);
 
+/* Starts the evacuation of a data centre in the store, or ends it. */
+void fleet_set_evacuated(guint data_centre, gboolean evacuated);
+
+/*
+ * Counts the running, not silenced instances that know which data centres are
+ * evacuated in the store.
+ */
+guint fleet_count_evacuations(void);
+
+/* The same for one instance. */
+gboolean fleet_knows_evacuations(guint index);
+
+/* Cuts an instance off from the store, or ends that. */
+void fleet_cut_from_store(guint index, gboolean cut);
+
+/*
+ * Loses the message that is sent as the given number from now on, 1 for the
+ * next one; 0 for none. Other kinds are not counted.
+ */
+void fleet_lose_message(peer_message_kind_t kind, guint number);
+
 /* Counts the running, not silenced instances with at least that version. */
 guint fleet_count_version(guint64 version);
 
@@ -78,6 +104,10 @@
 fleet_traffic_t fleet_traffic(peer_message_kind_t kind);
 fleet_traffic_t fleet_total_traffic(void);
 guint fleet_store_calls(void);
+guint fleet_store_calls_of(feed_kind_t kind);
+
+/* TRUE if the instance has a call of that kind at the store. */
+gboolean fleet_reads_store(guint index, feed_kind_t kind);
 void fleet_reset_counts(void);
 
 #endif
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -13,6 +13,7 @@
 
 typedef struct {
 	evacuations_t *evacuations;
+	counters_t counters;
 	guint changes;
 } fixture_t;
 
@@ -26,7 +27,9 @@
 static int set_up(void **state)
 {
 	fixture_t *f = g_new0(fixture_t, 1);
-	const evacuations_events_t events = { .changed = on_changed, .ctx = f };
+	const evacuations_events_t events = { .changed = on_changed,
+					      .counters = &f->counters,
+					      .ctx = f };
 
 	f->evacuations = evacuations_new(&events);
 	*state = f;
@@ -115,6 +118,7 @@
 	evacuations_end_list(f->evacuations, 10);
 	assert_int_equal(evacuations_count(f->evacuations), 1);
 	assert_true(evacuations_contains(f->evacuations, "a"));
+	assert_int_equal(f->counters.value[COUNTER_EVACUATIONS_IGNORED], 2);
 }
 
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
--- a/tests/test_peer_codec.c
+++ b/tests/test_peer_codec.c
@@ -257,6 +257,59 @@
 	assert_round_trip(&subscribe);
 }
 
+static void count_evacuations(void *ctx, const peer_message_t *message)
+{
+	assert_int_equal(message->kind, PEER_EVACUATIONS);
+	*(guint *)ctx = message->u.evacuations.count;
+}
+
+/* Decodes a message with that many evacuated data centres, all named x. */
+static gboolean decode_evacuations(guint count, guint *decoded)
+{
+	const guint8 name[] = { 1 << 3 | 2, 1, 'x' };
+	GByteArray *bytes = g_byte_array_new();
+	guint size = count * (guint)sizeof(name);
+	/* Field 16 of the envelope, its length in two bytes. */
+	const guint8 head[] = { 0x82, 1, (guint8)((size & 0x7f) | 0x80),
+				(guint8)(size >> 7) };
+	gboolean ok;
+	guint i;
+
+	g_byte_array_append(bytes, head, sizeof(head));
+	for (i = 0; i < count; i++)
+		g_byte_array_append(bytes, name, sizeof(name));
+	ok = peer_codec_decode(bytes->data, bytes->len, count_evacuations,
+			       decoded);
+	g_byte_array_unref(bytes);
+	return ok;
+}
+
+/*
+ * Fails if the evacuated data centres or their position are lost or changed by a
+ * round trip, or if more than an instance can hold are accepted.
+ */
+static void evacuations_survive_round_trip(void **state)
+{
+	peer_message_t pull = { .kind = PEER_EVACUATION_PULL,
+				.evacuation_position = G_MAXUINT64 };
+	peer_message_t message = { .kind = PEER_EVACUATIONS,
+				   .evacuation_position = 9 };
+	guint decoded = 0;
+	guint i;
+
+	(void)state;
+	assert_round_trip(&pull);
+	assert_round_trip(&message);
+	for (i = 0; i < EVACUATION_DATA_CENTRES_MAX; i++)
+		message.u.evacuations.data_centres[i] = i % 2 ? "k1" : "k2";
+	message.u.evacuations.count = EVACUATION_DATA_CENTRES_MAX;
+	assert_round_trip(&message);
+	assert_true(decode_evacuations(EVACUATION_DATA_CENTRES_MAX, &decoded));
+	assert_int_equal(decoded, EVACUATION_DATA_CENTRES_MAX);
+	assert_false(
+		decode_evacuations(EVACUATION_DATA_CENTRES_MAX + 1, &decoded));
+}
+
 /* Fails if corrupted bytes crash the decoder; make asan detects more. */
 static void corrupted_bytes_are_harmless(void **state)
 {
@@ -351,6 +404,7 @@
 		cmocka_unit_test(messages_without_ages_are_understood),
 		cmocka_unit_test(bad_members_are_refused),
 		cmocka_unit_test(endpoints_survive_round_trip),
+		cmocka_unit_test(evacuations_survive_round_trip),
 		cmocka_unit_test(corrupted_bytes_are_harmless),
 		cmocka_unit_test(deflated_documents_are_checked),
 	};
