--- a/lib/common/counters.h
+++ b/lib/common/counters.h
@@ -20,6 +20,7 @@
 	X(CALLS_CUT_AT_SHUTDOWN, "calls_cut_at_shutdown", "calls")           \
 	X(ATTEMPTS_STARTED, "attempts_started", "attempts")                  \
 	X(ATTEMPTS_RETRIED, "attempts_retried", "attempts")                  \
+	X(ATTEMPTS_COLD, "attempts_at_cold_endpoints", "attempts")           \
 	X(ATTEMPTS_SHED, "attempts_shed_by_upstream", "attempts")            \
 	X(ATTEMPTS_FAILED, "attempts_failed", "attempts")                    \
 	X(ANSWERS_DROPPED, "answers_dropped", "answers")                     \
@@ -33,6 +34,7 @@
 	X(IDS_SEALED, "request_ids_sealed", "ids")                           \
 	X(ANSWERS_EVICTED, "held_answers_evicted", "answers")                \
 	X(CONFIG_ACCEPTED, "config_versions_put_in_force", "versions")       \
+	X(EVACUATIONS_IGNORED, "evacuations_ignored", "objects")             \
 	X(CONFIG_REJECTED, "config_versions_rejected", "versions")           \
 	X(OBJECT_API_CALLS, "object_api_calls", "calls")                     \
 	X(OBJECT_API_FAILURES, "object_api_failures", "calls")               \
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -103,6 +103,26 @@
 	return evacuations_contains(entry->evacuations, data_centre);
 }
 
+/* Suspects may be live; without them the senders would change too often. */
+static gboolean next_instance(void *ctx, const void **position,
+			      warmup_instance_t *instance)
+{
+	const entry_t *entry = ctx;
+	const member_t *member = *position;
+
+	do
+		member = member ? membership_next(member) :
+				  membership_first(entry->membership);
+	while (member && member->state != MEMBER_LIVE &&
+	       member->state != MEMBER_SUSPECT);
+	*position = member;
+	if (!member)
+		return FALSE;
+	instance->name = member->name;
+	instance->data_centre = member->data_centre;
+	return TRUE;
+}
+
 static entry_service_t *add_service(entry_t *entry, const char *name)
 {
 	entry_service_t *service = g_new0(entry_service_t, 1);
@@ -116,6 +136,10 @@
 		.probe_burst = entry->limits.probe_fanout ? PROBE_BURST : 1,
 		.is_evacuated = is_evacuated,
 		.evacuated_ctx = entry,
+		.warmup_overage = entry->limits.warmup_overage,
+		.warmup_slack = entry->limits.warmup_slack,
+		.next_instance = next_instance,
+		.next_instance_ctx = entry,
 	};
 
 	service->upstream =
@@ -178,10 +202,15 @@
 					       schema_t *schema,
 					       GBytes *document)
 {
+	gboolean is_first = !config_version(entry->config);
 	config_activate_result_t result =
 		config_activate(entry->config, version, schema, document);
 
 	if (result == CONFIG_ACTIVATED) {
+		if (is_first)
+			entry->evacuations_awaited_until =
+				entry_now(entry) +
+				entry->limits.evacuation_bound;
 		configure_services(entry);
 		entry_log_config(entry);
 		catalogue_report_all(entry->catalogue);
@@ -366,9 +395,18 @@
 	return TRUE;
 }
 
+/* If nobody tells in time, serving is better than none. */
+static gboolean awaits_evacuations(const entry_t *entry)
+{
+	return entry->limits.evacuation_bound &&
+	       !evacuations_position(entry->evacuations) &&
+	       entry_now(entry) < entry->evacuations_awaited_until;
+}
+
 gboolean entry_is_ready(const entry_t *entry)
 {
-	return !entry_is_leaving(entry) && config_version(entry->config) > 0;
+	return !entry_is_leaving(entry) && config_version(entry->config) > 0 &&
+	       !awaits_evacuations(entry);
 }
 
 static void send_probes(entry_t *entry, entry_service_t *service)
