Prefer few endpoints per instance

Each instance spreads its requests over all endpoints of an upstream, so that nearly each attempt and probe opens a connection. With the setting preferred_instances, each endpoint is preferred by that many instances of its data centre (rendezvous hashing), and each instance has at least three preferred endpoints. Probes go to them first, and selection prefers them among endpoints that are about as good. Preferring instances share three quarters of the probe budget of the data centre, scaled by the instances that are not known, so that isolated instances stay within it.

Without the setting, probes and selection are unchanged.

--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -101,6 +101,23 @@
 	return evacuations_contains(entry->evacuations, data_centre);
 }
 
+/* Suspects mostly refute, so that preferences do not change for them. */
+static guint list_local_instances(void *ctx, const char **names, guint max)
+{
+	const entry_t *entry = ctx;
+	const member_t *self = membership_self(entry->membership);
+	const member_t *member;
+	guint count = 0;
+
+	for (member = membership_first(entry->membership);
+	     member && count < max; member = membership_next(member))
+		if ((member->state == MEMBER_LIVE ||
+		     member->state == MEMBER_SUSPECT) &&
+		    strcmp(member->data_centre, self->data_centre) == 0)
+			names[count++] = member->name;
+	return count;
+}
+
 static entry_service_t *add_service(entry_t *entry, const char *name)
 {
 	entry_service_t *service = g_new0(entry_service_t, 1);
@@ -114,6 +131,9 @@
 		.probe_burst = entry->limits.probe_fanout ? PROBE_BURST : 1,
 		.is_evacuated = is_evacuated,
 		.evacuated_ctx = entry,
+		.preferred_instances = entry->limits.preferred_instances,
+		.list_instances = list_local_instances,
+		.instances_ctx = entry,
 	};
 
 	service->upstream =
@@ -403,6 +423,7 @@
 	TAILQ_FOREACH (service, &entry->services, link) {
 		upstream_set_entry_counts(service->upstream, instances,
 					  MAX(local, 1), now);
+		upstream_update_instances(service->upstream, now);
 		if (entry->limits.retry_saved)
 			retry_budget_set_capacity(&service->retry_budget,
 						  entry->limits.retry_saved *
--- a/lib/upstream/routing_expected_latency.c
+++ b/lib/upstream/routing_expected_latency.c
@@ -60,6 +60,11 @@
  * many calls would be refused.
  */
 #define RESERVING_SLOTS_MIN 3
+/*
+ * A preferred endpoint that meets the objective is left for another one only if
+ * its cost is higher by this factor, about that of a full endpoint.
+ */
+#define PREFERENCE_FACTOR 1.5
 /* Cost of a failed attempt, in expected latencies. */
 #define FAILURE_COST 6.0
 #define FAILURE_WEIGHT 0.3
@@ -232,11 +237,14 @@
 	return is_worthwhile(upstream, endpoint, criteria, now);
 }
 
-/* The candidate with the lowest cost; equivalent ones are equally likely. */
+/*
+ * The candidate with the lowest cost; equivalent ones are equally likely. Only
+ * preferred ones if preferred_only is set.
+ */
 static endpoint_t *cheapest(const upstream_t *upstream,
 			    const candidates_t *candidates,
 			    const upstream_criteria_t *criteria, gboolean local,
-			    GTimeSpan now)
+			    gboolean preferred_only, GTimeSpan now)
 {
 	endpoint_t *best = NULL;
 	double best_cost = 0;
@@ -248,6 +256,7 @@
 		double cost;
 
 		if (upstream_is_local(upstream, endpoint) != local ||
+		    (preferred_only && !endpoint->preferred) ||
 		    !has_free_capacity(upstream, endpoint, criteria, now))
 			continue;
 		cost = expected_cost(upstream, endpoint, criteria, now);
@@ -265,6 +274,31 @@
 	return best;
 }
 
+/* The cheapest candidate, or a preferred one that is nearly as good. */
+static endpoint_t *best_of_scope(const upstream_t *upstream,
+				 const candidates_t *candidates,
+				 const upstream_criteria_t *criteria,
+				 gboolean local, GTimeSpan now)
+{
+	endpoint_t *best =
+		cheapest(upstream, candidates, criteria, local, FALSE, now);
+	endpoint_t *preferred;
+	double factor = TIE_FACTOR;
+
+	if (!best || best->preferred || !upstream_prefers_endpoints(upstream))
+		return best;
+	preferred = cheapest(upstream, candidates, criteria, local, TRUE, now);
+	if (!preferred)
+		return best;
+	if (meets_objective(upstream, preferred, criteria, now))
+		factor = PREFERENCE_FACTOR;
+	return expected_cost(upstream, preferred, criteria, now) <
+			       factor * expected_cost(upstream, best, criteria,
+						      now) ?
+		       preferred :
+		       best;
+}
+
 gboolean upstream_accepts_local_work(const upstream_t *upstream, GTimeSpan now)
 {
 	const endpoint_t *endpoint;
@@ -285,12 +319,13 @@
 			  const upstream_criteria_t *criteria, GTimeSpan now)
 {
 	const upstream_t *upstream = ctx;
-	endpoint_t *local = cheapest(upstream, candidates, criteria, TRUE, now);
+	endpoint_t *local =
+		best_of_scope(upstream, candidates, criteria, TRUE, now);
 	endpoint_t *remote;
 
 	if (local && meets_objective(upstream, local, criteria, now))
 		return local;
-	remote = cheapest(upstream, candidates, criteria, FALSE, now);
+	remote = best_of_scope(upstream, candidates, criteria, FALSE, now);
 	if (remote && (!upstream_accepts_local_work(upstream, now) ||
 		       (!local && criteria->remote_when_late) ||
 		       meets_objective(upstream, remote, criteria, now)))
@@ -311,17 +346,21 @@
 	       meets_objective(upstream, endpoint, criteria, now);
 }
 
-static gboolean is_probe_useful(const upstream_t *upstream,
-				const endpoint_t *endpoint,
-				upstream_scope_t scope, GTimeSpan now)
+static gboolean is_probe_allowed(const upstream_t *upstream,
+				 const endpoint_t *endpoint,
+				 upstream_scope_t scope, GTimeSpan now)
 {
 	return upstream_is_local(upstream, endpoint) ==
 		       (scope == SCOPE_LOCAL) &&
 	       health_accepts_work(endpoint, now) &&
 	       !health_is_blocked(endpoint, now) &&
-	       now >= endpoint->backoff_until &&
-	       (!endpoint->reported_at ||
-		now - endpoint->reported_at > REPORT_FRESH_AGE_MAX);
+	       now >= endpoint->backoff_until;
+}
+
+static gboolean is_report_fresh(const endpoint_t *endpoint, GTimeSpan now)
+{
+	return endpoint->reported_at &&
+	       now - endpoint->reported_at <= REPORT_FRESH_AGE_MAX;
 }
 
 static void shuffle(GPtrArray *items, GRand *random)
@@ -356,25 +395,90 @@
 	return count;
 }
 
+/* Probes of the endpoints, last of those that do not answer probes. */
+static guint probe_from(upstream_t *upstream, GPtrArray *endpoints,
+			const char **ids, guint max, GTimeSpan now)
+{
+	guint count;
+
+	shuffle(endpoints, upstream->random);
+	count = take_probes(endpoints, ids, max, UNANSWERED_PROBES_MAX, now);
+	if (count < max)
+		count += take_probes(endpoints, ids + count, max - count,
+				     G_MAXUINT, now);
+	return count;
+}
+
+/* The report shows that a request would have to wait or would be slow. */
+static gboolean is_known_busy(const upstream_t *upstream,
+			      const endpoint_t *endpoint, GTimeSpan now)
+{
+	return endpoint->reported_at &&
+	       now - endpoint->reported_at <= REPORT_USABLE_AGE_MAX &&
+	       (endpoint_load(upstream, endpoint, now) + LOAD_TOLERANCE >=
+			known_slots(upstream, endpoint) ||
+		expected_slowdown(upstream, endpoint, now) >
+			SLOWDOWN_ACCEPTABLE_PERCENT);
+}
+
+/*
+ * Probes the preferred endpoints, and sets how many probes are left for others:
+ * those for which no preferred one is usable or has probe budget, or nearly all
+ * if none of the preferred ones has capacity.
+ */
+static guint probe_preferred(upstream_t *upstream, upstream_scope_t scope,
+			     const char **ids, guint max, guint *others,
+			     GTimeSpan now)
+{
+	GPtrArray *wanted = upstream->eligible;
+	endpoint_t *endpoint;
+	guint usable = 0, busy = 0;
+	guint count;
+
+	g_ptr_array_set_size(wanted, 0);
+	TAILQ_FOREACH (endpoint, &upstream->endpoints, link) {
+		if (!endpoint->preferred ||
+		    !is_probe_allowed(upstream, endpoint, scope, now))
+			continue;
+		usable++;
+		busy += is_known_busy(upstream, endpoint, now);
+		if (!is_report_fresh(endpoint, now))
+			g_ptr_array_add(wanted, endpoint);
+	}
+	if (busy == usable) {
+		count = probe_from(upstream, wanted, ids, MIN(max, 1), now);
+		*others = max - count;
+		return count;
+	}
+	count = probe_from(upstream, wanted, ids, max, now);
+	*others = max - MIN(max, count + usable - wanted->len);
+	/* All preferred ones were just probed, and the call needs another. */
+	if (!wanted->len)
+		*others = max;
+	return count;
+}
+
 guint upstream_plan_probes(upstream_t *upstream, upstream_scope_t scope,
 			   const char **ids, guint max, GTimeSpan now)
 {
 	GPtrArray *wanted = upstream->eligible;
+	guint others = max;
 	endpoint_t *endpoint;
-	guint count;
+	guint count = 0;
 
 	if (!upstream->routing.probes_before_calls)
 		return 0;
+	if (upstream_prefers_endpoints(upstream))
+		count = probe_preferred(upstream, scope, ids, max, &others,
+					now);
 	g_ptr_array_set_size(wanted, 0);
 	TAILQ_FOREACH (endpoint, &upstream->endpoints, link)
-		if (is_probe_useful(upstream, endpoint, scope, now))
+		if (is_probe_allowed(upstream, endpoint, scope, now) &&
+		    !is_report_fresh(endpoint, now) &&
+		    !(endpoint->preferred &&
+		      upstream_prefers_endpoints(upstream)))
 			g_ptr_array_add(wanted, endpoint);
-	shuffle(wanted, upstream->random);
-	count = take_probes(wanted, ids, max, UNANSWERED_PROBES_MAX, now);
-	if (count < max)
-		count += take_probes(wanted, ids + count, max - count,
-				     G_MAXUINT, now);
-	return count;
+	return count + probe_from(upstream, wanted, ids + count, others, now);
 }
 
 static void record_failure_sample(endpoint_t *endpoint, double sample,
--- a/lib/upstream/upstream.c
+++ b/lib/upstream/upstream.c
@@ -167,7 +167,12 @@
 	if (!upstream->routing.probes_before_calls)
 		return budget / upstream->entries;
 	if (upstream_is_local(upstream, endpoint))
-		return budget * LOCAL_PROBES_SHARE / upstream->local_entries;
+		return upstream_prefers_endpoints(upstream) ?
+			       upstream_preferred_probes(
+				       upstream, endpoint,
+				       budget * LOCAL_PROBES_SHARE) :
+			       budget * LOCAL_PROBES_SHARE /
+				       upstream->local_entries;
 	return budget * (1 - LOCAL_PROBES_SHARE) / upstream->entries;
 }
 
@@ -197,6 +202,19 @@
 			       probe_burst(upstream, share), now + delay);
 }
 
+/* Applies a change of this entry's share of the probe budgets. */
+static void share_probes(upstream_t *upstream, GTimeSpan now)
+{
+	endpoint_t *endpoint;
+
+	TAILQ_FOREACH (endpoint, &upstream->endpoints, link) {
+		double share = probe_share(upstream, endpoint);
+
+		probe_budget_configure(&endpoint->probes, share,
+				       probe_burst(upstream, share), now);
+	}
+}
+
 void upstream_configure(upstream_t *upstream, const schema_service_t *service,
 			GTimeSpan now)
 {
@@ -310,6 +328,8 @@
 		apply_info(upstream, &infos[i], first_list, now);
 	free_unlisted(upstream, now);
 	notices_expire(upstream, now);
+	if (upstream_assign_preferred(upstream, TRUE))
+		share_probes(upstream, now);
 	update_usable(upstream, now);
 	if (upstream->routing.endpoints_changed)
 		upstream->routing.endpoints_changed(upstream->routing.ctx);
@@ -434,20 +454,19 @@
 void upstream_set_entry_counts(upstream_t *upstream, guint entries,
 			       guint local_entries, GTimeSpan now)
 {
-	endpoint_t *endpoint;
-
 	g_assert(entries >= 1 && local_entries >= 1);
 	if (upstream->entries == entries &&
 	    upstream->local_entries == local_entries)
 		return;
 	upstream->entries = entries;
 	upstream->local_entries = local_entries;
-	TAILQ_FOREACH (endpoint, &upstream->endpoints, link) {
-		double share = probe_share(upstream, endpoint);
+	share_probes(upstream, now);
+}
 
-		probe_budget_configure(&endpoint->probes, share,
-				       probe_burst(upstream, share), now);
-	}
+void upstream_update_instances(upstream_t *upstream, GTimeSpan now)
+{
+	if (upstream_assign_preferred(upstream, FALSE))
+		share_probes(upstream, now);
 }
 
 guint upstream_connection_share(const upstream_t *upstream)
--- a/lib/upstream/upstream.h
+++ b/lib/upstream/upstream.h
@@ -115,6 +115,18 @@
 	 */
 	gboolean (*is_evacuated)(void *ctx, const char *data_centre);
 	void *evacuated_ctx;
+	/*
+	 * Instances of this data centre that prefer each of its endpoints, 0
+	 * for none. Only with ROUTING_EXPECTED_LATENCY.
+	 */
+	guint preferred_instances;
+	/*
+	 * Writes the names of up to max live instances of this data centre to
+	 * names and returns their number. The names are not kept. NULL if
+	 * preferred_instances is 0.
+	 */
+	guint (*list_instances)(void *ctx, const char **names, guint max);
+	void *instances_ctx;
 } upstream_options_t;
 
 /* Selection criteria of one call. */
@@ -156,6 +168,12 @@
 void upstream_set_endpoints(upstream_t *upstream, const endpoint_info_t *infos,
 			    gsize count, GTimeSpan now);
 
+/*
+ * Assigns the preferred endpoints again if the live instances of this data
+ * centre have changed. Call it about every 50 ms.
+ */
+void upstream_update_instances(upstream_t *upstream, GTimeSpan now);
+
 /* Applies a change of the data centres that are evacuated. */
 void upstream_update_evacuated(upstream_t *upstream, GTimeSpan now);
 
--- a/lib/upstream/upstream_internal.h
+++ b/lib/upstream/upstream_internal.h
@@ -60,6 +60,8 @@
 
 	guint64 hash_weight; /* rendezvous hash with this entry */
 	gboolean preferred; /* in this entry's subset */
+	/* Instances of this data centre that prefer it, 0 for unknown. */
+	guint preferring_instances;
 	gboolean usable; /* accepts work and is not blocked */
 	double concurrency_limit; /* adaptive, 0 before the first attempt */
 	GTimeSpan pacing_until; /* pause that enforces a limit below 1 */
@@ -128,6 +130,8 @@
 	double service_time_ratio_free;
 	double mean_slowdown; /* moving average in percent, 0 for none */
 	double failure_ratio; /* moving average over all endpoints */
+	guint64 instances_hash; /* of the last assignment of preferences */
+	guint assigned_instances; /* number of instances in it */
 	/* Buffers of upstream_choose_for() and upstream_plan_probes(). */
 	GPtrArray *eligible;
 	GPtrArray *fallback; /* selected only if eligible is empty */
@@ -150,6 +154,22 @@
 gboolean upstream_is_local(const upstream_t *upstream,
 			   const endpoint_t *endpoint);
 
+/* Returns TRUE if this entry sends its requests to few endpoints. */
+gboolean upstream_prefers_endpoints(const upstream_t *upstream);
+
+/*
+ * Assigns the preferred endpoints, always or only if the live instances have
+ * changed. Returns TRUE if it did.
+ */
+gboolean upstream_assign_preferred(upstream_t *upstream, gboolean always);
+
+/*
+ * Part of the endpoint's probes per second for its data centre, budget, that
+ * this entry may use.
+ */
+double upstream_preferred_probes(const upstream_t *upstream,
+				 const endpoint_t *endpoint, double budget);
+
 /* Returns a random candidate. */
 endpoint_t *candidates_pick_random(const candidates_t *candidates,
 				   GRand *random);
