Keep more connections to preferred endpoints

An endpoint that became preferred also waited for the probe token of its small earlier share, up to a minute.

An instance now prefers at least 5 endpoints, preferring instances have 90% of the probes of a data centre, a share that jumps starts anew, and idle connections to endpoints are kept for 8 s where the setting is on. The simulation (tests/support_placing) has real entries and endpoints with slots, a queue and slowdowns.

--- a/lib/common/counters.h
+++ b/lib/common/counters.h
@@ -20,6 +20,7 @@
 	X(CALLS_CUT_AT_SHUTDOWN, "calls_cut_at_shutdown", "calls")           \
 	X(ATTEMPTS_STARTED, "attempts_started", "attempts")                  \
 	X(ATTEMPTS_RETRIED, "attempts_retried", "attempts")                  \
+	X(ATTEMPTS_PREFERRED, "attempts_at_preferred_endpoints", "attempts") \
 	X(ATTEMPTS_SHED, "attempts_shed_by_upstream", "attempts")            \
 	X(ATTEMPTS_FAILED, "attempts_failed", "attempts")                    \
 	X(ANSWERS_DROPPED, "answers_dropped", "answers")                     \
--- a/lib/upstream/preferred_endpoints.c
+++ b/lib/upstream/preferred_endpoints.c
@@ -11,7 +11,7 @@
  * Part of the probe budget of an endpoint, within that of its data centre, for
  * the instances that prefer it. All instances share the rest.
  */
-#define PREFERRED_PROBES_SHARE 0.75
+#define PREFERRED_PROBES_SHARE 0.9
 
 typedef struct {
 	preferred_endpoint_t *endpoints;
@@ -172,25 +172,47 @@
 	TAILQ_FOREACH (endpoint, &upstream->endpoints, link) {
 		if (upstream_is_local(upstream, endpoint) != local)
 			continue;
-		endpoint->preferred = FALSE;
-		endpoint->preferring_instances = 0;
-		if (!is_assigned(endpoint))
+		if (!is_assigned(endpoint)) {
+			endpoint->preferred = FALSE;
+			endpoint->preferring_instances = 0;
 			continue;
+		}
 		endpoints[count] = endpoint;
 		assigned[count++].id = endpoint_id(endpoint);
 	}
 	return count;
 }
 
-static void apply(endpoint_t **endpoints, const preferred_endpoint_t *assigned,
-		  guint count)
+/* Returns TRUE if this instance prefers other endpoints than before. */
+static gboolean apply(endpoint_t **endpoints,
+		      const preferred_endpoint_t *assigned, guint count)
 {
+	gboolean changed = FALSE;
 	guint i;
 
 	for (i = 0; i < count; i++) {
+		changed |= endpoints[i]->preferred != assigned[i].preferred;
 		endpoints[i]->preferred = assigned[i].preferred;
 		endpoints[i]->preferring_instances = assigned[i].instance_count;
 	}
+	return changed;
+}
+
+static void log_preferred(const upstream_t *upstream,
+			  const preferred_endpoint_t *assigned, guint count)
+{
+	guint preferred = 0;
+	guint i;
+
+	if (!upstream->options.log)
+		return;
+	for (i = 0; i < count; i++)
+		preferred += assigned[i].preferred ? 1 : 0;
+	LOG_EVENT(upstream->options.log, "preferred_endpoints",
+		  LOG_TEXT("service", upstream->service),
+		  LOG_NUMBER("preferred", preferred),
+		  LOG_NUMBER("endpoints", count),
+		  LOG_NUMBER("instances", upstream->assigned_instances));
 }
 
 /*
@@ -242,11 +264,12 @@
 	count = list_endpoints(upstream, TRUE, endpoints, assigned);
 	preferred_endpoints_assign(assigned, count, names, instance_count, 0,
 				   options->preferred_instances);
-	apply(endpoints, assigned, count);
+	upstream->assigned_instances = instance_count;
+	if (apply(endpoints, assigned, count))
+		log_preferred(upstream, assigned, count);
 	count = list_endpoints(upstream, FALSE, endpoints, assigned);
 	preferred_endpoints_assign_own(assigned, count, options->instance);
 	apply(endpoints, assigned, count);
-	upstream->assigned_instances = instance_count;
 	g_free(endpoints);
 	g_free(assigned);
 }
--- a/lib/upstream/preferred_endpoints.h
+++ b/lib/upstream/preferred_endpoints.h
@@ -12,7 +12,7 @@
  * Fewest endpoints of an upstream that an instance prefers. Choosing the best
  * of three is nearly as good as choosing the best of all.
  */
-#define PREFERRED_ENDPOINTS_MIN 3
+#define PREFERRED_ENDPOINTS_MIN 5
 
 /* An endpoint in this instance's data centre, and who prefers it. */
 typedef struct {
--- a/lib/upstream/upstream.c
+++ b/lib/upstream/upstream.c
@@ -200,8 +200,16 @@
 	probe_budget_init(&endpoint->probes, share, 1, now + delay);
 	probe_budget_configure(&endpoint->probes, share,
 			       probe_burst(upstream, share), now + delay);
+	endpoint->probe_share = share;
 }
 
+/*
+ * A share that grows by more than this factor is that of an endpoint that has
+ * become preferred. The wait for its next token, which the small share set, may
+ * be longer than a minute.
+ */
+#define PROBE_SHARE_JUMP 4
+
 /* Applies a change of this entry's share of the probe budgets. */
 static void share_probes(upstream_t *upstream, GTimeSpan now)
 {
@@ -210,8 +218,13 @@
 	TAILQ_FOREACH (endpoint, &upstream->endpoints, link) {
 		double share = probe_share(upstream, endpoint);
 
-		probe_budget_configure(&endpoint->probes, share,
-				       probe_burst(upstream, share), now);
+		if (share > PROBE_SHARE_JUMP * endpoint->probe_share)
+			start_probe_budget(upstream, endpoint, now);
+		else
+			probe_budget_configure(&endpoint->probes, share,
+					       probe_burst(upstream, share),
+					       now);
+		endpoint->probe_share = share;
 	}
 }
 
@@ -483,6 +496,8 @@
 		return;
 	endpoint_add_attempt(endpoint, now);
 	upstream->in_flight++;
+	if (endpoint->preferred && upstream_prefers_endpoints(upstream))
+		counters_add(upstream->counters, COUNTER_ATTEMPTS_PREFERRED, 1);
 	health_attempt_started(upstream, endpoint, now);
 }
 
--- a/lib/upstream/upstream_internal.h
+++ b/lib/upstream/upstream_internal.h
@@ -44,6 +44,7 @@
 	guint own_in_flight_at_report; /* in_flight at that instant */
 	double others_load; /* moving average of other entries' requests */
 	probe_budget_t probes;
+	double probe_share; /* this entry's probes per second to it */
 	GTimeSpan probed_at; /* instant of the last probe */
 
 	gboolean draining;
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -67,6 +67,7 @@
 	gsize kept_bytes; /* of all responses being received */
 	gsize kept_bytes_max; /* 0 for no limit */
 	guint timeout_source; /* 0 without connections */
+	GTimeSpan idle_timeout; /* where the peer announces none */
 	GTimeSpan silence_timeout; /* 0: that of every stream */
 };
 
@@ -118,7 +119,8 @@
 	       stream_bytes_sent(connection->stream) == connection->sent_offset;
 }
 
-static GTimeSpan peer_idle_timeout(const http_message_t *response)
+static GTimeSpan peer_idle_timeout(const http_client_t *client,
+				   const http_message_t *response)
 {
 	const char *text = http_message_header(response, "Keep-Alive");
 	const char *timeout = text ? strstr(text, "timeout=") : NULL;
@@ -126,7 +128,7 @@
 	GTimeSpan time;
 
 	if (!timeout)
-		return IDLE_TIMEOUT_DEFAULT;
+		return client->idle_timeout;
 	seconds = g_ascii_strtoull(timeout + strlen("timeout="), NULL, 10);
 	time = (GTimeSpan)MIN(seconds, IDLE_TIMEOUT_MAX_S) * G_TIME_SPAN_SECOND;
 	return MAX(time - IDLE_TIMEOUT_MARGIN, time / 2);
@@ -143,7 +145,7 @@
 	TAILQ_REMOVE(&peer->busy, connection, link);
 	connection->id = 0;
 	connection->idle_since = client_now(peer->client);
-	connection->idle_timeout = peer_idle_timeout(response);
+	connection->idle_timeout = peer_idle_timeout(peer->client, response);
 	TAILQ_INSERT_HEAD(&peer->idle, connection, link);
 	TAILQ_FOREACH (other, &peer->idle, link)
 		count++;
@@ -473,6 +475,7 @@
 	client->events = *events;
 	client->limits = *limits;
 	client->clock = clock;
+	client->idle_timeout = IDLE_TIMEOUT_DEFAULT;
 	client->peers_by_address = g_hash_table_new(g_str_hash, g_str_equal);
 	client->connections_by_id =
 		g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -480,6 +483,11 @@
 	return client;
 }
 
+void http_client_set_idle_timeout(http_client_t *client, GTimeSpan timeout)
+{
+	client->idle_timeout = timeout;
+}
+
 void http_client_detect_silence(http_client_t *client, GTimeSpan timeout)
 {
 	client->silence_timeout = timeout;
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -75,6 +75,12 @@
  */
 void http_client_detect_silence(http_client_t *client, GTimeSpan timeout);
 
+/*
+ * Sets the idle time after which connections are closed whose peers announce
+ * none. It must be shorter than that of the peers.
+ */
+void http_client_set_idle_timeout(http_client_t *client, GTimeSpan timeout);
+
 /*
  * Limits the bytes that are kept of all incomplete responses together, 0 for no
  * limit. Above it the response with the most bytes ends as too large.
--- a/net/proxy.c
+++ b/net/proxy.c
@@ -307,6 +307,9 @@
 	http_client_set_kept_bytes_max(proxy->client,
 				       MAX(RESPONSES_BYTES_MAX,
 					   limits->response_bytes_max));
+	if (limits->endpoint_idle_timeout)
+		http_client_set_idle_timeout(proxy->client,
+					     limits->endpoint_idle_timeout);
 	proxy->server = http_server_new(address, &server_events, clock, err);
 	if (proxy->server)
 		http_server_set_body_budget(proxy->server,
--- a/net/proxy.h
+++ b/net/proxy.h
@@ -70,6 +70,11 @@
 typedef struct {
 	gsize response_bytes_max; /* of the body of one answer */
 	gsize request_bodies_max; /* bytes of all requests together */
+	/*
+	 * Idle time after which a connection to an endpoint is closed that
+	 * announces no time itself, 0 for the default.
+	 */
+	GTimeSpan endpoint_idle_timeout;
 } proxy_limits_t;
 
 /*
--- a/programs/daemon.c
+++ b/programs/daemon.c
@@ -25,6 +25,11 @@
  * responses, connections, configuration and records of request ids.
  */
 #define REQUEST_BODIES_PERCENT 40
+/*
+ * Idle time of connections to endpoints where instances prefer few of them.
+ * Endpoints close a connection after 10 s.
+ */
+#define PREFERRED_IDLE_TIMEOUT (8 * G_TIME_SPAN_SECOND)
 
 typedef struct {
 	const settings_t *settings;
@@ -371,6 +376,9 @@
 		.response_bytes_max = (gsize)settings->body_bytes_max,
 		.request_bodies_max = ((gsize)settings->memory_max_mb << 20) /
 				      100 * REQUEST_BODIES_PERCENT,
+		.endpoint_idle_timeout = settings->entry.preferred_instances ?
+						 PREFERRED_IDLE_TIMEOUT :
+						 0,
 	};
 
 	daemon->platform = platform_new(settings, daemon->entry, &system_clock,
--- a/tests/test_preferred_endpoints.c
+++ b/tests/test_preferred_endpoints.c
@@ -8,10 +8,12 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <cmocka.h>
+#include <math.h>
 #include <string.h>
 
 #include "lib/upstream/preferred_endpoints.h"
 #include "lib/upstream/upstream.h"
+#include "tests/support_placing.h"
 
 #define MS G_TIME_SPAN_MILLISECOND
 #define INSTANCES 47
@@ -192,7 +194,7 @@
 	const load_report_t report = { .in_flight = in_flight, .slots = 2 };
 	GHashTable *probed = g_hash_table_new(g_str_hash, g_str_equal);
 	const char *ids[FANOUT];
-	guint count, i, call;
+	guint count, i, call, refresh;
 
 	for (call = 0; call < 60; call++) {
 		count = upstream_plan_probes(f->upstream, SCOPE_LOCAL, ids,
@@ -202,13 +204,18 @@
 			upstream_probe_ended(f->upstream, ids[i], &report,
 					     f->now);
 		}
-		/* As a refresh for a queued call, while reports are recent. */
-		f->now += 20 * MS;
-		count = upstream_plan_probes(f->upstream, SCOPE_LOCAL, ids,
-					     FANOUT, f->now);
-		for (i = 0; i < count; i++)
-			g_hash_table_add(probed, (gpointer)ids[i]);
-		f->now += 980 * MS;
+		/* Refreshes for a queued call, while reports are recent. */
+		for (refresh = 0; refresh < 2; refresh++) {
+			f->now += 20 * MS;
+			count = upstream_plan_probes(f->upstream, SCOPE_LOCAL,
+						     ids, FANOUT, f->now);
+			for (i = 0; i < count; i++) {
+				g_hash_table_add(probed, (gpointer)ids[i]);
+				upstream_probe_ended(f->upstream, ids[i],
+						     &report, f->now);
+			}
+		}
+		f->now += 960 * MS;
 	}
 	count = g_hash_table_size(probed);
 	g_hash_table_destroy(probed);
@@ -281,6 +288,68 @@
 	tear_down_upstream(f);
 }
 
+static double waves(guint data_centre, GTimeSpan since_start)
+{
+	double period = 13.0 * G_TIME_SPAN_SECOND;
+
+	return 1 +
+	       0.55 * sin(2 * G_PI *
+			  ((double)since_start / period + data_centre / 2.0));
+}
+
+/* Two data centres of nilehaven-forms-grown. */
+static placing_result_t simulate(guint preferred_instances)
+{
+	const placing_options_t options = {
+		.data_centres = 2,
+		.instances = 102,
+		.service_count = 3,
+		.services = { { 50, 236, TRUE, 76 * MS, 250 * MS, 1500 * MS,
+				0 },
+			      { 22, 80, FALSE, 100 * MS, 300 * MS, 2000 * MS,
+				0 },
+			      { 44, 84, TRUE, 190 * MS, 600 * MS, 2500 * MS,
+				1 } },
+		.slots = 2,
+		.queue = 4,
+		.caller_retries = 1,
+		.slowdown_factor = 5,
+		.load = waves,
+		.preferred_instances = preferred_instances,
+		.seed = 1,
+	};
+	placing_result_t result;
+
+	placing_start(&options);
+	placing_run_for(7 * G_TIME_SPAN_SECOND);
+	placing_reset();
+	placing_run_for(13 * G_TIME_SPAN_SECOND);
+	result = placing_result();
+	placing_print(preferred_instances ? "preferred" : "all");
+	placing_stop();
+	return result;
+}
+
+/*
+ * Fails if preferences save no connections, or if they make requests late or
+ * meet full endpoints.
+ */
+static void simulated_fleet_reuses_connections(void **state)
+{
+	placing_result_t all = simulate(0);
+	placing_result_t few = simulate(PER_ENDPOINT);
+
+	(void)state;
+	assert_true(few.endpoints_per_instance <
+		    0.75 * all.endpoints_per_instance);
+	assert_true((double)few.connections / few.requests <
+		    0.5 * all.connections / all.requests);
+	assert_true(few.full <= all.full);
+	assert_true((double)few.in_time / few.requests >=
+		    (double)all.in_time / all.requests);
+	assert_true(few.probes <= 1.1 * all.probes);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -290,6 +359,7 @@
 		cmocka_unit_test(probes_reach_others_when_preferred_are_full),
 		cmocka_unit_test(all_endpoints_are_alike_without_the_setting),
 		cmocka_unit_test(isolated_instance_keeps_its_share_of_probes),
+		cmocka_unit_test(simulated_fleet_reuses_connections),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
