Restart probe budgets only where endpoints are preferred

A share of the probe budget that grew fourfold restarted the budget also without preferred_instances, where a jump of the number of instances may cause it. The restart now needs the setting.

test_preferred_endpoints 7, test_upstream 26, test_probes 1 passed.

--- a/lib/upstream/upstream.c
+++ b/lib/upstream/upstream.c
@@ -218,7 +218,8 @@
 	TAILQ_FOREACH (endpoint, &upstream->endpoints, link) {
 		double share = probe_share(upstream, endpoint);
 
-		if (share > PROBE_SHARE_JUMP * endpoint->probe_share)
+		if (upstream_prefers_endpoints(upstream) &&
+		    share > PROBE_SHARE_JUMP * endpoint->probe_share)
 			start_probe_budget(upstream, endpoint, now);
 		else
 			probe_budget_configure(&endpoint->probes, share,
