--- a/lib/upstream/preferred_endpoints.h
+++ b/lib/upstream/preferred_endpoints.h
@@ -10,7 +10,7 @@
 
 /*
  * Fewest endpoints of an upstream that an instance prefers. Choosing the best
- * of three is nearly as good as choosing the best of all.
+ * of five is nearly as good as choosing the best of all.
  */
 #define PREFERRED_ENDPOINTS_MIN 5
 
