--- a/lib/common/counters.h
+++ b/lib/common/counters.h
@@ -41,7 +41,12 @@
 	X(PEER_MESSAGES_RECEIVED, "peer_messages_received", "messages")      \
 	X(LOG_LINES_DROPPED, "log_lines_dropped", "lines")                   \
 	X(CONNECTIONS_SILENT, "connections_closed_as_silent", "connections") \
-	X(BODIES_REFUSED, "bodies_refused", "requests")
+	X(BODIES_REFUSED, "bodies_refused", "requests")                      \
+	X(QUOTA_REFUSED, "calls_over_rate_limit", "calls")                   \
+	X(QUOTA_NO_CONTACT, "calls_without_rate_limit_owner", "calls")       \
+	X(QUOTA_GIVEN_BACK, "rate_limit_tokens_given_back", "tokens")        \
+	X(QUOTA_MESSAGES, "rate_limit_messages_sent", "messages")            \
+	X(QUOTA_TAKEOVERS, "rate_limit_shards_taken_over", "shards")
 
 typedef enum {
 #define X(id, name, unit) COUNTER_##id,
