--- a/codec/peer_codec.c
+++ b/codec/peer_codec.c
@@ -251,6 +251,70 @@
 	return pack(&envelope, message);
 }
 
+static GByteArray *encode_quota_ask(const peer_message_t *message)
+{
+	const quota_ask_t *ask = &message->u.quota_ask;
+	Catk__Envelope envelope = CATK__ENVELOPE__INIT;
+	Catk__QuotaAsk wire = CATK__QUOTA_ASK__INIT;
+	Catk__QuotaRequest *items = g_new(Catk__QuotaRequest, ask->count);
+	Catk__QuotaRequest **pointers = g_new(Catk__QuotaRequest *, ask->count);
+	GByteArray *bytes;
+	guint i;
+
+	for (i = 0; i < ask->count; i++) {
+		catk__quota_request__init(&items[i]);
+		items[i].name = (char *)ask->requests[i].name;
+		items[i].shard = ask->requests[i].shard;
+		items[i].wanted = ask->requests[i].wanted;
+		items[i].returned = ask->requests[i].returned;
+		items[i].claim = ask->requests[i].claim;
+		pointers[i] = &items[i];
+	}
+	wire.sent_us = ask->sent;
+	wire.requests = pointers;
+	wire.n_requests = ask->count;
+	envelope.body_case = CATK__ENVELOPE__BODY_QUOTA_ASK;
+	envelope.quota_ask = &wire;
+	bytes = pack(&envelope, message);
+	g_free(pointers);
+	g_free(items);
+	return bytes;
+}
+
+static GByteArray *encode_quota_answer(const peer_message_t *message)
+{
+	const quota_answer_t *answer = &message->u.quota_answer;
+	Catk__Envelope envelope = CATK__ENVELOPE__INIT;
+	Catk__QuotaAnswer wire = CATK__QUOTA_ANSWER__INIT;
+	Catk__QuotaGrant *items = g_new(Catk__QuotaGrant, answer->count);
+	Catk__QuotaGrant **pointers = g_new(Catk__QuotaGrant *, answer->count);
+	GByteArray *bytes;
+	guint i;
+
+	for (i = 0; i < answer->count; i++) {
+		const quota_grant_t *grant = &answer->grants[i];
+
+		catk__quota_grant__init(&items[i]);
+		items[i].name = (char *)grant->name;
+		items[i].shard = grant->shard;
+		items[i].kind = grant->kind;
+		items[i].granted = grant->granted;
+		items[i].retry_after_us = (guint64)grant->retry_after;
+		items[i].ask_after_us = (guint64)grant->ask_after;
+		items[i].level = grant->level;
+		pointers[i] = &items[i];
+	}
+	wire.sent_us = answer->sent;
+	wire.grants = pointers;
+	wire.n_grants = answer->count;
+	envelope.body_case = CATK__ENVELOPE__BODY_QUOTA_ANSWER;
+	envelope.quota_answer = &wire;
+	bytes = pack(&envelope, message);
+	g_free(pointers);
+	g_free(items);
+	return bytes;
+}
+
 GByteArray *peer_codec_encode(const peer_message_t *message)
 {
 	Catk__Envelope envelope = CATK__ENVELOPE__INIT;
@@ -293,6 +357,10 @@
 		break;
 	case PEER_EVACUATIONS:
 		return encode_evacuations(message);
+	case PEER_QUOTA_ASK:
+		return encode_quota_ask(message);
+	case PEER_QUOTA_ANSWER:
+		return encode_quota_answer(message);
 	}
 	return pack(&envelope, message);
 }
@@ -465,6 +533,69 @@
 	return TRUE;
 }
 
+/* ask->requests may be allocated even if FALSE is returned. */
+static gboolean decode_quota_ask(const Catk__QuotaAsk *wire, quota_ask_t *ask)
+{
+	quota_request_t *requests;
+	guint i;
+
+	if (wire->n_requests > QUOTA_ITEMS_MAX)
+		return FALSE;
+	requests = g_new0(quota_request_t, wire->n_requests);
+	ask->sent = wire->sent_us;
+	ask->requests = requests;
+	ask->count = (guint)wire->n_requests;
+	for (i = 0; i < ask->count; i++) {
+		const Catk__QuotaRequest *item = wire->requests[i];
+
+		if (strlen(item->name) > QUOTA_NAME_MAX)
+			return FALSE;
+		requests[i].name = item->name;
+		requests[i].shard = item->shard;
+		requests[i].wanted = item->wanted;
+		requests[i].returned = item->returned;
+		requests[i].claim = item->claim;
+	}
+	return TRUE;
+}
+
+static gboolean grant_from_wire(const Catk__QuotaGrant *wire,
+				quota_grant_t *grant)
+{
+	if (strlen(wire->name) > QUOTA_NAME_MAX ||
+	    wire->kind >= QUOTA_GRANT_KIND_COUNT || !(wire->level >= 0) ||
+	    wire->retry_after_us > G_TIME_SPAN_DAY ||
+	    wire->ask_after_us > G_TIME_SPAN_DAY)
+		return FALSE;
+	grant->name = wire->name;
+	grant->shard = wire->shard;
+	grant->kind = (quota_grant_kind_t)wire->kind;
+	grant->granted = wire->granted;
+	grant->retry_after = (GTimeSpan)wire->retry_after_us;
+	grant->ask_after = (GTimeSpan)wire->ask_after_us;
+	grant->level = wire->level;
+	return TRUE;
+}
+
+/* answer->grants may be allocated even if FALSE is returned. */
+static gboolean decode_quota_answer(const Catk__QuotaAnswer *wire,
+				    quota_answer_t *answer)
+{
+	quota_grant_t *grants;
+	guint i;
+
+	if (wire->n_grants > QUOTA_ITEMS_MAX)
+		return FALSE;
+	grants = g_new0(quota_grant_t, wire->n_grants);
+	answer->sent = wire->sent_us;
+	answer->grants = grants;
+	answer->count = (guint)wire->n_grants;
+	for (i = 0; i < answer->count; i++)
+		if (!grant_from_wire(wire->grants[i], &grants[i]))
+			return FALSE;
+	return TRUE;
+}
+
 static gboolean decode_body(const Catk__Envelope *wire, peer_message_t *message)
 {
 	message->config_version = wire->config_version;
@@ -512,6 +643,13 @@
 		message->kind = PEER_EVACUATIONS;
 		return decode_evacuations(wire->evacuations,
 					  &message->u.evacuations);
+	case CATK__ENVELOPE__BODY_QUOTA_ASK:
+		message->kind = PEER_QUOTA_ASK;
+		return decode_quota_ask(wire->quota_ask, &message->u.quota_ask);
+	case CATK__ENVELOPE__BODY_QUOTA_ANSWER:
+		message->kind = PEER_QUOTA_ANSWER;
+		return decode_quota_answer(wire->quota_answer,
+					   &message->u.quota_answer);
 	default:
 		return FALSE;
 	}
@@ -535,6 +673,12 @@
 	case PEER_ENDPOINTS:
 		g_free((gpointer)message->u.endpoints.changes);
 		break;
+	case PEER_QUOTA_ASK:
+		g_free((gpointer)message->u.quota_ask.requests);
+		break;
+	case PEER_QUOTA_ANSWER:
+		g_free((gpointer)message->u.quota_answer.grants);
+		break;
 	default:
 		break;
 	}
--- a/lib/call/call.c
+++ b/lib/call/call.c
@@ -72,7 +72,8 @@
 
 void call_free(call_t *call)
 {
-	g_assert(!call->queue.lane && !call->load_probes.active);
+	g_assert(!call->queue.lane && !call->load_probes.active &&
+		 !call->quota.limit);
 	free_attempts(&call->attempts);
 	free_attempts(&call->ended_attempts);
 	while (!TAILQ_EMPTY(&call->waiters))
--- a/lib/call/call.h
+++ b/lib/call/call.h
@@ -7,6 +7,7 @@
 #define CATK_CALL_H
 
 #include "lib/admission/admission.h"
+#include "lib/quota/quota.h"
 #include "lib/upstream/upstream.h"
 
 /* One transmission of the request to one endpoint. */
@@ -54,6 +55,8 @@
 typedef struct call {
 	TAILQ_ENTRY(call) by_deadline;
 	admission_item_t queue;
+	/* Credit of the rate limit of its organisation. */
+	quota_item_t quota;
 	char *service;
 	char *method;
 	char *caller;
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -37,6 +37,7 @@
 	entry->calls_by_ref = g_hash_table_new(NULL, NULL);
 	entry->splits = route_splits_new(random);
 	entry->deadlines = route_deadlines_new();
+	entry_quota_init(entry);
 	entry->next_attempt = 1;
 	entry->next_housekeeping = entry_now(entry);
 	return entry;
@@ -75,6 +76,7 @@
 	g_hash_table_destroy(entry->calls_by_sequence);
 	g_hash_table_destroy(entry->calls_by_attempt);
 	g_hash_table_destroy(entry->calls_by_ref);
+	quota_free(entry->quota);
 	route_splits_free(entry->splits);
 	route_deadlines_free(entry->deadlines);
 	request_ids_free(entry->ids);
@@ -172,6 +174,21 @@
 	route_deadlines_configure(entry->deadlines, schema);
 }
 
+static void configure_limits(entry_t *entry)
+{
+	const schema_t *schema = config_schema(entry->config);
+	const organisation_t *organisation;
+	GTimeSpan now = entry_now(entry);
+
+	if (!entry->quota)
+		return;
+	quota_begin_limits(entry->quota);
+	TAILQ_FOREACH (organisation, &schema->organisations->list, link)
+		quota_set_limit(entry->quota, organisation->name,
+				organisation->rate, organisation->burst, now);
+	quota_end_limits(entry->quota, now);
+}
+
 config_activate_result_t entry_activate_config(entry_t *entry, guint64 version,
 					       schema_t *schema,
 					       GBytes *document)
@@ -181,6 +198,7 @@
 
 	if (result == CONFIG_ACTIVATED) {
 		configure_services(entry);
+		configure_limits(entry);
 		entry_log_config(entry);
 		catalogue_report_all(entry->catalogue);
 		subscription_notify_all(entry->subscription);
@@ -381,6 +399,28 @@
 	}
 }
 
+/* instances is the number that may exist, see distribute_fleet_limits(). */
+static void update_quota_members(entry_t *entry, guint instances)
+{
+	static const quota_member_state_t states[] = {
+		[MEMBER_LIVE] = QUOTA_MEMBER_LIVE,
+		[MEMBER_SUSPECT] = QUOTA_MEMBER_SUSPECT,
+		[MEMBER_LEAVING] = QUOTA_MEMBER_LEAVING,
+	};
+	const member_t *member;
+
+	if (!entry->quota)
+		return;
+	quota_begin_members(entry->quota);
+	for (member = membership_first(entry->membership); member;
+	     member = membership_next(member))
+		if (member->state != MEMBER_GONE)
+			quota_add_member(entry->quota, member->name,
+					 member->peer_address,
+					 states[member->state]);
+	quota_end_members(entry->quota, instances, entry_now(entry));
+}
+
 /*
  * Divides the limits of the whole fleet among its instances: connections per
  * endpoint, probes, and accumulated retries. The divisor is entries_max, or the
@@ -408,6 +448,7 @@
 						  entry->limits.retry_saved *
 							  100 / instances);
 	}
+	update_quota_members(entry, instances);
 }
 
 static void housekeeping(entry_t *entry)
@@ -433,6 +474,8 @@
 	entry_peers_tick(entry);
 	if (entry_now(entry) >= entry->next_housekeeping)
 		housekeeping(entry);
+	if (entry->quota)
+		quota_tick(entry->quota, entry_now(entry));
 	TAILQ_FOREACH (service, &entry->services, link) {
 		entry_probe_wait_tick(entry, service);
 		entry_dispatch(entry, service);
@@ -454,6 +497,8 @@
 			       membership_next_wakeup(entry->membership));
 	const entry_service_t *service;
 
+	if (entry->quota)
+		wakeup = MIN(wakeup, quota_next_wakeup(entry->quota));
 	if (!TAILQ_EMPTY(&entry->calls))
 		wakeup = MIN(wakeup, TAILQ_FIRST(&entry->calls)->deadline);
 	/*
--- a/lib/entry/entry_answers.c
+++ b/lib/entry/entry_answers.c
@@ -120,6 +120,11 @@
 
 	admission_remove(service->admission, &call->queue);
 	entry_probe_wait_end(service, call);
+	/* What is in flight may run. */
+	if (TAILQ_EMPTY(&call->attempts))
+		quota_give_back(entry->quota, &call->quota, entry_now(entry));
+	else
+		quota_spend(entry->quota, &call->quota);
 	abandon_attempts(entry, call);
 	TAILQ_FOREACH (waiter, &call->waiters, link)
 		g_hash_table_remove(entry->calls_by_ref, waiter->caller_ref);
--- a/lib/entry/entry_attempts.c
+++ b/lib/entry/entry_attempts.c
@@ -173,8 +173,8 @@
 }
 
 /*
- * Reads the clock, checks the deadline, the key and the request id, records the dispatch
- * and starts the attempt without returning to the main loop. A pause of the
+ * Reads the clock, checks the deadline, the key, the credit and the request id,
+ * records the dispatch and starts the attempt without returning to the main loop. A pause of the
  * process before this function thus cannot cause a late dispatch. Returns FALSE
  * if no endpoint has capacity.
  */
@@ -209,6 +209,8 @@
 		admission_requeue(service->admission, &call->queue);
 		return FALSE;
 	}
+	if (!entry_take_credit(entry, call))
+		return TRUE;
 	if (call->has_id &&
 	    !request_ids_dispatch(entry->ids, call->sequence, now)) {
 		catk_error_set(&error, CATK_DEADLINE_EXCEEDED, OUTCOME_NOT_RUN,
@@ -401,6 +403,8 @@
 	entry_learn_service_time(service, call, attempt->endpoint, result,
 				 latency, now);
 	g_hash_table_remove(entry->calls_by_attempt, &attempt->id);
+	if (!attempt_end_proves_not_run(result->end))
+		quota_spend(entry->quota, &call->quota);
 	retry_allowed = may_retry(entry, service, call, now);
 	step = call_end_attempt(call, entry_retry_rule(entry), attempt,
 				end_for_call(call, result, retry_allowed),
--- a/lib/entry/entry_calls.c
+++ b/lib/entry/entry_calls.c
@@ -21,6 +21,101 @@
 	return result;
 }
 
+/* A call that may have run must not be reported as refused. */
+static void refuse_without_credit(entry_t *entry, call_t *call,
+				  quota_result_t result, GTimeSpan retry_after)
+{
+	catk_error_t error;
+
+	if (entry_call_outcome(entry, call) != OUTCOME_NOT_RUN)
+		catk_error_set(&error, CATK_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN,
+			       "the call may have run, and the rate limit of "
+			       "its organisation allows no second attempt: "
+			       "check its effect before sending it again");
+	else if (result == QUOTA_REFUSED)
+		catk_error_set(&error, CATK_RATE_LIMITED, OUTCOME_NOT_RUN,
+			       "the organisation has reached its rate limit: "
+			       "send the call again after the stated delay");
+	else
+		catk_error_set(&error, CATK_UNAVAILABLE, OUTCOME_NOT_RUN,
+			       "the instance that keeps the rate limit of the "
+			       "organisation does not answer: send the call to "
+			       "another instance or again later");
+	error.retry_after = retry_after;
+	entry_finish_with_error(entry, call, &error);
+}
+
+gboolean entry_take_credit(entry_t *entry, call_t *call)
+{
+	GTimeSpan now = entry_now(entry);
+	GTimeSpan retry_after;
+	quota_result_t result;
+
+	if (!entry->quota || !call->routed)
+		return TRUE;
+	if (!call->organisation) {
+		quota_give_back(entry->quota, &call->quota, now);
+		return TRUE;
+	}
+	result = quota_take(entry->quota, &call->quota, call->organisation, now,
+			    &retry_after);
+	if (result == QUOTA_REFUSED || result == QUOTA_NO_CONTACT)
+		refuse_without_credit(entry, call, result, retry_after);
+	return result == QUOTA_ADMITTED;
+}
+
+static void on_credit_decided(void *ctx, quota_item_t *item,
+			      quota_result_t result, GTimeSpan retry_after)
+{
+	call_t *call = container_of(item, call_t, quota);
+	entry_t *entry = ctx;
+
+	if (result == QUOTA_ADMITTED)
+		entry_probe_then_queue(
+			entry, entry_find_service(entry, call->service), call);
+	else
+		refuse_without_credit(entry, call, result, retry_after);
+}
+
+static void on_send_ask(void *ctx, const char *address, const quota_ask_t *ask)
+{
+	peer_message_t message = { .kind = PEER_QUOTA_ASK };
+
+	message.u.quota_ask = *ask;
+	entry_send_to_peer(ctx, address, &message);
+}
+
+static void on_send_grants(void *ctx, guint64 connection,
+			   const quota_answer_t *answer)
+{
+	peer_message_t message = { .kind = PEER_QUOTA_ANSWER };
+
+	message.u.quota_answer = *answer;
+	entry_reply_to_peer(ctx, connection, &message);
+}
+
+void entry_quota_init(entry_t *entry)
+{
+	const quota_options_t options = {
+		.window = entry->limits.quota_window,
+		.overage = entry->limits.quota_overage,
+		.slack = entry->limits.quota_slack,
+		.first_start = entry->limits.first_start > 0,
+	};
+	const quota_actions_t actions = {
+		.send_ask = on_send_ask,
+		.send_answer = on_send_grants,
+		.decided = on_credit_decided,
+		.log = &entry->actions.log,
+		.ctx = entry,
+	};
+
+	if (entry->limits.quota_window > 0)
+		entry->quota = quota_new(
+			membership_self(entry->membership)->name, &options,
+			&actions, entry->counters, entry_now(entry));
+}
+
 static void admit(entry_t *entry, entry_service_t *service, call_t *call,
 		  void *caller_ref)
 {
@@ -29,7 +124,8 @@
 		g_hash_table_insert(entry->calls_by_sequence, &call->sequence,
 				    call);
 	entry_add_waiter(entry, call, caller_ref);
-	entry_probe_then_queue(entry, service, call);
+	if (entry_take_credit(entry, call))
+		entry_probe_then_queue(entry, service, call);
 }
 
 static call_t *new_call(entry_t *entry, const call_request_t *request,
--- a/lib/entry/entry_dump.c
+++ b/lib/entry/entry_dump.c
@@ -116,6 +116,8 @@
 	membership_dump(entry->membership, w);
 	dump_subscription(entry, w);
 	evacuations_dump(entry->evacuations, w);
+	if (entry->quota)
+		quota_dump(entry->quota, w, entry_now(entry));
 	w->begin_array(w->ctx, "upstreams");
 	TAILQ_FOREACH (service, &entry->services, link)
 		upstream_dump(service->upstream, w, entry_now(entry));
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -9,6 +9,7 @@
 #include "lib/entry/entry.h"
 #include "lib/evacuation/evacuation.h"
 #include "lib/membership/fleet_size.h"
+#include "lib/quota/quota.h"
 #include "lib/route/route_deadline.h"
 #include "lib/route/route_split.h"
 #include "lib/shutdown/shutdown.h"
@@ -55,6 +56,7 @@
 	guint64 next_attempt;
 	catalogue_t *catalogue;
 	evacuations_t *evacuations;
+	quota_t *quota; /* NULL without rate limits */
 	subscription_t *subscription;
 	feed_t *feeds[FEED_KIND_COUNT];
 	/* Other instances read the objects of that kind for this one. */
@@ -112,6 +114,15 @@
 			 const organisation_t **organisation,
 			 catk_error_t *error);
 
+/*
+ * Takes credit of the rate limit of the call's organisation. Returns FALSE if the
+ * call waits for it, or was refused and freed.
+ */
+gboolean entry_take_credit(entry_t *entry, call_t *call);
+
+/* Creates the rate limits if the settings call for them. */
+void entry_quota_init(entry_t *entry);
+
 /* Starts queued calls while an endpoint has capacity. */
 void entry_dispatch(entry_t *entry, entry_service_t *service);
 
--- a/lib/entry/entry_peers.c
+++ b/lib/entry/entry_peers.c
@@ -435,6 +435,8 @@
 	case PEER_MEMBERSHIP:
 		membership_receive(entry->membership, connection,
 				   &message->u.membership, entry_now(entry));
+		if (entry->quota)
+			quota_record_contact(entry->quota, entry_now(entry));
 		break;
 	case PEER_CONFIG_PULL:
 		send_config(entry, connection, message->u.accepts_deflated);
@@ -465,6 +467,18 @@
 	case PEER_EVACUATIONS:
 		handle_evacuations(entry, message);
 		break;
+	case PEER_QUOTA_ASK:
+		if (entry->quota)
+			quota_receive_ask(entry->quota, connection,
+					  &message->u.quota_ask,
+					  entry_now(entry));
+		break;
+	case PEER_QUOTA_ANSWER:
+		if (entry->quota)
+			quota_receive_answer(entry->quota,
+					     &message->u.quota_answer,
+					     entry_now(entry));
+		break;
 	}
 	request_evacuations(entry, connection, message->evacuation_position);
 	request_config(entry, connection, message->config_version);
@@ -498,6 +512,8 @@
 		if (strcmp(forward->address, address) == 0)
 			finish_forward_unknown(entry, forward,
 					       CATK_OUTCOME_UNKNOWN);
+	if (entry->quota)
+		quota_peer_lost(entry->quota, address, entry_now(entry));
 }
 
 void entry_peers_tick(entry_t *entry)
--- a/lib/entry/peer_message.h
+++ b/lib/entry/peer_message.h
@@ -9,6 +9,7 @@
 #include "lib/common/error.h"
 #include "lib/evacuation/evacuation.h"
 #include "lib/membership/membership.h"
+#include "lib/quota/quota.h"
 #include "lib/subscription/subscription.h"
 
 /* Instances close a connection to a peer with another version. */
@@ -25,7 +26,9 @@
 	PEER_SUBSCRIBE, /* to a source, renewed periodically */
 	PEER_ENDPOINTS, /* answers PEER_SUBSCRIBE, and on each change */
 	PEER_EVACUATION_PULL, /* requests the evacuated data centres */
-	PEER_EVACUATIONS /* answers PEER_EVACUATION_PULL */
+	PEER_EVACUATIONS, /* answers PEER_EVACUATION_PULL */
+	PEER_QUOTA_ASK, /* to the owners of rate limits */
+	PEER_QUOTA_ANSWER /* answers PEER_QUOTA_ASK */
 } peer_message_kind_t;
 
 /* Largest document of a configuration, in bytes: a value of the object API. */
@@ -101,6 +104,8 @@
 		peer_subscribe_t subscribe;
 		peer_endpoints_t endpoints;
 		peer_evacuations_t evacuations;
+		quota_ask_t quota_ask;
+		quota_answer_t quota_answer;
 	} u;
 } peer_message_t;
 
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -682,6 +682,186 @@
   assert(message->base.descriptor == &catk__evacuations__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   catk__quota_request__init
+                     (Catk__QuotaRequest         *message)
+{
+  static const Catk__QuotaRequest init_value = CATK__QUOTA_REQUEST__INIT;
+  *message = init_value;
+}
+size_t catk__quota_request__get_packed_size
+                     (const Catk__QuotaRequest *message)
+{
+  assert(message->base.descriptor == &catk__quota_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t catk__quota_request__pack
+                     (const Catk__QuotaRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &catk__quota_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t catk__quota_request__pack_to_buffer
+                     (const Catk__QuotaRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &catk__quota_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Catk__QuotaRequest *
+       catk__quota_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Catk__QuotaRequest *)
+     protobuf_c_message_unpack (&catk__quota_request__descriptor,
+                                allocator, len, data);
+}
+void   catk__quota_request__free_unpacked
+                     (Catk__QuotaRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &catk__quota_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   catk__quota_ask__init
+                     (Catk__QuotaAsk         *message)
+{
+  static const Catk__QuotaAsk init_value = CATK__QUOTA_ASK__INIT;
+  *message = init_value;
+}
+size_t catk__quota_ask__get_packed_size
+                     (const Catk__QuotaAsk *message)
+{
+  assert(message->base.descriptor == &catk__quota_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t catk__quota_ask__pack
+                     (const Catk__QuotaAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &catk__quota_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t catk__quota_ask__pack_to_buffer
+                     (const Catk__QuotaAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &catk__quota_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Catk__QuotaAsk *
+       catk__quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Catk__QuotaAsk *)
+     protobuf_c_message_unpack (&catk__quota_ask__descriptor,
+                                allocator, len, data);
+}
+void   catk__quota_ask__free_unpacked
+                     (Catk__QuotaAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &catk__quota_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   catk__quota_grant__init
+                     (Catk__QuotaGrant         *message)
+{
+  static const Catk__QuotaGrant init_value = CATK__QUOTA_GRANT__INIT;
+  *message = init_value;
+}
+size_t catk__quota_grant__get_packed_size
+                     (const Catk__QuotaGrant *message)
+{
+  assert(message->base.descriptor == &catk__quota_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t catk__quota_grant__pack
+                     (const Catk__QuotaGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &catk__quota_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t catk__quota_grant__pack_to_buffer
+                     (const Catk__QuotaGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &catk__quota_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Catk__QuotaGrant *
+       catk__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Catk__QuotaGrant *)
+     protobuf_c_message_unpack (&catk__quota_grant__descriptor,
+                                allocator, len, data);
+}
+void   catk__quota_grant__free_unpacked
+                     (Catk__QuotaGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &catk__quota_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   catk__quota_answer__init
+                     (Catk__QuotaAnswer         *message)
+{
+  static const Catk__QuotaAnswer init_value = CATK__QUOTA_ANSWER__INIT;
+  *message = init_value;
+}
+size_t catk__quota_answer__get_packed_size
+                     (const Catk__QuotaAnswer *message)
+{
+  assert(message->base.descriptor == &catk__quota_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t catk__quota_answer__pack
+                     (const Catk__QuotaAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &catk__quota_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t catk__quota_answer__pack_to_buffer
+                     (const Catk__QuotaAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &catk__quota_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Catk__QuotaAnswer *
+       catk__quota_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Catk__QuotaAnswer *)
+     protobuf_c_message_unpack (&catk__quota_answer__descriptor,
+                                allocator, len, data);
+}
+void   catk__quota_answer__free_unpacked
+                     (Catk__QuotaAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &catk__quota_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   catk__envelope__init
                      (Catk__Envelope         *message)
 {
@@ -1914,7 +2094,315 @@
   (ProtobufCMessageInit) catk__evacuations__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor catk__envelope__field_descriptors[16] =
+static const ProtobufCFieldDescriptor catk__quota_request__field_descriptors[5] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Catk__QuotaRequest, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shard",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Catk__QuotaRequest, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Catk__QuotaRequest, wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "returned",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Catk__QuotaRequest, returned),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claim",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Catk__QuotaRequest, claim),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned catk__quota_request__field_indices_by_name[] = {
+  4,   /* field[4] = claim */
+  0,   /* field[0] = name */
+  3,   /* field[3] = returned */
+  1,   /* field[1] = shard */
+  2,   /* field[2] = wanted */
+};
+static const ProtobufCIntRange catk__quota_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor catk__quota_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "catk.QuotaRequest",
+  "QuotaRequest",
+  "Catk__QuotaRequest",
+  "catk",
+  sizeof(Catk__QuotaRequest),
+  5,
+  catk__quota_request__field_descriptors,
+  catk__quota_request__field_indices_by_name,
+  1,  catk__quota_request__number_ranges,
+  (ProtobufCMessageInit) catk__quota_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor catk__quota_ask__field_descriptors[2] =
+{
+  {
+    "sent_us",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Catk__QuotaAsk, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Catk__QuotaAsk, n_requests),
+    offsetof(Catk__QuotaAsk, requests),
+    &catk__quota_request__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned catk__quota_ask__field_indices_by_name[] = {
+  1,   /* field[1] = requests */
+  0,   /* field[0] = sent_us */
+};
+static const ProtobufCIntRange catk__quota_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor catk__quota_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "catk.QuotaAsk",
+  "QuotaAsk",
+  "Catk__QuotaAsk",
+  "catk",
+  sizeof(Catk__QuotaAsk),
+  2,
+  catk__quota_ask__field_descriptors,
+  catk__quota_ask__field_indices_by_name,
+  1,  catk__quota_ask__number_ranges,
+  (ProtobufCMessageInit) catk__quota_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor catk__quota_grant__field_descriptors[7] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Catk__QuotaGrant, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shard",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Catk__QuotaGrant, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Catk__QuotaGrant, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Catk__QuotaGrant, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Catk__QuotaGrant, retry_after_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask_after_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Catk__QuotaGrant, ask_after_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "level",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Catk__QuotaGrant, level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned catk__quota_grant__field_indices_by_name[] = {
+  5,   /* field[5] = ask_after_us */
+  3,   /* field[3] = granted */
+  2,   /* field[2] = kind */
+  6,   /* field[6] = level */
+  0,   /* field[0] = name */
+  4,   /* field[4] = retry_after_us */
+  1,   /* field[1] = shard */
+};
+static const ProtobufCIntRange catk__quota_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor catk__quota_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "catk.QuotaGrant",
+  "QuotaGrant",
+  "Catk__QuotaGrant",
+  "catk",
+  sizeof(Catk__QuotaGrant),
+  7,
+  catk__quota_grant__field_descriptors,
+  catk__quota_grant__field_indices_by_name,
+  1,  catk__quota_grant__number_ranges,
+  (ProtobufCMessageInit) catk__quota_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor catk__quota_answer__field_descriptors[2] =
+{
+  {
+    "sent_us",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Catk__QuotaAnswer, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "grants",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Catk__QuotaAnswer, n_grants),
+    offsetof(Catk__QuotaAnswer, grants),
+    &catk__quota_grant__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned catk__quota_answer__field_indices_by_name[] = {
+  1,   /* field[1] = grants */
+  0,   /* field[0] = sent_us */
+};
+static const ProtobufCIntRange catk__quota_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor catk__quota_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "catk.QuotaAnswer",
+  "QuotaAnswer",
+  "Catk__QuotaAnswer",
+  "catk",
+  sizeof(Catk__QuotaAnswer),
+  2,
+  catk__quota_answer__field_descriptors,
+  catk__quota_answer__field_indices_by_name,
+  1,  catk__quota_answer__number_ranges,
+  (ProtobufCMessageInit) catk__quota_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor catk__envelope__field_descriptors[18] =
 {
   {
     "config_version",
@@ -2108,6 +2596,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota_ask",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Catk__Envelope, body_case),
+    offsetof(Catk__Envelope, quota_ask),
+    &catk__quota_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_answer",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Catk__Envelope, body_case),
+    offsetof(Catk__Envelope, quota_answer),
+    &catk__quota_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned catk__envelope__field_indices_by_name[] = {
   4,   /* field[4] = ack */
@@ -2124,13 +2636,15 @@
   1,   /* field[1] = hello */
   2,   /* field[2] = ping */
   3,   /* field[3] = ping_request */
+  17,   /* field[17] = quota_answer */
+  16,   /* field[16] = quota_ask */
   12,   /* field[12] = store_revision */
   10,   /* field[10] = subscribe */
 };
 static const ProtobufCIntRange catk__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor catk__envelope__descriptor =
 {
@@ -2140,7 +2654,7 @@
   "Catk__Envelope",
   "catk",
   sizeof(Catk__Envelope),
-  16,
+  18,
   catk__envelope__field_descriptors,
   catk__envelope__field_indices_by_name,
   1,  catk__envelope__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -30,6 +30,10 @@
 typedef struct Catk__Endpoints Catk__Endpoints;
 typedef struct Catk__EvacuationPull Catk__EvacuationPull;
 typedef struct Catk__Evacuations Catk__Evacuations;
+typedef struct Catk__QuotaRequest Catk__QuotaRequest;
+typedef struct Catk__QuotaAsk Catk__QuotaAsk;
+typedef struct Catk__QuotaGrant Catk__QuotaGrant;
+typedef struct Catk__QuotaAnswer Catk__QuotaAnswer;
 typedef struct Catk__Envelope Catk__Envelope;
 
 
@@ -304,6 +308,81 @@
     , 0,NULL }
 
 
+/*
+ * Requests tokens of rate limits from the owner of their shards.
+ */
+struct  Catk__QuotaRequest
+{
+  ProtobufCMessage base;
+  /*
+   * of the organisation
+   */
+  char *name;
+  uint32_t shard;
+  uint32_t wanted;
+  /*
+   * tokens that lapsed unused
+   */
+  uint32_t returned;
+  /*
+   * the sender is the owner now
+   */
+  protobuf_c_boolean claim;
+};
+#define CATK__QUOTA_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&catk__quota_request__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+struct  Catk__QuotaAsk
+{
+  ProtobufCMessage base;
+  /*
+   * the sender's clock, echoed in the answer
+   */
+  uint64_t sent_us;
+  size_t n_requests;
+  Catk__QuotaRequest **requests;
+};
+#define CATK__QUOTA_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&catk__quota_ask__descriptor) \
+    , 0, 0,NULL }
+
+
+struct  Catk__QuotaGrant
+{
+  ProtobufCMessage base;
+  char *name;
+  uint32_t shard;
+  /*
+   * 0 tokens, 1 not the owner, 2 released to a claim
+   */
+  uint32_t kind;
+  uint32_t granted;
+  uint64_t retry_after_us;
+  uint64_t ask_after_us;
+  /*
+   * of a released bucket
+   */
+  double level;
+};
+#define CATK__QUOTA_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&catk__quota_grant__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Catk__QuotaAnswer
+{
+  ProtobufCMessage base;
+  uint64_t sent_us;
+  size_t n_grants;
+  Catk__QuotaGrant **grants;
+};
+#define CATK__QUOTA_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&catk__quota_answer__descriptor) \
+    , 0, 0,NULL }
+
+
 typedef enum {
   CATK__ENVELOPE__BODY__NOT_SET = 0,
   CATK__ENVELOPE__BODY_HELLO = 2,
@@ -318,7 +397,9 @@
   CATK__ENVELOPE__BODY_SUBSCRIBE = 11,
   CATK__ENVELOPE__BODY_ENDPOINTS = 12,
   CATK__ENVELOPE__BODY_EVACUATION_PULL = 15,
-  CATK__ENVELOPE__BODY_EVACUATIONS = 16
+  CATK__ENVELOPE__BODY_EVACUATIONS = 16,
+  CATK__ENVELOPE__BODY_QUOTA_ASK = 17,
+  CATK__ENVELOPE__BODY_QUOTA_ANSWER = 18
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CATK__ENVELOPE__BODY__CASE)
 } Catk__Envelope__BodyCase;
 
@@ -352,6 +433,8 @@
     Catk__Endpoints *endpoints;
     Catk__EvacuationPull *evacuation_pull;
     Catk__Evacuations *evacuations;
+    Catk__QuotaAsk *quota_ask;
+    Catk__QuotaAnswer *quota_answer;
   };
 };
 #define CATK__ENVELOPE__INIT \
@@ -644,6 +727,82 @@
 void   catk__evacuations__free_unpacked
                      (Catk__Evacuations *message,
                       ProtobufCAllocator *allocator);
+/* Catk__QuotaRequest methods */
+void   catk__quota_request__init
+                     (Catk__QuotaRequest         *message);
+size_t catk__quota_request__get_packed_size
+                     (const Catk__QuotaRequest   *message);
+size_t catk__quota_request__pack
+                     (const Catk__QuotaRequest   *message,
+                      uint8_t             *out);
+size_t catk__quota_request__pack_to_buffer
+                     (const Catk__QuotaRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Catk__QuotaRequest *
+       catk__quota_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   catk__quota_request__free_unpacked
+                     (Catk__QuotaRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Catk__QuotaAsk methods */
+void   catk__quota_ask__init
+                     (Catk__QuotaAsk         *message);
+size_t catk__quota_ask__get_packed_size
+                     (const Catk__QuotaAsk   *message);
+size_t catk__quota_ask__pack
+                     (const Catk__QuotaAsk   *message,
+                      uint8_t             *out);
+size_t catk__quota_ask__pack_to_buffer
+                     (const Catk__QuotaAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Catk__QuotaAsk *
+       catk__quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   catk__quota_ask__free_unpacked
+                     (Catk__QuotaAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Catk__QuotaGrant methods */
+void   catk__quota_grant__init
+                     (Catk__QuotaGrant         *message);
+size_t catk__quota_grant__get_packed_size
+                     (const Catk__QuotaGrant   *message);
+size_t catk__quota_grant__pack
+                     (const Catk__QuotaGrant   *message,
+                      uint8_t             *out);
+size_t catk__quota_grant__pack_to_buffer
+                     (const Catk__QuotaGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Catk__QuotaGrant *
+       catk__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   catk__quota_grant__free_unpacked
+                     (Catk__QuotaGrant *message,
+                      ProtobufCAllocator *allocator);
+/* Catk__QuotaAnswer methods */
+void   catk__quota_answer__init
+                     (Catk__QuotaAnswer         *message);
+size_t catk__quota_answer__get_packed_size
+                     (const Catk__QuotaAnswer   *message);
+size_t catk__quota_answer__pack
+                     (const Catk__QuotaAnswer   *message,
+                      uint8_t             *out);
+size_t catk__quota_answer__pack_to_buffer
+                     (const Catk__QuotaAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Catk__QuotaAnswer *
+       catk__quota_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   catk__quota_answer__free_unpacked
+                     (Catk__QuotaAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Catk__Envelope methods */
 void   catk__envelope__init
                      (Catk__Envelope         *message);
@@ -710,6 +869,18 @@
 typedef void (*Catk__Evacuations_Closure)
                  (const Catk__Evacuations *message,
                   void *closure_data);
+typedef void (*Catk__QuotaRequest_Closure)
+                 (const Catk__QuotaRequest *message,
+                  void *closure_data);
+typedef void (*Catk__QuotaAsk_Closure)
+                 (const Catk__QuotaAsk *message,
+                  void *closure_data);
+typedef void (*Catk__QuotaGrant_Closure)
+                 (const Catk__QuotaGrant *message,
+                  void *closure_data);
+typedef void (*Catk__QuotaAnswer_Closure)
+                 (const Catk__QuotaAnswer *message,
+                  void *closure_data);
 typedef void (*Catk__Envelope_Closure)
                  (const Catk__Envelope *message,
                   void *closure_data);
@@ -734,6 +905,10 @@
 extern const ProtobufCMessageDescriptor catk__endpoints__descriptor;
 extern const ProtobufCMessageDescriptor catk__evacuation_pull__descriptor;
 extern const ProtobufCMessageDescriptor catk__evacuations__descriptor;
+extern const ProtobufCMessageDescriptor catk__quota_request__descriptor;
+extern const ProtobufCMessageDescriptor catk__quota_ask__descriptor;
+extern const ProtobufCMessageDescriptor catk__quota_grant__descriptor;
+extern const ProtobufCMessageDescriptor catk__quota_answer__descriptor;
 extern const ProtobufCMessageDescriptor catk__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/support_fleet.c
+++ b/tests/support_fleet.c
@@ -35,6 +35,8 @@
 	entry_t *entry; /* NULL while it does not run */
 	guint64 incarnation;
 	gboolean silent; /* cut off from the others and the store */
+	guint side; /* of a partition */
+	gboolean paused;
 	store_call_t calls[FEED_KIND_COUNT];
 	GTimeSpan sent_by; /* its link is busy until then */
 	GTimeSpan received_by;
@@ -113,7 +115,8 @@
 
 	count_message(from, to, message->kind, bytes->len);
 	sent = pass_link(&fleet.instances[from].sent_by, fleet.now, bytes->len);
-	if (!is_connected(from) || !is_connected(to)) {
+	if (!is_connected(from) || !is_connected(to) ||
+	    fleet.instances[from].side != fleet.instances[to].side) {
 		g_byte_array_unref(bytes);
 		return;
 	}
@@ -156,7 +159,11 @@
 		(GTimeSpan)(g_bytes_get_size(document) * G_TIME_SPAN_SECOND /
 			    fleet.options.parsed_bytes_per_s);
 	instance->sent_by = MAX(instance->sent_by, instance->busy_until);
-	entry_activate_config(instance->entry, version, schema_new(), document);
+	entry_activate_config(instance->entry, version,
+			      fleet.options.new_schema ?
+				      fleet.options.new_schema() :
+				      schema_new(),
+			      document);
 }
 
 static void on_config_received(void *ctx, guint64 version, GBytes *document)
@@ -164,6 +171,19 @@
 	parse_config(ctx, version, document);
 }
 
+static void on_start_attempt(void *ctx, const attempt_request_t *request)
+{
+	fleet.options.on_start((guint)((instance_t *)ctx - fleet.instances),
+			       request);
+}
+
+static void on_answer(void *ctx, void *caller_ref, const call_answer_t *answer)
+{
+	(void)caller_ref;
+	fleet.options.on_answer((guint)((instance_t *)ctx - fleet.instances),
+				answer);
+}
+
 static void start_instance(guint index)
 {
 	instance_t *instance = &fleet.instances[index];
@@ -180,10 +200,16 @@
 		.reconnect_bound = fleet.options.reconnect_bound,
 		.first_start = fleet.options.first_start &&
 			       !instance->incarnation,
+		.concurrency_max = fleet.options.on_start ? 1000 : 0,
+		.quota_window = fleet.options.quota_window,
+		.quota_overage = fleet.options.quota_overage,
+		.quota_slack = fleet.options.quota_slack,
 	};
 	entry_actions_t actions = { .send_to_peer = on_send,
 				    .reply_to_peer = on_reply,
 				    .config_received = on_config_received,
+				    .start_attempt = on_start_attempt,
+				    .answer = on_answer,
 				    .ctx = instance };
 	member_t self = { .incarnation = ++instance->incarnation };
 	guint i;
@@ -269,6 +295,21 @@
 	fleet.instances[index].silent = silent;
 }
 
+void fleet_set_side(guint index, guint side)
+{
+	fleet.instances[index].side = side;
+}
+
+void fleet_pause(guint index, gboolean paused)
+{
+	fleet.instances[index].paused = paused;
+}
+
+GTimeSpan fleet_now(void)
+{
+	return fleet.now;
+}
+
 void fleet_set_store_down(gboolean down)
 {
 	guint i, kind;
@@ -470,6 +511,7 @@
 
 	TAILQ_FOREACH_SAFE (packet, &fleet.packets, link, next) {
 		if (fleet.now < packet->due ||
+		    fleet.instances[packet->to].paused ||
 		    fleet.now < fleet.instances[packet->to].busy_until)
 			continue;
 		if (is_connected(packet->to))
@@ -484,7 +526,8 @@
 {
 	guint kind;
 
-	if (!instance->entry || fleet.now < instance->busy_until)
+	if (!instance->entry || instance->paused ||
+	    fleet.now < instance->busy_until)
 		return;
 	entry_tick(instance->entry);
 	for (kind = 0; kind < FEED_KIND_COUNT; kind++)
--- a/tests/support_fleet.h
+++ b/tests/support_fleet.h
@@ -9,7 +9,7 @@
 #include "lib/entry/entry.h"
 
 #define FLEET_INSTANCES_MAX 512
-#define FLEET_MESSAGE_KINDS (PEER_EVACUATIONS + 1)
+#define FLEET_MESSAGE_KINDS (PEER_QUOTA_ANSWER + 1)
 #define FLEET_STEP (20 * G_TIME_SPAN_MILLISECOND) /* also the latency */
 
 typedef struct {
@@ -23,6 +23,13 @@
 	GTimeSpan reconnect_bound;
 	gboolean first_start; /* as the instances are told */
 	guint32 random_seed;
+	schema_t *(*new_schema)(void); /* of each version; NULL: an empty one */
+	/* Of routed calls; NULL if the test makes none. */
+	void (*on_start)(guint instance, const attempt_request_t *request);
+	void (*on_answer)(guint instance, const call_answer_t *answer);
+	GTimeSpan quota_window; /* and the others as in entry_limits_t */
+	double quota_overage;
+	guint quota_slack;
 } fleet_options_t;
 
 /* Messages between instances, without the 4 bytes of their length. */
@@ -50,6 +57,18 @@
  */
 void fleet_silence(guint index, gboolean silent);
 
+/*
+ * Puts an instance on a side of a partition, at first 0: instances on different
+ * sides lose what they send to each other. The store answers both.
+ */
+void fleet_set_side(guint index, guint side);
+
+/* Stops the process of an instance, or lets it continue. */
+void fleet_pause(guint index, gboolean paused);
+
+/* Time of the fleet's clock. */
+GTimeSpan fleet_now(void);
+
 /*
  * Starts an outage of the store, in which calls are left unanswered, or ends
  * it. Calls that were sent before the end are never answered.
