Serve limits whose clients use few instances

A holder with a large part of an organisation's load asks the shards in turn, and the pause after a refusal depends on the number of requests that the owner receives: 250 ms at 64 per second, 20 ms for a few holders.

--- a/lib/quota/quota_holder.c
+++ b/lib/quota/quota_holder.c
@@ -248,6 +248,12 @@
 	counters_add(quota->counters, COUNTER_QUOTA_GIVEN_BACK, 1);
 }
 
+static void next_shard(quota_limit_t *limit)
+{
+	if (limit->shard_count > 1)
+		limit->shard = (limit->shard + 1) % limit->shard_count;
+}
+
 /* The next request goes to another shard, which may have another owner. */
 static void give_up_ask(quota_limit_t *limit, GTimeSpan now)
 {
@@ -255,7 +261,7 @@
 		return;
 	limit->asked_at = 0;
 	limit->next_ask = now + QUOTA_ASK_PAUSE_MAX;
-	limit->shard = (limit->shard + 1) % MAX(limit->shard_count, 1);
+	next_shard(limit);
 }
 
 void quota_holder_expire(quota_t *quota, quota_limit_t *limit, GTimeSpan now)
@@ -309,10 +315,11 @@
 	limit->items++;
 	serve_waiting(quota, limit, now);
 	refused = limit->waiting_count > 0 && retry_after > 0;
-	if (retry_after > 0 && limit->shard_count > 1)
-		limit->shard = (limit->shard + 1) % limit->shard_count;
+	/* One shard is not enough for a holder with a large part of the load. */
+	if (retry_after > 0 || limit->demand > QUOTA_SHARD_RATE / 5)
+		next_shard(limit);
 	if (refused && limit->shard_count > 1 && ++limit->tries < TRIES_MAX &&
-	    grant->ask_after < QUOTA_ASK_PAUSE_MAX) {
+	    grant->ask_after < QUOTA_ASK_PAUSE_MAX / 2) {
 		limit->retry_at = now + retry_after;
 		limit->next_ask = now;
 		schedule_ask(quota, limit);
@@ -366,8 +373,7 @@
 			continue;
 		limit->asked_at = 0;
 		limit->next_ask = now + QUOTA_ASK_PAUSE_MIN;
-		if (limit->shard_count > 1)
-			limit->shard = (limit->shard + 1) % limit->shard_count;
+		next_shard(limit);
 		if (limit->waiting_count)
 			schedule_ask(quota, limit);
 	}
--- a/lib/quota/quota_internal.h
+++ b/lib/quota/quota_internal.h
@@ -24,6 +24,8 @@
 	gint64 slot; /* number of the latest */
 	double refunds; /* tokens that holders may still return */
 	double backlog; /* refused requests that will be sent again */
+	double asks; /* requests of holders in about the last second */
+	GTimeSpan asked_at;
 	guint64 granted;
 	guint64 refused;
 } quota_bucket_t;
--- a/lib/quota/quota_owner.c
+++ b/lib/quota/quota_owner.c
@@ -23,6 +23,9 @@
 /* Tokens per request of a holder; what waits there beyond is asked later. */
 #define WANTED_MAX 1000
 
+/* Requests of holders per second that an owner expects while it refuses some. */
+#define ASKS_EXPECTED 64.0
+
 /* Division of quota_allowance(); the rest is for two owners at once. */
 #define OUTSTANDING_SHARE 0.6
 #define TAKEOVER_SHARE 0.15 /* granted by an owner before it fills */
@@ -257,7 +260,9 @@
 	    now < quota->started + FIRST_START_DELAY)
 		return;
 	quota->filled_first = TRUE;
-	fill_first_buckets(quota, now);
+	/* A single instance filled them when it took over. */
+	if (!is_only_instance(quota))
+		fill_first_buckets(quota, now);
 }
 
 void quota_owner_fill(quota_t *quota, GTimeSpan now)
@@ -337,6 +342,26 @@
 				(double)quota->options.window);
 }
 
+static void record_ask(quota_bucket_t *bucket, GTimeSpan now)
+{
+	double kept = 1 - (double)(now - bucket->asked_at) / G_TIME_SPAN_SECOND;
+
+	bucket->asks = bucket->asks * MAX(kept, 0) + 1;
+	bucket->asked_at = now;
+}
+
+/*
+ * Many holders pause long, to bound the owner's load. A few pause briefly, as
+ * they need many tokens each and their leases are short.
+ */
+static GTimeSpan ask_pause(const quota_bucket_t *bucket)
+{
+	double pause = QUOTA_ASK_PAUSE_MAX * bucket->asks / ASKS_EXPECTED;
+
+	return (GTimeSpan)CLAMP(pause, (double)QUOTA_ASK_PAUSE_MIN,
+				(double)QUOTA_ASK_PAUSE_MAX);
+}
+
 static void grant_tokens(quota_t *quota, const quota_limit_t *limit,
 			 quota_bucket_t *bucket, guint wanted,
 			 quota_grant_t *grant)
@@ -356,7 +381,7 @@
 	bucket->refused += wanted - grant->granted;
 	bucket->backlog += wanted - grant->granted;
 	grant->retry_after = time_to_fill(quota, limit, bucket->backlog);
-	grant->ask_after = MIN(grant->retry_after, QUOTA_ASK_PAUSE_MAX);
+	grant->ask_after = ask_pause(bucket);
 }
 
 static void release(quota_t *quota, const quota_limit_t *limit,
@@ -406,6 +431,7 @@
 	grant.retry_after = 0;
 	grant.ask_after = 0;
 	fill(quota, limit, shard->bucket, now);
+	record_ask(shard->bucket, now);
 	accept_refunds(shard->bucket, limit, request->returned);
 	grant_tokens(quota, limit, shard->bucket, wanted, &grant);
 	return grant;
--- a/tests/test_quota_fleet.c
+++ b/tests/test_quota_fleet.c
@@ -29,6 +29,7 @@
 	char name[16];
 	double rate; /* and burst */
 	double demand; /* requests per second */
+	guint instances; /* to which its clients connect, 0 for all */
 	double ideal; /* level of one exact token bucket for the fleet */
 	guint64 ideal_admitted;
 	guint64 started;
@@ -165,12 +166,13 @@
 }
 
 /* Clients find an instance that runs. */
-static guint random_instance(void)
+static guint random_instance(const load_t *load)
 {
+	gint end = (gint)(load->instances ? load->instances : INSTANCES);
 	guint index;
 
 	do
-		index = (guint)g_rand_int_range(arrivals, 0, INSTANCES);
+		index = (guint)g_rand_int_range(arrivals, 0, end);
 	while (!fleet_entry(index) || paused[index]);
 	return index;
 }
@@ -191,7 +193,7 @@
 		load->ideal -= 1;
 		load->ideal_admitted++;
 	}
-	entry_route(fleet_entry(random_instance()), &request);
+	entry_route(fleet_entry(random_instance(load)), &request);
 	g_bytes_unref(body);
 }
 
@@ -370,6 +372,37 @@
 	assert_bound_held();
 }
 
+/* Fails if an organisation is refused because its clients use few instances. */
+static void few_instances_get_the_limit(void **state)
+{
+	guint counts[] = { 1, 4, 47 };
+	guint i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(counts); i++) {
+		loads[1].instances = counts[i];
+		loads[5].instances = counts[i];
+		run_load(5 * SECOND);
+		reset_counts();
+		run_load(10 * SECOND);
+		report("few instances", 10 * SECOND);
+		print_message("lost of those %.2f%%, %.2f%%\n",
+			      percent_lost(1, 2), percent_lost(5, 6));
+		assert_true(percent_lost(1, 2) < 1);
+		assert_true(percent_lost(5, 6) < 1);
+		loads[1].demand *= 7.5;
+		run_load(SECOND);
+		reset_counts();
+		run_load(10 * SECOND);
+		report("few instances, hot", 10 * SECOND);
+		print_message("lost of the hot one %.2f%%\n",
+			      percent_lost(1, 2));
+		assert_true(percent_lost(1, 2) < 5);
+		loads[1].demand /= 7.5;
+	}
+	assert_bound_held();
+}
+
 static void overload_all(void)
 {
 	guint i;
@@ -465,6 +498,7 @@
 	const struct CMUnitTest tests[] = {
 		TEST(usual_load_is_served),
 		TEST(hot_organisation_gets_its_limit),
+		TEST(few_instances_get_the_limit),
 		TEST(partition_of_a_third_keeps_the_bound),
 		TEST(killed_owners_keep_the_bound),
 		TEST(pauses_keep_the_bound),
