Test credit of routed calls and messages for tokens

A request over the limit gets 429 with a delay; one that did not run returns its credit once; a refused attempt keeps it; a second run needs a second one, and without it the outcome is unknown, not not_run.

--- a/tests/test_peer_codec.c
+++ b/tests/test_peer_codec.c
@@ -257,6 +257,41 @@
 	assert_round_trip(&subscribe);
 }
 
+/* Fails if requests for tokens or answers are changed, or bad ones accepted. */
+static void quota_messages_survive_round_trip(void **state)
+{
+	quota_request_t requests[QUOTA_ITEMS_MAX + 1] = {
+		{ .name = "acme", .shard = 3, .wanted = 4, .returned = 5 },
+		{ .name = "other", .claim = TRUE },
+	};
+	quota_grant_t grants[2] = {
+		{ .name = "acme",
+		  .shard = 3,
+		  .granted = 4,
+		  .retry_after = 5,
+		  .ask_after = 6 },
+		{ .name = "other", .kind = QUOTA_GRANT_RELEASED, .level = 2.5 },
+	};
+	peer_message_t ask = { .kind = PEER_QUOTA_ASK };
+	peer_message_t answer = { .kind = PEER_QUOTA_ANSWER };
+	guint i;
+
+	(void)state;
+	ask.u.quota_ask = (quota_ask_t){ 7, 2, requests };
+	assert_round_trip(&ask);
+	answer.u.quota_answer = (quota_answer_t){ 7, 2, grants };
+	assert_round_trip(&answer);
+	grants[1].level = -1;
+	assert_refused(&answer);
+	grants[1].level = 0;
+	grants[1].kind = QUOTA_GRANT_KIND_COUNT;
+	assert_refused(&answer);
+	for (i = 2; i <= QUOTA_ITEMS_MAX; i++)
+		requests[i].name = "acme";
+	ask.u.quota_ask.count = QUOTA_ITEMS_MAX + 1;
+	assert_refused(&ask);
+}
+
 /* Fails if corrupted bytes crash the decoder; make asan detects more. */
 static void corrupted_bytes_are_harmless(void **state)
 {
@@ -351,6 +386,7 @@
 		cmocka_unit_test(messages_without_ages_are_understood),
 		cmocka_unit_test(bad_members_are_refused),
 		cmocka_unit_test(endpoints_survive_round_trip),
+		cmocka_unit_test(quota_messages_survive_round_trip),
 		cmocka_unit_test(corrupted_bytes_are_harmless),
 		cmocka_unit_test(deflated_documents_are_checked),
 	};
--- a/tests/test_routed_calls.c
+++ b/tests/test_routed_calls.c
@@ -42,6 +42,7 @@
 	gboolean needs_new_connection; /* of the last attempt */
 	char probes[PROBES_MAX][UPSTREAM_ID_MAX + 1]; /* unanswered */
 	guint probe_count;
+	double rate; /* limit of organisations, 0 for none; the burst is 1 */
 } fixture_t;
 
 static GTimeSpan read_clock(void *ctx)
@@ -178,6 +179,9 @@
 		.resolve_ttl = G_TIME_SPAN_SECOND,
 		.resolve_addresses = 8,
 		.shutdown_max = G_TIME_SPAN_SECOND,
+		.first_start = TRUE,
+		.quota_window = f->rate > 0 ? 5 * G_TIME_SPAN_SECOND : 0,
+		.quota_slack = 20,
 	};
 	entry_actions_t actions = { .answer = on_answer,
 				    .start_attempt = on_start,
@@ -189,11 +193,12 @@
 			 &f->counters);
 }
 
-static int set_up(void **state)
+static int set_up_with_rate(void **state, double rate)
 {
 	fixture_t *f = g_new0(fixture_t, 1);
 	GBytes *document = g_bytes_new_static("{}", 2);
 
+	f->rate = rate;
 	f->now = 100 * G_TIME_SPAN_SECOND;
 	f->clock = (catk_clock_t){ .now = read_clock, .ctx = &f->now };
 	f->random = g_rand_new_with_seed(1);
@@ -202,11 +207,26 @@
 	list_endpoints(f, 2);
 	/* Let the probe budget fill up, as it starts empty. */
 	f->now += 10 * G_TIME_SPAN_SECOND;
+	/* Time without a tick is a pause, after which no tokens are left. */
+	if (rate > 0)
+		entry_tick(f->entry);
+	f->probe_count = 0;
 	g_bytes_unref(document);
 	*state = f;
 	return 0;
 }
 
+static int set_up(void **state)
+{
+	return set_up_with_rate(state, 0);
+}
+
+/* An organisation may send one request, the next one after 1,000 s. */
+static int set_up_limited(void **state)
+{
+	return set_up_with_rate(state, 0.001);
+}
+
 static int tear_down(void **state)
 {
 	fixture_t *f = *state;
@@ -1014,7 +1034,10 @@
 			 const char *key)
 {
 	const organisation_t attributes = {
-		.name = (char *)name, .priority = ORGANISATION_NO_PRIORITY
+		.name = (char *)name,
+		.priority = ORGANISATION_NO_PRIORITY,
+		.rate = f->rate,
+		.burst = 1,
 	};
 	schema_t *schema = new_schema();
 	GBytes *document = g_bytes_new_static("{}", 2);
@@ -1147,6 +1170,80 @@
 	assert_null(f->organisation);
 }
 
+/* Fails if requests over the limit run, or are refused without a delay. */
+static void request_over_the_limit_is_refused(void **state)
+{
+	fixture_t *f = *state;
+
+	activate_key(f, 2, "acme", "k1");
+	send_request_with_key(f, 1, "/safe/", "k1");
+	send_request_with_key(f, 2, "/safe/", "k1");
+	advance(f, MS);
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->started, 1);
+	assert_answered(f, 2, CATK_RATE_LIMITED, OUTCOME_NOT_RUN);
+	assert_true(f->answers[2].error.retry_after > 0);
+	end_attempt(f, ATTEMPT_ANSWERED, 200);
+	assert_answered(f, 1, CATK_OK, OUTCOME_RAN);
+	advance(f, 300 * MS);
+	send_request_with_key(f, 3, "/safe/", "k1");
+	advance(f, MS);
+	assert_answered(f, 3, CATK_RATE_LIMITED, OUTCOME_NOT_RUN);
+}
+
+/* Fails if a request that did not run uses up the limit. */
+static void request_that_did_not_run_returns_its_credit(void **state)
+{
+	fixture_t *f = *state;
+
+	activate_key(f, 2, "acme", "k1");
+	send_request_with_key(f, 1, "/safe/", "k1");
+	advance(f, MS);
+	answer_probes(f, "", 0, 0, 500);
+	assert_int_equal(f->started, 0);
+	entry_cancel(f->entry, GUINT_TO_POINTER(1));
+	send_request_with_key(f, 2, "/safe/", "k1");
+	advance(f, 60 * MS);
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->started, 1);
+	send_request_with_key(f, 3, "/safe/", "k1");
+	advance(f, MS);
+	assert_answered(f, 3, CATK_RATE_LIMITED, OUTCOME_NOT_RUN);
+}
+
+/* Fails if an attempt that an endpoint refused costs a second credit. */
+static void refused_attempt_keeps_its_credit(void **state)
+{
+	fixture_t *f = *state;
+
+	activate_key(f, 2, "acme", "k1");
+	send_request_with_key(f, 1, "/once/", "k1");
+	advance(f, MS);
+	answer_probes(f, "", 0, 0, 100);
+	end_attempt(f, ATTEMPT_SHED, 0);
+	answer_probes(f, "", 0, 0, 100);
+	assert_int_equal(f->started, 2);
+}
+
+/*
+ * Fails if a request runs twice on one credit, or is reported as not run when
+ * its second attempt has none.
+ */
+static void second_run_needs_a_second_credit(void **state)
+{
+	fixture_t *f = *state;
+
+	activate_key(f, 2, "acme", "k1");
+	send_request_with_key(f, 1, "/safe/", "k1");
+	advance(f, MS);
+	answer_probes(f, "", 0, 0, 100);
+	end_attempt(f, ATTEMPT_FAILED, 0);
+	answer_probes(f, "", 0, 0, 100);
+	advance(f, MS);
+	assert_int_equal(f->started, 1);
+	assert_answered(f, 1, CATK_OUTCOME_UNKNOWN, OUTCOME_UNKNOWN);
+}
+
 static void evacuate(fixture_t *f, const char *data_centre, guint64 position)
 {
 	const char *names[] = { data_centre };
@@ -1199,6 +1296,8 @@
 }
 
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+#define TEST_LIMITED(name) \
+	cmocka_unit_test_setup_teardown(name, set_up_limited, tear_down)
 
 int main(void)
 {
@@ -1211,6 +1310,10 @@
 		TEST(withdrawn_key_ends_retries),
 		TEST(moved_key_carries_its_new_organisation),
 		TEST(no_key_is_needed_without_organisations),
+		TEST_LIMITED(request_over_the_limit_is_refused),
+		TEST_LIMITED(request_that_did_not_run_returns_its_credit),
+		TEST_LIMITED(refused_attempt_keeps_its_credit),
+		TEST_LIMITED(second_run_needs_a_second_credit),
 		TEST(late_answer_in_a_shutdown_is_passed_on),
 		TEST(slowed_endpoint_is_avoided),
 		TEST(request_waits_for_the_end_of_a_slowdown),
