--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -10,6 +10,7 @@
 #include "lib/entry/entry.h"
 #include "lib/evacuation/evacuation.h"
 #include "lib/membership/fleet_size.h"
+#include "lib/quota/quota.h"
 #include "lib/route/route_deadline.h"
 #include "lib/route/route_split.h"
 #include "lib/shutdown/shutdown.h"
@@ -59,6 +60,7 @@
 	evacuations_t *evacuations;
 	/* Until then the entry waits for the first set before it is ready. */
 	GTimeSpan evacuations_awaited_until;
+	quota_t *quota; /* NULL without rate limits */
 	subscription_t *subscription;
 	feed_t *feeds[FEED_KIND_COUNT];
 	/* Other instances read the objects of that kind for this one. */
@@ -121,6 +123,14 @@
 
 /* Refuses requests that must wait no longer for it, all of them if asked to. */
 void entry_refuse_startup_requests(entry_t *entry, gboolean all);
+/*
+ * Takes credit of the rate limit of the call's organisation. Returns FALSE if the
+ * call waits for it, or was refused and freed.
+ */
+gboolean entry_take_credit(entry_t *entry, call_t *call);
+
+/* Creates the rate limits if the settings call for them. */
+void entry_quota_init(entry_t *entry);
 
 /* Starts queued calls while an endpoint has capacity. */
 void entry_dispatch(entry_t *entry, entry_service_t *service);
