Share short capacity fairly between organisations

Cause: an instance has 6 requests/s, so the sub-queues of its queue hold a request or two, and a shortage shows as requests that find no capacity, whoever sent them.

Change: lib/admission/fair_share counts what each organisation asks for and what is started, and refuses in advance what exceeds an organisation's share (max-min fairness, weighted by the configured rates), never below 0.4 of the share that all have served. It acts only on calls of organisations and after requests that lacked capacity.

--- a/lib/admission/admission.c
+++ b/lib/admission/admission.c
@@ -24,6 +24,7 @@
 	admission_policy_ops_t policy;
 	concurrency_limit_t concurrency;
 	moving_rate_t completions;
+	fair_share_t *fair_share;
 	double mean_latency; /* moving average in microseconds, 0 for none */
 	double mean_deviation; /* moving average of the deviation from it */
 	gboolean limit_is_fixed;
@@ -47,6 +48,7 @@
 	admission->counters = counters;
 	admission->policy = create_policy(limits->policy);
 	admission->state.queue_max = limits->queue_max;
+	admission->fair_share = fair_share_new();
 	concurrency_limit_init(&admission->concurrency);
 	admission->state.limit = admission->concurrency.limit;
 	for (i = 0; i < SCHEMA_PRIORITIES_MAX; i++)
@@ -63,6 +65,7 @@
 	for (i = 0; i < SCHEMA_PRIORITIES_MAX; i++)
 		lane_clear(&admission->state.lanes[i]);
 	admission->policy.free(admission->policy.ctx);
+	fair_share_free(admission->fair_share);
 	g_free(admission);
 }
 
@@ -249,7 +252,18 @@
 	return FALSE;
 }
 
-static gboolean is_acceptable(const admission_t *admission,
+static void set_over_fair_share(catk_error_t *err, GTimeSpan wait,
+				const char *organisation)
+{
+	catk_error_set(
+		err, CATK_RATE_LIMITED, OUTCOME_NOT_RUN,
+		"capacity is short and organisation \"%.64s\" exceeds its "
+		"share: retry after the given time",
+		organisation);
+	set_retry_after(err, wait);
+}
+
+static gboolean is_acceptable(admission_t *admission,
 			      const admission_item_t *item, GTimeSpan now,
 			      catk_error_t *err)
 {
@@ -262,12 +276,19 @@
 		return FALSE;
 	}
 	wait = expected_wait(admission, item->priority, now);
+	if (item->has_share &&
+	    !fair_share_admit(admission->fair_share, item->caller,
+			      item->share_weight, now)) {
+		set_over_fair_share(err, wait, item->caller);
+		return FALSE;
+	}
 	if (is_over_share(admission, item)) {
 		set_share_exceeded(err, wait, item->caller);
 		return FALSE;
 	}
 	if ((item->latest_start && now + wait > item->latest_start) ||
 	    !can_finish(admission, item, now + wait)) {
+		admission_no_capacity(admission, item, now);
 		set_deadline_unreachable(err, wait);
 		return FALSE;
 	}
@@ -280,9 +301,14 @@
 {
 	g_assert(item->priority < SCHEMA_PRIORITIES_MAX);
 	*displaced = NULL;
-	if (!is_acceptable(admission, item, now, err) ||
-	    !make_room(admission, item, now, displaced, err))
+	if (!is_acceptable(admission, item, now, err))
 		return FALSE;
+	if (!make_room(admission, item, now, displaced, err)) {
+		admission_no_capacity(admission, item, now);
+		return FALSE;
+	}
+	if (*displaced)
+		admission_no_capacity(admission, *displaced, now);
 	item->arrival = admission->next_arrival++;
 	lane_add(&admission->state.lanes[item->priority], item);
 	admission->state.waiting++;
@@ -302,9 +328,19 @@
 	return item;
 }
 
-void admission_attempt_started(admission_t *admission,
-			       const admission_item_t *item, GTimeSpan now)
+void admission_no_capacity(admission_t *admission, const admission_item_t *item,
+			   GTimeSpan now)
+{
+	if (item->has_share && !item->share_counted)
+		fair_share_no_capacity(admission->fair_share, now);
+}
+
+void admission_attempt_started(admission_t *admission, admission_item_t *item,
+			       GTimeSpan now)
 {
+	if (item->has_share && !item->share_counted)
+		fair_share_started(admission->fair_share, now);
+	item->share_counted = TRUE;
 	admission->state.in_flight[item->priority]++;
 	admission->state.in_flight_total++;
 	admission->policy.started(admission->policy.ctx, &admission->state,
@@ -381,6 +417,11 @@
 	return admission->state.lanes[priority].length;
 }
 
+const fair_share_t *admission_fair_share(const admission_t *admission)
+{
+	return admission->fair_share;
+}
+
 double admission_limit(const admission_t *admission)
 {
 	return admission->state.limit;
--- a/lib/admission/admission.h
+++ b/lib/admission/admission.h
@@ -6,6 +6,7 @@
 #ifndef CATK_ADMISSION_H
 #define CATK_ADMISSION_H
 
+#include "lib/admission/fair_share.h"
 #include "lib/common/clock.h"
 #include "lib/common/counters.h"
 #include "lib/common/error.h"
@@ -18,6 +19,10 @@
 	GTimeSpan deadline; /* instant */
 	const char *caller; /* name; must remain valid while queued */
 	GTimeSpan latest_start; /* instant, 0 if only the deadline limits it */
+	/* TRUE if the caller is an organisation: it gets a share of capacity. */
+	gboolean has_share;
+	double share_weight; /* see fair_share_admit() */
+	gboolean share_counted; /* private: its start was recorded */
 
 	TAILQ_ENTRY(admission_item) link; /* in the queue of its caller */
 	TAILQ_ENTRY(admission_item) by_arrival;
@@ -59,7 +64,8 @@
  * Queues an item. Returns FALSE without queueing it on one of these errors:
  * CATK_OVERLOADED if the queue is full, or if the call is not expected to start
  * by its latest start or to finish by its deadline; CATK_RATE_LIMITED if the
- * caller has used up its share; CATK_DEADLINE_EXCEEDED. All are
+ * caller has used up its share of the queue, or of a capacity that is short;
+ * CATK_DEADLINE_EXCEEDED. All are
  * OUTCOME_NOT_RUN, with a retry_after estimated from the drain rate.
  *
  * If the item displaces another one from a full queue, returns TRUE, sets
@@ -95,8 +101,8 @@
 } admission_end_t;
 
 /* Records the start of an attempt of the item. */
-void admission_attempt_started(admission_t *admission,
-			       const admission_item_t *item, GTimeSpan now);
+void admission_attempt_started(admission_t *admission, admission_item_t *item,
+			       GTimeSpan now);
 
 /*
  * Records the end of an attempt of the item. load is the reported load of the
@@ -107,6 +113,10 @@
 			     const admission_item_t *item, admission_end_t end,
 			     double load, GTimeSpan latency, GTimeSpan now);
 
+/* Records that the item was refused because no endpoint had capacity. */
+void admission_no_capacity(admission_t *admission, const admission_item_t *item,
+			   GTimeSpan now);
+
 /* Queues an item again, ahead of others, after an attempt that did not run. */
 void admission_requeue(admission_t *admission, admission_item_t *item);
 
@@ -120,6 +130,9 @@
 guint admission_waiting_of_priority(const admission_t *admission,
 				    guint priority);
 
+/* Shares of the organisations in a shortage, for dumps. */
+const fair_share_t *admission_fair_share(const admission_t *admission);
+
 /* Limit of attempts in flight, adaptive or fixed. */
 double admission_limit(const admission_t *admission);
 
--- a/lib/call/call.c
+++ b/lib/call/call.c
@@ -18,6 +18,8 @@
 	call_set_organisation(call, organisation->name);
 	if (organisation->priority != ORGANISATION_NO_PRIORITY)
 		call->queue.priority = (guint)organisation->priority;
+	call->queue.has_share = TRUE;
+	call->queue.share_weight = organisation->rate;
 }
 
 call_t *call_new(const call_attributes_t *attributes)
--- a/lib/entry/entry_dump.c
+++ b/lib/entry/entry_dump.c
@@ -92,6 +92,11 @@
 		  admission_limit(service->admission));
 	w->number(w->ctx, "drain_rate_per_second",
 		  admission_drain_rate(service->admission, entry_now(entry)));
+	w->number(w->ctx, "share_served",
+		  fair_share_served(admission_fair_share(service->admission)));
+	w->integer(w->ctx, "organisations_active",
+		   fair_share_organisations(
+			   admission_fair_share(service->admission)));
 	w->end_object(w->ctx);
 }
 
--- a/lib/entry/entry_measure.c
+++ b/lib/entry/entry_measure.c
@@ -158,14 +158,16 @@
 /* Refuses a routed call that found no endpoint with capacity in time. */
 static void refuse_no_capacity(entry_t *entry, call_t *call)
 {
+	entry_service_t *service = entry_find_service(entry, call->service);
 	catk_error_t error;
 
+	admission_no_capacity(service->admission, &call->queue,
+			      entry_now(entry));
 	catk_error_set(&error, CATK_OVERLOADED, OUTCOME_NOT_RUN,
 		       "no endpoint of %.64s had capacity in time: retry "
 		       "after the given time",
 		       call->service);
-	error.retry_after = entry_retry_after(
-		entry, entry_find_service(entry, call->service), call, FALSE);
+	error.retry_after = entry_retry_after(entry, service, call, FALSE);
 	entry_finish_refused(entry, call, &error);
 }
 
