--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -281,6 +281,60 @@
 			fail_msg("accepted as a configuration: %s", invalid[i]);
 }
 
+/* Fails if an operator must search a version for the field that is wrong. */
+static void errors_name_the_path_and_the_remedy(void **state)
+{
+	static const struct {
+		const char *resources, *path, *remedy;
+	} cases[] = {
+		{ SERVICE("s") "," ORGANISATION(
+			  "a", "\"api_keys\":[\"k1\",\"k2\",\"k1\"]"),
+		  "resources[1].spec.api_keys[2]: ", "own key" },
+		{ ORGANISATION("a", "\"api_keys\":[\"k\"]") "," ORGANISATION(
+			  "b", "\"api_keys\":[\"k\"]"),
+		  "resources[1].spec.api_keys[0]: ", "own key" },
+		{ ORGANISATION("a", "\"api_keys\":[\"\"]"),
+		  "resources[0].spec.api_keys[0]: ", "visible ASCII" },
+		{ ORGANISATION("a", "\"api_keys\":[7]"),
+		  "resources[0].spec.api_keys[0]: ", "in quotes" },
+		{ ORGANISATION("a", "\"rate_per_s\":-1"),
+		  "resources[0].spec.rate_per_s: ", "between 0 and" },
+		{ ORGANISATION("a", "\"burst\":-1"),
+		  "resources[0].spec.burst: ", "between 0 and" },
+		{ ORGANISATION("a", "\"burst\":\"5\""),
+		  "resources[0].spec.burst of ", "correct it" },
+		{ ORGANISATION("a", "") "," ORGANISATION("a", ""),
+		  "resources[1].metadata.name: ", "remove one" },
+		{ ROUTE("\"service\":\"missing\"") "," SERVICE("s"),
+		  "resources[0].spec.service: ", "" },
+		{ ROUTE("\"traffic_split\":[{\"service\":\"s\",\"weight\":"
+			"-1}]") "," SERVICE("s"),
+		  "resources[0].spec.traffic_split[0]: weight of ",
+		  "correct it" },
+		{ "7", "resources[0] of ", "correct it" },
+	};
+	catk_error_t error;
+	guint64 version;
+	gchar *text;
+	JsonNode *node;
+	gsize i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		text = g_strdup_printf(
+			"{\"version\":\"r7\",\"resources\":[%s]}",
+			cases[i].resources);
+		node = json_from_string(text, NULL);
+		g_free(text);
+		assert_null(decode_config(node, &defaults, &version, &error));
+		json_node_unref(node);
+		if (!g_str_has_prefix(error.message, cases[i].path) ||
+		    !strstr(error.message, cases[i].remedy))
+			fail_msg("not \"%s\" but \"%s\"", cases[i].path,
+				 error.message);
+	}
+}
+
 /* Fails if the limit for endpoints that have just started is lost. */
 static void warmup_of_services_is_decoded(void **state)
 {
@@ -350,6 +404,7 @@
 		cmocka_unit_test(invalid_config_is_rejected),
 		cmocka_unit_test(organisations_are_decoded),
 		cmocka_unit_test(invalid_organisations_are_rejected),
+		cmocka_unit_test(errors_name_the_path_and_the_remedy),
 		cmocka_unit_test(warmup_of_services_is_decoded),
 		cmocka_unit_test(downloads_are_idempotent),
 		cmocka_unit_test(unknown_route_type_is_not_idempotent),
