--- a/net/http_message.c
+++ b/net/http_message.c
@@ -192,7 +192,7 @@
 	return count_header_bytes(parser, size);
 }
 
-static guint count_headers(const http_message_t *message, const char *name)
+guint http_message_header_count(const http_message_t *message, const char *name)
 {
 	const http_header_t *header;
 	guint count = 0;
@@ -224,8 +224,8 @@
 		http_message_header(message, "Transfer-Encoding");
 
 	return has_space_in_name(message) ||
-	       count_headers(message, "Content-Length") > 1 ||
-	       count_headers(message, "Transfer-Encoding") > 1 ||
+	       http_message_header_count(message, "Content-Length") > 1 ||
+	       http_message_header_count(message, "Transfer-Encoding") > 1 ||
 	       (encoding && http_message_header(message, "Content-Length")) ||
 	       (encoding && g_ascii_strcasecmp(encoding, "chunked") != 0);
 }
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -34,6 +34,10 @@
 const char *http_message_header(const http_message_t *message,
 				const char *name);
 
+/* Number of headers with that name, compared without case. */
+guint http_message_header_count(const http_message_t *message,
+				const char *name);
+
 /* TRUE for a HEAD request: its response has headers only. */
 gboolean http_message_is_head_request(const http_message_t *message);
 
--- a/net/operator_api.c
+++ b/net/operator_api.c
@@ -83,10 +83,29 @@
 	return NULL;
 }
 
+/* Keys are secrets, and callers can reach this interface. */
+static void refuse_document_with_keys(operator_api_t *api,
+				      SoupServerMessage *message)
+{
+	catk_error_t error;
+
+	set_version_header(message, config_version(entry_config(api->entry)));
+	catk_error_set(&error, CATK_NOT_FOUND, OUTCOME_NOT_RUN,
+		       "the configuration in force holds keys of organisations "
+		       "and is not shown: read it in the metadata store");
+	http_reply_error(message, &error);
+}
+
 static void reply_config(operator_api_t *api, SoupServerMessage *message)
 {
-	config_record_t *record = get_record_in_force(api, message);
+	const schema_t *schema = config_schema(entry_config(api->entry));
+	config_record_t *record;
 
+	if (schema && !organisations_is_empty(schema->organisations)) {
+		refuse_document_with_keys(api, message);
+		return;
+	}
+	record = get_record_in_force(api, message);
 	if (record)
 		http_reply_bytes(message, SOUP_STATUS_OK, "application/json",
 				 record->schema);
--- a/tests/fakes/fake_endpoint.c
+++ b/tests/fakes/fake_endpoint.c
@@ -29,6 +29,9 @@
  *            Retry-After: PAUSE_S
  *   plain    ends the other modes
  *
+ * The response to an execution repeats the request's X-Tenant-Id and X-Credential,
+ * if it had them, as X-Got-Tenant and X-Got-Credential.
+ *
  * GET /stats returns the number of executions of each request id, the number of
  * requests whose caller disconnected before the response, and the numbers of
  * requests and of probes that came in mode "pause". With --log, each event is
@@ -254,6 +257,25 @@
 		       "X-Response-Signature: s\r\n";
 }
 
+static void repeat_header(GString *lines, const http_message_t *request,
+			  const char *name, const char *repeated)
+{
+	const char *value = http_message_header(request, name);
+
+	if (value)
+		g_string_append_printf(lines, "%s: %s\r\n", repeated, value);
+}
+
+/* The same with the headers that identify the caller's organisation. */
+static gchar *all_response_lines(const http_message_t *request)
+{
+	GString *lines = g_string_new(response_lines(request));
+
+	repeat_header(lines, request, "X-Tenant-Id", "X-Got-Tenant");
+	repeat_header(lines, request, "X-Credential", "X-Got-Credential");
+	return g_string_free(lines, FALSE);
+}
+
 static void send_truncated(connection_t *connection,
 			   const http_message_t *request, const char *id)
 {
@@ -275,6 +297,7 @@
 	gchar *text = g_strdup_printf("%s %s %s %.*s", request->method,
 				      request->target, id, (int)size,
 				      size ? body : "");
+	gchar *lines = all_response_lines(request);
 
 	connection->request = NULL;
 	endpoint.running--;
@@ -294,12 +317,13 @@
 				      "foreign");
 		send_response(connection,
 			      target_contains(request, "error") ? 500 : 200, id,
-			      response_lines(request), text);
+			      lines, text);
 		if (target_contains(request, "extra"))
 			send_response(connection, 200, id,
 				      "X-Response-Signature: s\r\n", "again");
 		handle_input(connection);
 	}
+	g_free(lines);
 	g_free(text);
 	http_message_free(request);
 }
