Add catkinctl config check

Cause: a route that another one hides, a service that nothing refers to, or an objective above the time-out was accepted and noticed in operation only; of several errors a rejected version named the first.

No key is printed.

--- a/programs/catkinctl.c
+++ b/programs/catkinctl.c
@@ -25,6 +25,7 @@
 	{ "drain", 0, "drain", ctl_drain },
 	{ "config show", 0, "config show", ctl_config_show },
 	{ "config history", 0, "config history", ctl_config_history },
+	{ "config check", 1, "config check FILE", ctl_config_check },
 	{ "config apply", 1, "config apply FILE", ctl_config_apply },
 };
 
@@ -38,7 +39,9 @@
 	KEY_BASE_VERSION = 'v',
 	KEY_AUTHOR = 'a',
 	KEY_WAIT = 'w',
-	KEY_TIMEOUT = 't'
+	KEY_TIMEOUT = 't',
+	KEY_AGAINST = 'g',
+	KEY_JSON = 'j'
 };
 
 static const struct argp_option option_table[] = {
@@ -60,6 +63,11 @@
 	  "Author of a change; by default the user", 0 },
 	{ "wait", KEY_WAIT, NULL, 0,
 	  "Wait until the change is in force at every live instance", 0 },
+	{ "against", KEY_AGAINST, "FILE|live", 0,
+	  "Configuration that config check compares with; live: the one in "
+	  "force",
+	  0 },
+	{ "json", KEY_JSON, NULL, 0, "Result of config check as JSON", 0 },
 	{ "timeout-ms", KEY_TIMEOUT, "MS", 0,
 	  "Maximum time to wait for answers and for --wait, default 10000", 0 },
 	{ 0 }
@@ -109,6 +117,12 @@
 		input->options.timeout_ms =
 			(guint)g_ascii_strtoull(argument, NULL, 10);
 		break;
+	case KEY_AGAINST:
+		input->options.against = argument;
+		break;
+	case KEY_JSON:
+		input->options.json = TRUE;
+		break;
 	case ARGP_KEY_ARG:
 		if (input->word_count == G_N_ELEMENTS(input->words))
 			argp_error(state, "too many arguments");
@@ -171,9 +185,10 @@
 		.doc = "catkinctl -- operate and call catkinstall\v"
 		       "Commands: schema check FILE, resolve, call "
 		       "SERVICE.METHOD, dump, drain, config show, config "
-		       "history, config apply FILE\n"
+		       "history, config check FILE, config apply FILE\n"
 		       "Exit status: 0 done; 1 other failure; 2 the input must "
-		       "be corrected; 3 another change was applied first: "
+		       "be corrected (config check: 1 findings, 2 cannot "
+		       "be read); 3 another change was applied first: "
 		       "rebase; 4 the outcome is unknown: repeat with the "
 		       "same id; 5 unavailable and without effect: retry "
 		       "later or with another --entry; 6 accepted but not "
--- a/programs/ctl.h
+++ b/programs/ctl.h
@@ -17,6 +17,8 @@
 	gint64 base_version; /* -1 for the version in force */
 	const char *author; /* NULL for the name of the user */
 	gboolean wait; /* until a change is in force at all instances */
+	const char *against; /* file or "live", NULL for none */
+	gboolean json; /* prints the result as JSON */
 	guint timeout_ms; /* of each request, and of waiting and retries */
 	const char *arguments[CTL_ARGUMENTS_MAX]; /* that follow the command */
 	guint argument_count;
@@ -82,6 +84,7 @@
 int ctl_drain(const ctl_options_t *options);
 int ctl_config_show(const ctl_options_t *options);
 int ctl_config_history(const ctl_options_t *options);
+int ctl_config_check(const ctl_options_t *options);
 int ctl_config_apply(const ctl_options_t *options);
 
 #endif
--- a/tests/test_organisations.c
+++ b/tests/test_organisations.c
@@ -554,6 +554,39 @@
 	assert_true(is_beta_served(f));
 }
 
+/* Exit status of a check of a file against the configuration in force. */
+static int check_against_live(const char *file)
+{
+	gchar *entry = g_strdup_printf("127.0.0.1:%u", test_port(CALLER_PORT));
+	process_t *process = process_start("catkinctl", "config", "check", file,
+					   "--against", "live", "--entry",
+					   entry, NULL);
+	int found = process_wait(process);
+
+	process_free(process);
+	g_free(entry);
+	return found;
+}
+
+static gboolean needs_no_key(void *ctx)
+{
+	return status(ctx, "/private/1", "") == 200;
+}
+
+/* Fails if the live configuration is shown with keys, or never compared. */
+static void live_configuration_is_compared_without_keys(void **state)
+{
+	fixture_t *f = *state;
+	char *file = write_build_file(
+		"live.json", "{\"version\":\"r%u\",\"resources\":[]}", 100u);
+
+	assert_int_equal(check_against_live(file), 2);
+	put_config(f, "");
+	assert_true(wait_until(needs_no_key, f, CONFIG_BOUND_MS));
+	assert_int_equal(check_against_live(file), 0);
+	g_free(file);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
@@ -567,6 +600,7 @@
 		TEST(withdrawn_key_ends_a_kept_connection),
 		TEST(withdrawn_key_ends_a_queued_request),
 		TEST(withdrawn_key_does_not_return),
+		TEST(live_configuration_is_compared_without_keys),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
