--- a/tests/test_routed_calls.c
+++ b/tests/test_routed_calls.c
@@ -1147,6 +1147,68 @@
 	assert_null(f->organisation);
 }
 
+/* Puts a configuration in force in which hot and calm have a key each. */
+static void activate_two_organisations(fixture_t *f)
+{
+	static const char *const names[] = { "hot", "calm" };
+	schema_t *schema = new_schema();
+	GBytes *document = g_bytes_new_static("{}", 2);
+	gsize i;
+
+	for (i = 0; i < G_N_ELEMENTS(names); i++) {
+		const organisation_t attributes = {
+			.name = (char *)names[i],
+			.priority = ORGANISATION_NO_PRIORITY,
+			.rate = 5
+		};
+		organisation_t *organisation = organisations_add(
+			schema->organisations, &attributes, NULL);
+
+		assert_true(organisations_add_key(
+			schema->organisations, organisation, names[i], NULL));
+	}
+	entry_activate_config(f->entry, 2, schema, document);
+	g_bytes_unref(document);
+}
+
+/* Sends a request and waits until it has started or is refused. */
+static catk_error_kind_t send_and_wait(fixture_t *f, const char *key,
+				       gboolean is_short)
+{
+	guint started = f->started;
+
+	memset(&f->answers[1], 0, sizeof(f->answers[1]));
+	send_request_with_key(f, 1, "/safe/", key);
+	while (f->started == started && !f->answers[1].count) {
+		answer_probes(f, "", 0, 0, is_short ? 500 : 100);
+		advance(f, 20 * MS);
+	}
+	if (f->started > started)
+		end_attempt(f, ATTEMPT_ANSWERED, 200);
+	return f->answers[1].error.kind;
+}
+
+/*
+ * Fails if requests refused for lack of capacity, which never stand in a long
+ * queue, do not count as a shortage: one organisation then takes all.
+ */
+static void shortage_limits_the_hot_organisation(void **state)
+{
+	fixture_t *f = *state;
+	guint limited_hot = 0, limited_calm = 0, i;
+
+	activate_two_organisations(f);
+	for (i = 0; i < 120; i++) {
+		limited_hot += send_and_wait(f, "hot", i % 2 == 0) ==
+			       CATK_RATE_LIMITED;
+		if (i % 12 == 0)
+			limited_calm += send_and_wait(f, "calm", FALSE) ==
+					CATK_RATE_LIMITED;
+	}
+	assert_true(limited_hot > 0);
+	assert_int_equal(limited_calm, 0);
+}
+
 static void evacuate(fixture_t *f, const char *data_centre, guint64 position)
 {
 	const char *names[] = { data_centre };
@@ -1211,6 +1273,7 @@
 		TEST(withdrawn_key_ends_retries),
 		TEST(moved_key_carries_its_new_organisation),
 		TEST(no_key_is_needed_without_organisations),
+		TEST(shortage_limits_the_hot_organisation),
 		TEST(late_answer_in_a_shutdown_is_passed_on),
 		TEST(slowed_endpoint_is_avoided),
 		TEST(request_waits_for_the_end_of_a_slowdown),
