Count calls that waited too long to finish as lacking capacity

Cause: a call that is refused at dispatch because its deadline has come too close is a sign of shortage, too, and did not count for the shares of organisations.

Result: test_routed_calls (41) and test_entry (24) pass.

--- a/lib/entry/entry_attempts.c
+++ b/lib/entry/entry_attempts.c
@@ -173,10 +173,10 @@
 }
 
 /*
- * Reads the clock, checks the deadline, the key and the request id, records the dispatch
- * and starts the attempt without returning to the main loop. A pause of the
- * process before this function thus cannot cause a late dispatch. Returns FALSE
- * if no endpoint has capacity.
+ * Reads the clock, checks the deadline, the key and the request id, records the
+ * dispatch and starts the attempt without returning to the main loop. A pause of
+ * the process before this function thus cannot cause a late dispatch. Returns
+ * FALSE if no endpoint has capacity.
  */
 static gboolean dispatch_call(entry_t *entry, entry_service_t *service,
 			      call_t *call)
@@ -196,6 +196,7 @@
 	}
 	if (!admission_can_finish(service->admission, &call->queue, now,
 				  &error)) {
+		admission_no_capacity(service->admission, &call->queue, now);
 		entry_finish_refused(entry, call, &error);
 		return TRUE;
 	}
