Quote nothing of a malformed document in messages

Cause: json-glib's message on malformed JSON quotes the string it met, so that an answer of the store with a comma missing put a key of an organisation into the log, and config check printed it.

Change: json_parse_untrusted() keeps line and column only.

--- a/codec/json_untrusted.c
+++ b/codec/json_untrusted.c
@@ -177,6 +177,19 @@
 	return copy.out;
 }
 
+/* The parser's message quotes strings of the document, which may be secrets. */
+static void keep_position_only(GError *error)
+{
+	const char *end = strstr(error->message, ": Parse error");
+	int length = end ? (int)(end - error->message) : 0;
+	gchar *message =
+		g_strdup_printf("%.*s%sit is not JSON: correct it there",
+				length, error->message, length ? ": " : "");
+
+	g_free(error->message);
+	error->message = message;
+}
+
 JsonNode *json_parse_untrusted(const char *text, gsize size, GError **error)
 {
 	gchar *valid = g_utf8_validate_len(text, size, NULL) ?
@@ -190,6 +203,8 @@
 	if (json_parser_load_from_data(parser, readable->str,
 				       (gssize)readable->len, error))
 		root = json_parser_steal_root(parser);
+	else if (error)
+		keep_position_only(*error);
 	g_object_unref(parser);
 	g_string_free(readable, TRUE);
 	g_free(valid);
--- a/codec/json_untrusted.h
+++ b/codec/json_untrusted.h
@@ -15,7 +15,8 @@
  * Arrays and objects nested deeper than JSON_DEPTH_MAX, and numbers out of the
  * range of a gint64 or a double, become null. Bytes that are not UTF-8, unpaired
  * surrogates and NUL characters become U+FFFD. Returns NULL with the error if
- * the document is not JSON otherwise. Free with json_node_unref().
+ * the document is not JSON otherwise; its message has line and column, and nothing
+ * of the document. Free with json_node_unref().
  */
 JsonNode *json_parse_untrusted(const char *text, gsize size, GError **error);
 
--- a/programs/ctl_config_check.c
+++ b/programs/ctl_config_check.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "codec/json_untrusted.h"
 #include "codec/schema_json.h"
 #include "lib/config_check/config_check.h"
 #include "platform/decode.h"
@@ -104,13 +105,12 @@
 	JsonNode *root;
 	gsize size;
 	const char *data = g_bytes_get_data(source->document, &size);
-	gchar *text = g_strndup(data, size);
 
-	root = json_from_string(text, &error);
-	g_free(text);
+	root = json_parse_untrusted(data, size, &error);
 	if (!root) {
-		fprintf(stderr, "%s: %s: write a JSON object\n", from,
-			error ? error->message : "it is empty");
+		fprintf(stderr, "%s: %s\n", from,
+			error ? error->message :
+				"it is empty: write a JSON object");
 		g_clear_error(&error);
 		return FALSE;
 	}
--- a/tests/test_config_check.c
+++ b/tests/test_config_check.c
@@ -227,7 +227,8 @@
 /* Fails if what cannot be read passes as clean, or as a finding. */
 static void unreadable_input_is_told_apart(void **state)
 {
-	char *file = write_build_file("check.json", "%s", "{\"version\":");
+	char *file = write_build_file("check.json", "%s",
+				      "{\"api_keys\":[\"hush-1\" \"hush-2\"]}");
 	char *sound = write_config("sound.json", 8, SOUND);
 	result_t result = run(file, NULL, NULL);
 
--- a/tests/test_json_untrusted.c
+++ b/tests/test_json_untrusted.c
@@ -145,6 +145,26 @@
 	g_rand_free(random);
 }
 
+/* Fails if a message quotes the document, which may hold keys. */
+static void errors_quote_nothing(void **state)
+{
+	static const char *const documents[] = { "{\"k\":[\"a\" \"hush\"]}",
+						 "{\"k\":[\"hush\" \"a\"]}",
+						 "{\"k\":hush}",
+						 "{\"hush\" 5}" };
+	GError *error = NULL;
+	gsize i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(documents); i++) {
+		assert_null(json_parse_untrusted(documents[i],
+						 strlen(documents[i]), &error));
+		assert_null(strstr(error->message, "hush"));
+		assert_non_null(strstr(error->message, ":1:"));
+		g_clear_error(&error);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -154,6 +174,7 @@
 		cmocka_unit_test(unreadable_characters_are_replaced),
 		cmocka_unit_test(malformed_documents_are_rejected),
 		cmocka_unit_test(changed_documents_end_no_process),
+		cmocka_unit_test(errors_quote_nothing),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
