--- a/lib/quota/quota_internal.h
+++ b/lib/quota/quota_internal.h
@@ -20,6 +20,7 @@
 	GTimeSpan filled_at;
 	/* A bucket that takes over is filled from this instant on. */
 	GTimeSpan start_at;
+	gboolean claimed; /* the previous owner was asked for its level */
 	double outstanding[QUOTA_SLOTS];
 	gint64 slot; /* number of the latest */
 	double refunds; /* tokens that holders may still return */
--- a/lib/quota/quota_owner.c
+++ b/lib/quota/quota_owner.c
@@ -15,6 +15,11 @@
 #define START_DELAY (3 * G_TIME_SPAN_SECOND)
 /* The same when the whole fleet starts and no bucket existed before. */
 #define FIRST_START_DELAY (2 * G_TIME_SPAN_SECOND)
+/*
+ * Time from the start of the process until it claims buckets. Before it knows
+ * the members, it would claim those of owners that remain.
+ */
+#define CLAIM_DELAY (1 * G_TIME_SPAN_SECOND)
 /* Time for which a shard that was handed over is not owned again. */
 #define RELEASE_TIME (3 * G_TIME_SPAN_SECOND)
 /* Difference of clocks and time from the check of a lease to the sending. */
@@ -175,6 +180,7 @@
 static void send_claim(quota_t *quota, const quota_limit_t *limit, guint shard,
 		       GTimeSpan now)
 {
+	quota_bucket_t *bucket = limit->shards[shard].bucket;
 	const quota_member_t *previous = quota_owner(quota, limit, shard, TRUE);
 	const quota_request_t request = {
 		.name = limit->name,
@@ -187,8 +193,10 @@
 		.requests = &request,
 	};
 
-	if (!previous || !previous->address[0])
+	if (bucket->claimed || now < quota->started + CLAIM_DELAY ||
+	    now >= bucket->start_at || !previous || !previous->address[0])
 		return;
+	bucket->claimed = TRUE;
 	counters_add(quota->counters, COUNTER_QUOTA_MESSAGES, 1);
 	quota->actions.send_ask(quota->actions.ctx, previous->address, &ask);
 }
@@ -211,7 +219,6 @@
 			  LOG_TEXT("organisation", limit->name),
 			  LOG_NUMBER("shard", shard),
 			  LOG_NUMBER("starts_in_us", bucket->start_at - now));
-	send_claim(quota, limit, shard, now);
 }
 
 static void update_shard(quota_t *quota, quota_limit_t *limit, guint index,
@@ -222,6 +229,7 @@
 	if (now >= shard->released_until && is_owner(quota, limit, index)) {
 		if (!shard->owned)
 			take_over(quota, limit, index, now);
+		send_claim(quota, limit, index, now);
 		return;
 	}
 	if (shard->owned) {
