Find the state of a route by a hash table

Splits and usual deadlines of routes were searched in lists, for each route of a new configuration and for each request. A configuration now looks each state up among its routes.

--- a/lib/route/route_deadline.c
+++ b/lib/route/route_deadline.c
@@ -19,11 +19,11 @@
 	GTimeSpan samples[SAMPLES_MAX]; /* ring buffer of deadlines */
 	guint count; /* of samples */
 	guint next; /* index of the next sample */
-	gboolean declared;
 } history_t;
 
 struct route_deadlines {
 	TAILQ_HEAD(history_list, history) histories;
+	GHashTable *by_route; /* name -> history_t */
 };
 
 route_deadlines_t *route_deadlines_new(void)
@@ -31,11 +31,13 @@
 	route_deadlines_t *deadlines = g_new0(route_deadlines_t, 1);
 
 	TAILQ_INIT(&deadlines->histories);
+	deadlines->by_route = g_hash_table_new(g_str_hash, g_str_equal);
 	return deadlines;
 }
 
 static void history_free(route_deadlines_t *deadlines, history_t *history)
 {
+	g_hash_table_remove(deadlines->by_route, history->route);
 	TAILQ_REMOVE(&deadlines->histories, history, link);
 	g_free(history->route);
 	g_free(history);
@@ -47,29 +49,20 @@
 		return;
 	while (!TAILQ_EMPTY(&deadlines->histories))
 		history_free(deadlines, TAILQ_FIRST(&deadlines->histories));
+	g_hash_table_destroy(deadlines->by_route);
 	g_free(deadlines);
 }
 
-static history_t *find_history(const route_deadlines_t *deadlines,
-			       const char *route)
-{
-	history_t *history;
-
-	TAILQ_FOREACH (history, &deadlines->histories, link)
-		if (strcmp(history->route, route) == 0)
-			return history;
-	return NULL;
-}
-
 static history_t *get_history(route_deadlines_t *deadlines, const char *route)
 {
-	history_t *history = find_history(deadlines, route);
+	history_t *history = g_hash_table_lookup(deadlines->by_route, route);
 
 	if (history)
 		return history;
 	history = g_new0(history_t, 1);
 	history->route = g_strdup(route);
 	TAILQ_INSERT_TAIL(&deadlines->histories, history, link);
+	g_hash_table_insert(deadlines->by_route, history->route, history);
 	return history;
 }
 
@@ -118,17 +111,10 @@
 void route_deadlines_configure(route_deadlines_t *deadlines,
 			       const schema_t *schema)
 {
-	const schema_route_t *route;
 	history_t *history, *next;
 
-	TAILQ_FOREACH (history, &deadlines->histories, link)
-		history->declared = FALSE;
-	TAILQ_FOREACH (route, &schema->routes, link) {
-		history = find_history(deadlines, route->method.name);
-		if (history)
-			history->declared = TRUE;
-	}
 	TAILQ_FOREACH_SAFE (history, &deadlines->histories, link, next)
-		if (!history->declared)
+		if (!g_hash_table_contains(schema->routes_by_name,
+					   history->route))
 			history_free(deadlines, history);
 }
--- a/lib/route/route_split.c
+++ b/lib/route/route_split.c
@@ -15,13 +15,13 @@
 typedef struct split {
 	TAILQ_ENTRY(split) link;
 	char *route;
-	gboolean declared;
 	TAILQ_HEAD(share_list, share) shares;
 } split_t;
 
 struct route_splits {
 	GRand *random;
 	TAILQ_HEAD(split_list, split) splits;
+	GHashTable *by_route; /* name -> split_t */
 };
 
 route_splits_t *route_splits_new(GRand *random)
@@ -30,6 +30,7 @@
 
 	splits->random = random;
 	TAILQ_INIT(&splits->splits);
+	splits->by_route = g_hash_table_new(g_str_hash, g_str_equal);
 	return splits;
 }
 
@@ -46,6 +47,7 @@
 
 static void split_free(route_splits_t *splits, split_t *split)
 {
+	g_hash_table_remove(splits->by_route, split->route);
 	TAILQ_REMOVE(&splits->splits, split, link);
 	shares_free(split);
 	g_free(split->route);
@@ -58,6 +60,7 @@
 		return;
 	while (!TAILQ_EMPTY(&splits->splits))
 		split_free(splits, TAILQ_FIRST(&splits->splits));
+	g_hash_table_destroy(splits->by_route);
 	g_free(splits);
 }
 
@@ -78,12 +81,7 @@
 
 static split_t *find_split(const route_splits_t *splits, const char *route)
 {
-	split_t *split;
-
-	TAILQ_FOREACH (split, &splits->splits, link)
-		if (strcmp(split->route, route) == 0)
-			return split;
-	return NULL;
+	return g_hash_table_lookup(splits->by_route, route);
 }
 
 /* One step of the cycle; NULL when no share has a weight above 0. */
@@ -139,6 +137,7 @@
 		split->route = g_strdup(route->method.name);
 		TAILQ_INIT(&split->shares);
 		TAILQ_INSERT_TAIL(&splits->splits, split, link);
+		g_hash_table_insert(splits->by_route, split->route, split);
 	}
 	if (!has_same_shares(split, route))
 		replace_shares(splits, split, route);
@@ -159,17 +158,10 @@
 
 void route_splits_configure(route_splits_t *splits, const schema_t *schema)
 {
-	const schema_route_t *route;
 	split_t *split, *next;
 
-	TAILQ_FOREACH (split, &splits->splits, link)
-		split->declared = FALSE;
-	TAILQ_FOREACH (route, &schema->routes, link) {
-		split = find_split(splits, route->method.name);
-		if (split)
-			split->declared = TRUE;
-	}
 	TAILQ_FOREACH_SAFE (split, &splits->splits, link, next)
-		if (!split->declared)
+		if (!g_hash_table_contains(schema->routes_by_name,
+					   split->route))
 			split_free(splits, split);
 }
