Find an endpoint of an upstream by a hash table

upstream_find() walked the list of endpoints, so that taking a list of n endpoints into use compared n x n / 2 names.

--- a/lib/upstream/upstream.c
+++ b/lib/upstream/upstream.c
@@ -84,6 +84,7 @@
 	upstream->eligible = g_ptr_array_new();
 	upstream->fallback = g_ptr_array_new();
 	TAILQ_INIT(&upstream->endpoints);
+	upstream->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	TAILQ_INIT(&upstream->retained);
 	return upstream;
 }
@@ -91,6 +92,7 @@
 static void endpoint_free(upstream_t *upstream, endpoint_t *endpoint)
 {
 	TAILQ_REMOVE(&upstream->endpoints, endpoint, link);
+	g_hash_table_remove(upstream->by_id, endpoint_id(endpoint));
 	upstream->endpoint_count--;
 	while (!TAILQ_EMPTY(&endpoint->pending_attempts))
 		endpoint_remove_attempt(endpoint, G_MAXINT64);
@@ -104,6 +106,7 @@
 	while (!TAILQ_EMPTY(&upstream->endpoints))
 		endpoint_free(upstream, TAILQ_FIRST(&upstream->endpoints));
 	notices_expire(upstream, G_MAXINT64);
+	g_hash_table_destroy(upstream->by_id);
 	g_ptr_array_free(upstream->eligible, TRUE);
 	g_ptr_array_free(upstream->fallback, TRUE);
 	g_free(upstream->service);
@@ -127,12 +130,7 @@
 
 endpoint_t *upstream_find(const upstream_t *upstream, const char *id)
 {
-	endpoint_t *endpoint;
-
-	TAILQ_FOREACH (endpoint, &upstream->endpoints, link)
-		if (strcmp(endpoint_id(endpoint), id) == 0)
-			return endpoint;
-	return NULL;
+	return g_hash_table_lookup(upstream->by_id, id);
 }
 
 const char *upstream_address_of(const upstream_t *upstream, const char *id)
@@ -305,6 +303,8 @@
 	TAILQ_INIT(&endpoint->pending_attempts);
 	start_probe_budget(upstream, endpoint, now);
 	TAILQ_INSERT_TAIL(&upstream->endpoints, endpoint, link);
+	g_hash_table_insert(upstream->by_id, (gpointer)endpoint_id(endpoint),
+			    endpoint);
 	upstream->endpoint_count++;
 	return endpoint;
 }
@@ -360,6 +360,9 @@
 	endpoint->warmup_until =
 		info->warmup_remaining > 0 ? now + info->warmup_remaining : 0;
 	endpoint->info = *info;
+	/* The id may have moved from one field to another. */
+	g_hash_table_replace(upstream->by_id, (gpointer)endpoint_id(endpoint),
+			     endpoint);
 	apply_listed_warmup(upstream, endpoint, is_new, now);
 	endpoint->evacuated = is_evacuated(upstream, endpoint);
 	endpoint->listed = TRUE;
--- a/lib/upstream/upstream_internal.h
+++ b/lib/upstream/upstream_internal.h
@@ -141,6 +141,7 @@
 	GPtrArray *eligible;
 	GPtrArray *fallback; /* selected only if eligible is empty */
 	TAILQ_HEAD(endpoint_list, endpoint) endpoints;
+	GHashTable *by_id; /* id -> endpoint_t */
 	/* Earliest expiry first. */
 	TAILQ_HEAD(retained_list, retained_notices) retained;
 };
