Find services by hash tables

schema_find_service() and entry_find_service() walked lists, once for each target of a route and for each service of a configuration. The costs rose with the square of the number of services.

--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -30,6 +30,7 @@
 	entry_subscription_init(entry);
 	entry->ids = request_ids_new(&limits->request_ids, counters);
 	TAILQ_INIT(&entry->services);
+	entry->services_by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	TAILQ_INIT(&entry->calls);
 	entry->calls_by_sequence =
 		g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -60,6 +61,8 @@
 
 static void service_free(entry_t *entry, entry_service_t *service)
 {
+	g_hash_table_remove(entry->services_by_name,
+			    upstream_service(service->upstream));
 	TAILQ_REMOVE(&entry->services, service, link);
 	admission_free(service->admission);
 	upstream_free(service->upstream);
@@ -74,6 +77,7 @@
 	startup_queue_clear(&entry->startup_queue);
 	while (!TAILQ_EMPTY(&entry->services))
 		service_free(entry, TAILQ_FIRST(&entry->services));
+	g_hash_table_destroy(entry->services_by_name);
 	g_hash_table_destroy(entry->calls_by_sequence);
 	g_hash_table_destroy(entry->calls_by_attempt);
 	g_hash_table_destroy(entry->calls_by_ref);
@@ -88,12 +92,7 @@
 
 entry_service_t *entry_find_service(entry_t *entry, const char *name)
 {
-	entry_service_t *service;
-
-	TAILQ_FOREACH (service, &entry->services, link)
-		if (strcmp(upstream_service(service->upstream), name) == 0)
-			return service;
-	return NULL;
+	return g_hash_table_lookup(entry->services_by_name, name);
 }
 
 static gboolean is_evacuated(void *ctx, const char *data_centre)
@@ -172,6 +171,9 @@
 	retry_budget_init(&service->retry_budget, entry->limits.retry_percent);
 	TAILQ_INIT(&service->awaiting_probes);
 	TAILQ_INSERT_TAIL(&entry->services, service, link);
+	g_hash_table_insert(entry->services_by_name,
+			    (gpointer)upstream_service(service->upstream),
+			    service);
 	return service;
 }
 
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -48,6 +48,7 @@
 	guint resolve_offset; /* rotates the resolved addresses */
 	request_ids_t *ids;
 	TAILQ_HEAD(entry_service_list, entry_service) services;
+	GHashTable *services_by_name; /* name -> entry_service_t */
 
 	startup_queue_t startup_queue; /* until the first configuration */
 	TAILQ_HEAD(call_list, call) calls; /* earliest deadline first */
--- a/lib/schema/schema.c
+++ b/lib/schema/schema.c
@@ -7,6 +7,7 @@
 	schema_t *schema = g_new0(schema_t, 1);
 
 	TAILQ_INIT(&schema->services);
+	schema->services_by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	TAILQ_INIT(&schema->routes);
 	schema_init_routes(schema);
 	schema->organisations = organisations_new();
@@ -46,6 +47,7 @@
 
 	if (!schema)
 		return;
+	g_hash_table_destroy(schema->services_by_name);
 	TAILQ_FOREACH_SAFE (service, &schema->services, link, next)
 		service_free(service);
 	schema_free_routes(schema);
@@ -160,6 +162,7 @@
 	TAILQ_INIT(&service->endpoints);
 	TAILQ_INIT(&service->methods);
 	TAILQ_INSERT_TAIL(&schema->services, service, link);
+	g_hash_table_insert(schema->services_by_name, service->name, service);
 	return service;
 }
 
@@ -284,12 +287,7 @@
 const schema_service_t *schema_find_service(const schema_t *schema,
 					    const char *name)
 {
-	const schema_service_t *service;
-
-	TAILQ_FOREACH (service, &schema->services, link)
-		if (strcmp(service->name, name) == 0)
-			return service;
-	return NULL;
+	return g_hash_table_lookup(schema->services_by_name, name);
 }
 
 const schema_method_t *schema_find_method(const schema_service_t *service,
--- a/lib/schema/schema.h
+++ b/lib/schema/schema.h
@@ -96,6 +96,7 @@
 	schema_priority_t priorities[SCHEMA_PRIORITIES_MAX];
 	TAILQ_HEAD(schema_service_list, schema_service) services;
 	TAILQ_HEAD(schema_route_list, schema_route) routes;
+	GHashTable *services_by_name; /* name -> schema_service_t */
 	GHashTable *routes_by_name; /* name -> schema_route_t */
 	GHashTable *routes_by_match; /* host and prefix -> schema_route_t */
 	schema_request_limits_t request_limits;
