--- a/codec/json_scan.c
+++ b/codec/json_scan.c
@@ -17,8 +17,8 @@
 static const char *string_end(const char *text, const char *end)
 {
 	for (text++; text < end && *text != '"'; text++)
-		if (*text == '\\')
-			text++;
+		if (*text == '\\' && ++text == end)
+			return NULL;
 	return text < end ? text + 1 : NULL;
 }
 
@@ -27,17 +27,23 @@
 	gsize depth = 0;
 
 	while (text && text < end) {
-		char c = *text;
-
-		if (c == '"') {
+		switch (*text) {
+		case '"':
 			text = string_end(text, end);
 			continue;
+		case '[':
+		case '{':
+			depth++;
+			break;
+		case ']':
+		case '}':
+			if (--depth == 0)
+				return text + 1;
+			break;
+		default:
+			break;
 		}
 		text++;
-		if (c == '[' || c == '{')
-			depth++;
-		else if ((c == ']' || c == '}') && --depth == 0)
-			return text;
 	}
 	return NULL;
 }
@@ -51,7 +57,7 @@
 	return text > start ? text : NULL;
 }
 
-static gboolean read_value(json_scan_t *scan, json_span_t *value)
+gboolean json_scan_read(json_scan_t *scan, json_span_t *value)
 {
 	const char *start, *end;
 
@@ -89,13 +95,14 @@
 	return read_char(scan, open);
 }
 
-/* Passes the comma before a value, or the end with nothing behind it. */
-static json_scan_result_t begin_value(json_scan_t *scan)
+/* Passes the comma before the value, or the end with nothing behind it. */
+json_scan_result_t json_scan_next_element(json_scan_t *scan)
 {
 	if (read_char(scan, scan->close)) {
 		skip_space(scan);
-		return scan->at == scan->end ? JSON_SCAN_END :
-					       JSON_SCAN_UNREADABLE;
+		return scan->nested || scan->at == scan->end ?
+			       JSON_SCAN_END :
+			       JSON_SCAN_UNREADABLE;
 	}
 	if (scan->begun && !read_char(scan, ','))
 		return JSON_SCAN_UNREADABLE;
@@ -103,11 +110,39 @@
 	return JSON_SCAN_VALUE;
 }
 
+json_scan_result_t json_scan_next_member(json_scan_t *scan, json_span_t *name)
+{
+	json_scan_result_t result = json_scan_next_element(scan);
+
+	if (result != JSON_SCAN_VALUE)
+		return result;
+	if (!json_scan_read(scan, name) || name->start[0] != '"' ||
+	    memchr(name->start, '\\', name->size) || !read_char(scan, ':'))
+		return JSON_SCAN_UNREADABLE;
+	return JSON_SCAN_VALUE;
+}
+
+gboolean json_scan_enter(const json_scan_t *scan, json_scan_t *nested,
+			 char open)
+{
+	json_span_t rest = { scan->at, (gsize)(scan->end - scan->at) };
+
+	if (!json_scan_begin(nested, rest, open))
+		return FALSE;
+	nested->nested = TRUE;
+	return TRUE;
+}
+
+void json_scan_leave(json_scan_t *scan, const json_scan_t *nested)
+{
+	scan->at = nested->at;
+}
+
 json_scan_result_t json_scan_element(json_scan_t *scan, json_span_t *value)
 {
-	json_scan_result_t result = begin_value(scan);
+	json_scan_result_t result = json_scan_next_element(scan);
 
-	if (result == JSON_SCAN_VALUE && !read_value(scan, value))
+	if (result == JSON_SCAN_VALUE && !json_scan_read(scan, value))
 		return JSON_SCAN_UNREADABLE;
 	return result;
 }
@@ -115,15 +150,11 @@
 json_scan_result_t json_scan_member(json_scan_t *scan, json_span_t *name,
 				    json_span_t *value)
 {
-	json_scan_result_t result = begin_value(scan);
+	json_scan_result_t result = json_scan_next_member(scan, name);
 
-	if (result != JSON_SCAN_VALUE)
-		return result;
-	if (!read_value(scan, name) || name->start[0] != '"' ||
-	    memchr(name->start, '\\', name->size) || !read_char(scan, ':') ||
-	    !read_value(scan, value))
+	if (result == JSON_SCAN_VALUE && !json_scan_read(scan, value))
 		return JSON_SCAN_UNREADABLE;
-	return JSON_SCAN_VALUE;
+	return result;
 }
 
 json_scan_result_t json_scan_find(json_span_t object, const char *name,
--- a/codec/json_scan.h
+++ b/codec/json_scan.h
@@ -20,6 +20,7 @@
 	const char *end;
 	char close; /* bracket that ends it */
 	gboolean begun; /* has returned a value */
+	gboolean nested; /* begun by json_scan_enter() */
 } json_scan_t;
 
 typedef enum {
@@ -35,6 +36,25 @@
  */
 gboolean json_scan_begin(json_scan_t *scan, json_span_t text, char open);
 
+/*
+ * Step by step: moves before the next value of an array, or of an object whose
+ * name it sets. The value must then be passed by json_scan_read() or entered.
+ */
+json_scan_result_t json_scan_next_element(json_scan_t *scan);
+json_scan_result_t json_scan_next_member(json_scan_t *scan, json_span_t *name);
+
+/* Sets the value and moves behind it. Returns FALSE if it is unreadable. */
+gboolean json_scan_read(json_scan_t *scan, json_span_t *value);
+
+/*
+ * Starts to scan the value itself, an array or an object as by
+ * json_scan_begin(). When nested has returned JSON_SCAN_END, scan is continued
+ * after json_scan_leave().
+ */
+gboolean json_scan_enter(const json_scan_t *scan, json_scan_t *nested,
+			 char open);
+void json_scan_leave(json_scan_t *scan, const json_scan_t *nested);
+
 /* Sets the next value of an array. */
 json_scan_result_t json_scan_element(json_scan_t *scan, json_span_t *value);
 
