Report only newly declared services to their upstreams

Each configuration made the catalogue report all its services, and each report walked all endpoints and cleared an array as long as their list. Only services that are declared anew are reported now, and a service knows its endpoints.

--- a/lib/catalogue/catalogue.c
+++ b/lib/catalogue/catalogue.c
@@ -4,6 +4,14 @@
 
 #include "lib/common/store_position.h"
 
+typedef struct service {
+	TAILQ_ENTRY(service) link;
+	char name[SCHEMA_NAME_MAX + 1];
+	gboolean changed;
+	guint count; /* of endpoints */
+	TAILQ_HEAD(service_endpoint_list, known_endpoint) endpoints;
+} service_t;
+
 /* The last change of an endpoint. */
 typedef struct {
 	guint64 number; /* 0 for entries of the first list */
@@ -13,6 +21,8 @@
 
 typedef struct known_endpoint {
 	TAILQ_ENTRY(known_endpoint) link;
+	TAILQ_ENTRY(known_endpoint) service_link;
+	service_t *service; /* NULL until the entry is set */
 	catalogue_entry_t entry;
 	GTimeSpan warmup_until;
 	gboolean listed; /* seen in the list being read */
@@ -27,23 +37,17 @@
 	change_stamp_t stamp;
 } removal_t;
 
-typedef struct service {
-	TAILQ_ENTRY(service) link;
-	char name[SCHEMA_NAME_MAX + 1];
-	gboolean changed;
-} service_t;
-
 struct catalogue {
 	catalogue_events_t events;
 	gboolean contact_lost; /* neither store nor peers send changes */
 	GTimeSpan delay_removals_until; /* instant */
 	gboolean first_list_read;
 	guint64 last_change;
-	guint count;
 	GHashTable *by_id; /* id -> known_endpoint_t */
 	TAILQ_HEAD(endpoint_list, known_endpoint) endpoints;
 	TAILQ_HEAD(removal_list, removal) removals; /* oldest first */
 	TAILQ_HEAD(service_list, service) services;
+	GHashTable *services_by_name; /* name -> service_t */
 };
 
 catalogue_t *catalogue_new(const catalogue_events_t *events)
@@ -55,6 +59,7 @@
 	TAILQ_INIT(&catalogue->endpoints);
 	TAILQ_INIT(&catalogue->removals);
 	TAILQ_INIT(&catalogue->services);
+	catalogue->services_by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	return catalogue;
 }
 
@@ -78,27 +83,49 @@
 	return stamp;
 }
 
-static void mark_service_changed(catalogue_t *catalogue, const char *name)
+static service_t *get_service(catalogue_t *catalogue, const char *name)
 {
-	service_t *service;
+	service_t *service =
+		g_hash_table_lookup(catalogue->services_by_name, name);
 
-	TAILQ_FOREACH (service, &catalogue->services, link)
-		if (strcmp(service->name, name) == 0) {
-			service->changed = TRUE;
-			return;
-		}
+	if (service)
+		return service;
 	service = g_new0(service_t, 1);
 	g_strlcpy(service->name, name, sizeof(service->name));
-	service->changed = TRUE;
+	TAILQ_INIT(&service->endpoints);
 	TAILQ_INSERT_TAIL(&catalogue->services, service, link);
+	g_hash_table_insert(catalogue->services_by_name, service->name,
+			    service);
+	return service;
+}
+
+/* Adds the endpoint to the service in place of its former one; both change. */
+static void set_service(known_endpoint_t *endpoint, service_t *service)
+{
+	service_t *former = endpoint->service;
+
+	if (former)
+		former->changed = TRUE;
+	if (service)
+		service->changed = TRUE;
+	if (former == service)
+		return;
+	if (former) {
+		TAILQ_REMOVE(&former->endpoints, endpoint, service_link);
+		former->count--;
+	}
+	endpoint->service = service;
+	if (!service)
+		return;
+	TAILQ_INSERT_TAIL(&service->endpoints, endpoint, service_link);
+	service->count++;
 }
 
 static void endpoint_free(catalogue_t *catalogue, known_endpoint_t *endpoint)
 {
-	mark_service_changed(catalogue, endpoint->entry.service);
+	set_service(endpoint, NULL);
 	g_hash_table_remove(catalogue->by_id, endpoint->entry.info.id);
 	TAILQ_REMOVE(&catalogue->endpoints, endpoint, link);
-	catalogue->count--;
 	g_free(endpoint);
 }
 
@@ -147,6 +174,7 @@
 		removal_free(catalogue, TAILQ_FIRST(&catalogue->removals));
 	TAILQ_FOREACH_SAFE (service, &catalogue->services, link, next)
 		g_free(service);
+	g_hash_table_destroy(catalogue->services_by_name);
 	g_hash_table_destroy(catalogue->by_id);
 	g_free(catalogue);
 }
@@ -167,7 +195,6 @@
 	TAILQ_INSERT_TAIL(&catalogue->endpoints, endpoint, link);
 	g_hash_table_insert(catalogue->by_id, endpoint->entry.info.id,
 			    endpoint);
-	catalogue->count++;
 	return endpoint;
 }
 
@@ -183,11 +210,9 @@
 
 	if (removal)
 		removal_free(catalogue, removal);
-	if (endpoint)
-		mark_service_changed(catalogue, endpoint->entry.service);
-	else
+	if (!endpoint)
 		endpoint = add_endpoint(catalogue, entry->info.id);
-	mark_service_changed(catalogue, entry->service);
+	set_service(endpoint, get_service(catalogue, entry->service));
 	if (!same)
 		endpoint->stamp = next_stamp(catalogue, source, now);
 	endpoint->entry = *entry;
@@ -235,7 +260,7 @@
 		return;
 	endpoint->remove_at = until;
 	endpoint->stamp = next_stamp(catalogue, source, now);
-	mark_service_changed(catalogue, endpoint->entry.service);
+	endpoint->service->changed = TRUE;
 	report_leaving(catalogue, &endpoint->entry, CATALOGUE_DOUBTFUL, source);
 }
 
@@ -439,13 +464,11 @@
 static void report_service(catalogue_t *catalogue, const service_t *service,
 			   GTimeSpan now)
 {
-	endpoint_info_t *infos = g_new0(endpoint_info_t, catalogue->count);
+	endpoint_info_t *infos = g_new0(endpoint_info_t, service->count);
 	const known_endpoint_t *endpoint;
 	gsize count = 0;
 
-	TAILQ_FOREACH (endpoint, &catalogue->endpoints, link) {
-		if (strcmp(endpoint->entry.service, service->name) != 0)
-			continue;
+	TAILQ_FOREACH (endpoint, &service->endpoints, service_link) {
 		infos[count] = endpoint->entry.info;
 		infos[count].start_time = endpoint->entry.start_time;
 		infos[count].doubtful = endpoint->remove_at != 0;
@@ -474,11 +497,12 @@
 		}
 }
 
-void catalogue_report_all(catalogue_t *catalogue)
+void catalogue_report(catalogue_t *catalogue, const char *name)
 {
-	service_t *service;
+	service_t *service =
+		g_hash_table_lookup(catalogue->services_by_name, name);
 
-	TAILQ_FOREACH (service, &catalogue->services, link)
+	if (service)
 		service->changed = TRUE;
 }
 
--- a/lib/catalogue/catalogue.h
+++ b/lib/catalogue/catalogue.h
@@ -167,10 +167,10 @@
 void catalogue_tick(catalogue_t *catalogue, GTimeSpan now);
 
 /*
- * Makes the next tick report all services, for a configuration that has come
- * into force.
+ * Makes the next tick report the service, if it is known: for a configuration
+ * that declares it anew.
  */
-void catalogue_report_all(catalogue_t *catalogue);
+void catalogue_report(catalogue_t *catalogue, const char *service);
 
 /* Instant of the next delayed removal, CATK_NEVER for none. */
 GTimeSpan catalogue_next_wakeup(const catalogue_t *catalogue);
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -202,6 +202,7 @@
 	const schema_t *schema = config_schema(entry->config);
 	const schema_service_t *declared;
 	entry_service_t *service;
+	gboolean was_known;
 
 	TAILQ_FOREACH (service, &entry->services, link)
 		service->declared = FALSE;
@@ -213,9 +214,15 @@
 		upstream_configure(service->upstream, declared,
 				   entry_now(entry));
 		admission_configure(service->admission, schema);
-		if (!declared->instance_list)
+		was_known = service->from_catalogue;
+		service->from_catalogue = declared->instance_list != NULL;
+		if (!service->from_catalogue)
 			set_configured_endpoints(entry, service, declared);
+		else if (!was_known)
+			catalogue_report(entry->catalogue, declared->name);
 	}
+	TAILQ_FOREACH (service, &entry->services, link)
+		service->from_catalogue &= service->declared;
 	route_splits_configure(entry->splits, schema);
 	route_deadlines_configure(entry->deadlines, schema);
 }
@@ -235,7 +242,6 @@
 				entry->limits.evacuation_bound;
 		configure_services(entry);
 		entry_log_config(entry);
-		catalogue_report_all(entry->catalogue);
 		subscription_notify_all(entry->subscription);
 		entry_endpoints_changed(entry);
 		entry_route_startup_requests(entry);
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -27,6 +27,7 @@
 	upstream_t *upstream;
 	admission_t *admission;
 	gboolean declared; /* in the schema in force, otherwise draining */
+	gboolean from_catalogue; /* declared, with endpoints from there */
 	retry_budget_t retry_budget;
 	/* Calls that wait for probes, ordered by the end of the wait. */
 	TAILQ_HEAD(probe_wait_list, call) awaiting_probes;
--- a/tests/test_discovery.c
+++ b/tests/test_discovery.c
@@ -188,6 +188,40 @@
 	assert_int_equal(config_seen_version(entry_config(f->entry)), 2);
 }
 
+static void put_endpoint(const fixture_t *f, const char *id)
+{
+	catalogue_entry_t entry = {
+		.service = "s",
+		.revision = 1,
+		.info = { .address = "127.0.0.1:1", .slots = 1 },
+	};
+
+	g_strlcpy(entry.info.id, id, sizeof(entry.info.id));
+	catalogue_put(entry_catalogue(f->entry), &entry,
+		      catk_clock_now(&system_clock));
+	entry_endpoints_changed(f->entry);
+}
+
+/* Fails if a service that is declared anew gets endpoints of an older list. */
+static void declared_service_gets_its_endpoints(void **state)
+{
+	static const char without[] = "{\"version\":\"r2\",\"resources\":[]}";
+	fixture_t *f = *state;
+	GBytes *document = g_bytes_new_static(without, strlen(without));
+
+	put_endpoint(f, "i-1");
+	assert_false(offer(f, 1, 1, "s"));
+	assert_non_null(entry_endpoint_address(f->entry, "s", "i-1"));
+	assert_false(discovery_activate_config(f->discovery, document));
+	g_bytes_unref(document);
+	assert_int_equal(version_in_force(f), 2);
+	put_endpoint(f, "i-2");
+	assert_null(entry_endpoint_address(f->entry, "s", "i-2"));
+	assert_false(offer(f, 3, 1, "s"));
+	assert_non_null(entry_endpoint_address(f->entry, "s", "i-1"));
+	assert_non_null(entry_endpoint_address(f->entry, "s", "i-2"));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -199,6 +233,8 @@
 		cmocka_unit_test_setup_teardown(
 			version_replaced_by_an_invalid_one_is_used, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			declared_service_gets_its_endpoints, set_up, tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
