Drop requests of clients that left while the process stood still

After a pause, the main loop handled events in the order of its sources: endpoints' answers and the timer could send a queued request on before the end of its client's connection was read, and a request that waited in the kernel was read and sent on before the end behind it.

A source above all others notices the pause and looks at the connections of all requests in progress first; each request that is read is dropped if its client has closed already. This costs one poll() a request.

Deadlines were checked before.

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -279,12 +279,22 @@
 		       BODY_REFUSED_HEADERS);
 }
 
+/*
+ * A request may have waited in the kernel while this process stood still. It is
+ * dropped if its client has left meanwhile.
+ */
 static void dispatch_request(connection_t *connection)
 {
 	const http_server_events_t *events = &connection->server->events;
-	http_message_t *request = http_message_parser_take(connection->parser);
-	http_exchange_t *exchange = add_exchange(connection, request);
+	http_message_t *request;
+	http_exchange_t *exchange;
 
+	if (stream_peer_has_closed(connection->stream)) {
+		connection_close(connection);
+		return;
+	}
+	request = http_message_parser_take(connection->parser);
+	exchange = add_exchange(connection, request);
 	exchange->body_held = connection->body_held;
 	connection->body_held = 0;
 	if (!request->keep_alive)
@@ -444,6 +454,16 @@
 	return G_SOURCE_CONTINUE;
 }
 
+void http_server_close_disconnected(http_server_t *server)
+{
+	connection_t *connection, *next;
+
+	TAILQ_FOREACH_SAFE (connection, &server->connections, link, next)
+		if (connection->exchange_count &&
+		    stream_peer_has_closed(connection->stream))
+			connection_close(connection);
+}
+
 /* TRUE while a response is pending, or may not have reached the client. */
 static gboolean is_busy(const connection_t *connection)
 {
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -67,6 +67,14 @@
  */
 void http_server_stop(http_server_t *server);
 
+/*
+ * Reports the disconnection of the clients that have closed their connections
+ * and whose requests are in progress. Otherwise the main loop reports it in the
+ * order of its sources, after other events that may send a request on. Must not
+ * be called from a callback.
+ */
+void http_server_close_disconnected(http_server_t *server);
+
 /*
  * TRUE when no connection is open: after a stop, when the requests that have
  * begun are answered and the clients have read the answers.
--- a/net/proxy.c
+++ b/net/proxy.c
@@ -337,6 +337,11 @@
 	http_server_stop(proxy->server);
 }
 
+void proxy_close_disconnected(proxy_t *proxy)
+{
+	http_server_close_disconnected(proxy->server);
+}
+
 gboolean proxy_is_idle(const proxy_t *proxy)
 {
 	return http_server_is_idle(proxy->server);
--- a/net/proxy.h
+++ b/net/proxy.h
@@ -94,6 +94,9 @@
 /* See http_server_stop(). */
 void proxy_stop(proxy_t *proxy);
 
+/* See http_server_close_disconnected(). */
+void proxy_close_disconnected(proxy_t *proxy);
+
 /* See http_server_is_idle(). */
 gboolean proxy_is_idle(const proxy_t *proxy);
 
--- a/net/stream.c
+++ b/net/stream.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include "lib/common/intrusive.h"
@@ -347,6 +348,16 @@
 	       g_socket_condition_check(stream->socket, G_IO_IN) != 0;
 }
 
+gboolean stream_peer_has_closed(const stream_t *stream)
+{
+	struct pollfd socket = { .fd = socket_fd(stream), .events = POLLRDHUP };
+
+	if (stream->ended)
+		return TRUE;
+	return poll(&socket, 1, 0) > 0 &&
+	       (socket.revents & (POLLRDHUP | POLLHUP | POLLERR));
+}
+
 guint64 stream_bytes_sent(const stream_t *stream)
 {
 	return stream->bytes_sent;
--- a/net/stream.h
+++ b/net/stream.h
@@ -62,6 +62,12 @@
 /* TRUE if data, or the end of the stream, waits to be read. */
 gboolean stream_has_input(const stream_t *stream);
 
+/*
+ * TRUE if the peer has closed its sending side or reset the connection, also
+ * while data from it waits to be read.
+ */
+gboolean stream_peer_has_closed(const stream_t *stream);
+
 /* Bytes passed to the kernel since the stream was created. */
 guint64 stream_bytes_sent(const stream_t *stream);
 
--- a/programs/daemon.c
+++ b/programs/daemon.c
@@ -30,6 +30,11 @@
  * Endpoints close a connection after 10 s.
  */
 #define PREFERRED_IDLE_TIMEOUT (8 * G_TIME_SPAN_SECOND)
+/*
+ * Time between two iterations of the main loop after which the process counts as
+ * having stood still. The entry wakes the loop every 50 ms.
+ */
+#define STALL_MIN (75 * G_TIME_SPAN_MILLISECOND)
 
 typedef struct {
 	const settings_t *settings;
@@ -50,6 +55,7 @@
 	proxy_t *proxy; /* NULL without a proxy address */
 	platform_t *platform; /* NULL without a metadata store */
 	GSource *entry_timer;
+	GSource *stall_detector;
 	/* When entry_is_shutdown_complete() first returned TRUE, 0 before. */
 	GTimeSpan shutdown_completed_at;
 	const daemon_reload_t *reload;
@@ -140,6 +146,44 @@
 	.dispatch = entry_source_dispatch,
 };
 
+/* Its priority is above that of all others, which wait for its dispatch. */
+typedef struct {
+	GSource source;
+	daemon_t *daemon;
+	GTimeSpan last_iteration; /* instant */
+} stall_source_t;
+
+static gboolean stall_source_check(GSource *source)
+{
+	stall_source_t *detector = (stall_source_t *)source;
+	GTimeSpan now = catk_clock_now(&system_clock);
+	gboolean stalled = now - detector->last_iteration > STALL_MIN;
+
+	detector->last_iteration = now;
+	return stalled;
+}
+
+/*
+ * Requests whose clients left while the process stood still must not be sent on
+ * by an event that is handled before the end of their connections.
+ */
+static gboolean stall_source_dispatch(GSource *source, GSourceFunc callback,
+				      gpointer data)
+{
+	daemon_t *daemon = ((stall_source_t *)source)->daemon;
+
+	(void)callback;
+	(void)data;
+	if (daemon->proxy)
+		proxy_close_disconnected(daemon->proxy);
+	return G_SOURCE_CONTINUE;
+}
+
+static GSourceFuncs stall_source_funcs = {
+	.check = stall_source_check,
+	.dispatch = stall_source_dispatch,
+};
+
 static void on_answer(void *ctx, void *caller_ref, const call_answer_t *answer)
 {
 	daemon_t *daemon = ctx;
@@ -433,10 +477,23 @@
 	g_source_attach(daemon->entry_timer, NULL);
 }
 
-static void remove_entry_timer(daemon_t *daemon)
+static void add_stall_detector(daemon_t *daemon)
+{
+	stall_source_t *detector;
+
+	daemon->stall_detector =
+		g_source_new(&stall_source_funcs, sizeof(stall_source_t));
+	detector = (stall_source_t *)daemon->stall_detector;
+	detector->daemon = daemon;
+	detector->last_iteration = catk_clock_now(&system_clock);
+	g_source_set_priority(daemon->stall_detector, G_PRIORITY_HIGH);
+	g_source_attach(daemon->stall_detector, NULL);
+}
+
+static void remove_source(GSource *source)
 {
-	g_source_destroy(daemon->entry_timer);
-	g_source_unref(daemon->entry_timer);
+	g_source_destroy(source);
+	g_source_unref(source);
 }
 
 gboolean daemon_run(const settings_t *settings, const daemon_reload_t *reload,
@@ -474,6 +531,7 @@
 			settings, daemon.object_api, daemon.entry);
 	}
 	add_entry_timer(&daemon);
+	add_stall_detector(&daemon);
 	LOG_EVENT(&daemon.log, "started",
 		  LOG_TEXT("instance", settings->instance),
 		  LOG_TEXT("data_centre", settings->data_centre),
@@ -483,7 +541,8 @@
 					    ""));
 	g_main_loop_run(daemon.loop);
 	end_shutdown(&daemon);
-	remove_entry_timer(&daemon);
+	remove_source(daemon.entry_timer);
+	remove_source(daemon.stall_detector);
 	LOG_EVENT(&daemon.log, "stopped",
 		  LOG_TEXT("instance", settings->instance));
 	ok = TRUE;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1638,6 +1638,95 @@
 	assert_int_equal(request_status(f, "GET", "/safe/1"), 200);
 }
 
+#define STALL_MS 2000
+#define STALL_FILLERS 6 /* as many as the endpoints run at once */
+#define STALL_REQUESTS 12 /* of each kind below */
+
+static gboolean has_run(const fixture_t *f, guint number)
+{
+	(void)f;
+	return count_at_endpoints(number) > 0;
+}
+
+/* Opens connections and sends a request on each, if path is not NULL. */
+static void open_connections(fixture_t *f, GSocketConnection **connections,
+			     guint count, const char *method, const char *path)
+{
+	guint i;
+
+	for (i = 0; i < count; i++) {
+		char *request;
+
+		connections[i] = open_connection(test_port(PROXY_PORT));
+		if (!path)
+			continue;
+		request = request_text(f, method, path, "");
+		send_bytes(connections[i], request);
+		g_free(request);
+	}
+}
+
+static void close_connections(GSocketConnection **connections, guint count)
+{
+	guint i;
+
+	for (i = 0; i < count; i++) {
+		g_io_stream_close(G_IO_STREAM(connections[i]), NULL, NULL);
+		g_object_unref(connections[i]);
+	}
+}
+
+/*
+ * Fails if a process that stood still sends on requests whose clients have
+ * closed their connections meanwhile: requests that waited in its queue, and
+ * requests that it had not read.
+ */
+static void requests_of_clients_gone_in_a_stall_do_not_run(void **state)
+{
+	static const char route[] =
+		"{\"entry_kind\":\"routes\",\"metadata\":{\"name\":\"stall\"},"
+		"\"spec\":{\"host\":\"a.example\",\"path_prefix\":\"/stall/\","
+		"\"route_type\":\"unsafe\",\"timeout_ms\":10000,"
+		"\"priority\":1,\"max_attempts\":1,\"service\":\"s\"}},";
+	fixture_t *f = *state;
+	GSocketConnection *fillers[STALL_FILLERS];
+	GSocketConnection *queued[STALL_REQUESTS], *unread[STALL_REQUESTS];
+	gboolean ran[2 * STALL_REQUESTS + 1];
+	guint first, i, waiting = 0, sent_on = 0;
+
+	put_config(8, route);
+	run_loop_for(1000);
+	assert_int_equal(request_status(f, "PUT", "/stall/1"), 200);
+	open_connections(f, unread, STALL_REQUESTS, NULL, NULL);
+	open_connections(f, fillers, STALL_FILLERS, "GET", "/stall/long");
+	run_loop_for(100);
+	first = f->requests + 1;
+	open_connections(f, queued, STALL_REQUESTS, "PUT", "/stall/queued");
+	run_loop_for(100);
+	process_signal(f->daemon, SIGSTOP);
+	for (i = 0; i < STALL_REQUESTS; i++) {
+		char *request = request_text(f, "PUT", "/stall/unread", "");
+
+		send_bytes(unread[i], request);
+		g_free(request);
+	}
+	for (i = 0; i < 2 * STALL_REQUESTS; i++) {
+		ran[i] = has_run(f, first + i);
+		waiting += !ran[i];
+	}
+	close_connections(queued, STALL_REQUESTS);
+	close_connections(unread, STALL_REQUESTS);
+	run_loop_for(STALL_MS);
+	process_signal(f->daemon, SIGCONT);
+	run_loop_for(STALL_MS);
+	for (i = 0; i < 2 * STALL_REQUESTS; i++)
+		sent_on += !ran[i] && has_run(f, first + i);
+	close_connections(fillers, STALL_FILLERS);
+	assert_true(waiting > STALL_REQUESTS);
+	assert_int_equal(sent_on, 0);
+	assert_int_equal(request_status(f, "GET", "/safe/1"), 200);
+}
+
 /*
  * Fails if the metrics lack a counter, a latency, the age of the state, or how
  * late news of members came.
@@ -1693,6 +1782,7 @@
 		TEST(caller_disconnect_cancels_its_request),
 		TEST(malformed_requests_are_rejected),
 		TEST(slow_sender_gets_timeout_status),
+		TEST(requests_of_clients_gone_in_a_stall_do_not_run),
 		TEST(config_is_applied_and_not_reverted),
 		TEST(service_continues_during_store_outage),
 		TEST(unanswered_watch_is_replaced),
