--- a/lib/config/config.c
+++ b/lib/config/config.c
@@ -1,10 +1,14 @@
 #include "lib/config/config.h"
 
+/* Routes freed in one step, which takes less than 0.5 ms. */
+#define FREED_ROUTES_MAX 500
+
 struct config {
 	counters_t *counters;
 	guint64 version; /* in force, 0 for none */
 	guint64 highest_rejected; /* highest invalid version, 0 for none */
 	schema_t *schema;
+	schema_t *replaced; /* not used any more, NULL once it is freed */
 	GBytes *document;
 };
 
@@ -21,6 +25,7 @@
 	if (!config)
 		return;
 	schema_free(config->schema);
+	schema_free(config->replaced);
 	g_clear_pointer(&config->document, g_bytes_unref);
 	g_free(config);
 }
@@ -32,7 +37,8 @@
 		schema_free(schema);
 		return CONFIG_STALE;
 	}
-	schema_free(config->schema);
+	schema_free(config->replaced);
+	config->replaced = config->schema;
 	g_clear_pointer(&config->document, g_bytes_unref);
 	config->version = version;
 	config->schema = schema;
@@ -41,6 +47,13 @@
 	return CONFIG_ACTIVATED;
 }
 
+void config_free_replaced(config_t *config)
+{
+	if (config->replaced &&
+	    !schema_free_some_routes(config->replaced, FREED_ROUTES_MAX))
+		g_clear_pointer(&config->replaced, schema_free);
+}
+
 void config_reject(config_t *config, guint64 version)
 {
 	if (version <= config_seen_version(config))
--- a/lib/config/config.h
+++ b/lib/config/config.h
@@ -31,6 +31,12 @@
 config_activate_result_t config_activate(config_t *config, guint64 version,
 					 schema_t *schema, GBytes *document);
 
+/*
+ * Frees a part of the schema that was in force before, which takes
+ * milliseconds for thousands of routes. To be called from time to time.
+ */
+void config_free_replaced(config_t *config);
+
 /*
  * Records that a stored version is invalid. It is counted once and does not
  * come into force; later versions are not affected.
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -487,6 +487,7 @@
 	entry->next_housekeeping =
 		entry_now(entry) + ENTRY_HOUSEKEEPING_INTERVAL;
 	request_ids_expire(entry->ids, entry_now(entry));
+	config_free_replaced(entry->config);
 	distribute_fleet_limits(entry);
 	entry_subscription_tick(entry);
 	TAILQ_FOREACH (service, &entry->services, link) {
--- a/lib/schema/schema.h
+++ b/lib/schema/schema.h
@@ -109,6 +109,12 @@
 /* Frees the schema with all its declarations. NULL is allowed. */
 void schema_free(schema_t *schema);
 
+/*
+ * Frees up to max routes of a schema that is not used any more, except for
+ * schema_free(). Returns FALSE if no routes are left.
+ */
+gboolean schema_free_some_routes(schema_t *schema, guint max);
+
 /*
  * Appends a priority that is less urgent than all before it. Returns FALSE with
  * CATK_INVALID_ARGUMENT for an invalid or repeated name, a floor_percent above
--- a/lib/schema/schema_route.c
+++ b/lib/schema/schema_route.c
@@ -28,6 +28,13 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
+gboolean schema_free_some_routes(schema_t *schema, guint max)
+{
+	for (; max > 0 && !TAILQ_EMPTY(&schema->routes); max--)
+		route_free(schema, TAILQ_FIRST(&schema->routes));
+	return !TAILQ_EMPTY(&schema->routes);
+}
+
 void schema_free_routes(schema_t *schema)
 {
 	g_hash_table_destroy(schema->routes_by_name);
--- a/tests/test_schema_route.c
+++ b/tests/test_schema_route.c
@@ -120,6 +120,20 @@
 	schema_free(schema);
 }
 
+/* Fails if a schema of which a part is freed cannot be freed. */
+static void routes_are_freed_in_parts(void **state)
+{
+	schema_t *schema = new_schema();
+
+	(void)state;
+	assert_non_null(add_route(schema, "a", "a.example", "/x/"));
+	assert_non_null(add_route(schema, "b", "a.example", "/y/"));
+	assert_non_null(add_route(schema, "c", "a.example", "/z/"));
+	assert_true(schema_free_some_routes(schema, 2));
+	assert_false(schema_free_some_routes(schema, 2));
+	schema_free(schema);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -127,6 +141,7 @@
 		cmocka_unit_test(lookup_scales_to_many_routes),
 		cmocka_unit_test(invalid_routes_are_refused),
 		cmocka_unit_test(targets_must_be_declared),
+		cmocka_unit_test(routes_are_freed_in_parts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
