--- a/bench/bench_config.c
+++ b/bench/bench_config.c
@@ -12,6 +12,7 @@
 
 #include "bench/cpu_time.h"
 #include "codec/deflate.h"
+#include "codec/json_untrusted.h"
 #include "lib/entry/entry.h"
 #include "lib/route/route_deadline.h"
 #include "lib/route/route_split.h"
@@ -358,11 +359,56 @@
 	return (cpu_time_ns() - start) / 1e6;
 }
 
+/* An answer of the store that lists all endpoints. */
+static GBytes *new_endpoint_list(void)
+{
+	GString *text = g_string_new("{\"items\":[");
+	guint i;
+
+	for (i = 0; i < ENDPOINTS; i++)
+		g_string_append_printf(
+			text,
+			"%s{\"kind\":\"servers\",\"metadata\":{\"name\":"
+			"\"endpoint-%u\",\"revision\":%u},\"spec\":{"
+			"\"service\":\"service-0\",\"address\":"
+			"\"127.0.0.1:%u\",\"zone\":\"z\",\"version\":\"v1\","
+			"\"max_concurrency\":2,\"state\":\"ready\","
+			"\"warmup_left_ms\":0,\"sequence\":4,\"born\":5}}",
+			i ? "," : "", i, i + 1, i + 1);
+	g_string_append(text, "],\"more\":false,\"as_of\":7}");
+	return g_string_free_to_bytes(text);
+}
+
+/* Parses the list and decodes its elements, as one step of the loop does. */
+static double read_list_ms(GBytes *list)
+{
+	catalogue_entry_t *entry = g_new0(catalogue_entry_t, 1);
+	gsize size;
+	const char *text = g_bytes_get_data(list, &size);
+	double start = cpu_time_ns();
+	JsonNode *root = json_parse_untrusted(text, size, NULL);
+	JsonArray *items = json_object_get_array_member(
+		json_node_get_object(root), "items");
+	guint i;
+
+	for (i = 0; i < json_array_get_length(items); i++)
+		g_assert_true(decode_endpoint(
+			"endpoint",
+			json_object_get_member(
+				json_array_get_object_element(items, i),
+				"spec"),
+			entry, NULL));
+	json_node_unref(root);
+	g_free(entry);
+	return (cpu_time_ns() - start) / 1e6;
+}
+
 static void measure_endpoints(void)
 {
 	GBytes *document = new_document(ROUTES_PER_SERVICE);
 	endpoint_info_t *infos = g_new0(endpoint_info_t, ENDPOINTS);
-	double first = 0, next = 0;
+	GBytes *list = new_endpoint_list();
+	double first = 0, next = 0, read = 0;
 	bench_t bench;
 	guint i;
 
@@ -374,10 +420,13 @@
 				      read_schema(&bench, document), document);
 		first += set_endpoints_ms(&bench, infos);
 		next += set_endpoints_ms(&bench, infos);
+		read += read_list_ms(list);
 		entry_free(bench.entry);
 	}
 	printf("%-30s %9.3f\n", "set new endpoints, 2,000", first / RUNS);
 	printf("%-30s %9.3f\n", "set known endpoints, 2,000", next / RUNS);
+	printf("%-30s %9.3f\n", "read a list, 2,000 endpoints", read / RUNS);
+	g_bytes_unref(list);
 	g_rand_free(bench.random);
 	g_free(infos);
 	g_bytes_unref(document);
