--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -30,6 +30,7 @@
 	entry_subscription_init(entry);
 	entry->ids = request_ids_new(&limits->request_ids, counters);
 	TAILQ_INIT(&entry->services);
+	entry->services_by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	TAILQ_INIT(&entry->calls);
 	entry->calls_by_sequence =
 		g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -61,6 +62,8 @@
 
 static void service_free(entry_t *entry, entry_service_t *service)
 {
+	g_hash_table_remove(entry->services_by_name,
+			    upstream_service(service->upstream));
 	TAILQ_REMOVE(&entry->services, service, link);
 	admission_free(service->admission);
 	upstream_free(service->upstream);
@@ -75,6 +78,7 @@
 	startup_queue_clear(&entry->startup_queue);
 	while (!TAILQ_EMPTY(&entry->services))
 		service_free(entry, TAILQ_FIRST(&entry->services));
+	g_hash_table_destroy(entry->services_by_name);
 	g_hash_table_destroy(entry->calls_by_sequence);
 	g_hash_table_destroy(entry->calls_by_attempt);
 	g_hash_table_destroy(entry->calls_by_ref);
@@ -90,12 +94,7 @@
 
 entry_service_t *entry_find_service(entry_t *entry, const char *name)
 {
-	entry_service_t *service;
-
-	TAILQ_FOREACH (service, &entry->services, link)
-		if (strcmp(upstream_service(service->upstream), name) == 0)
-			return service;
-	return NULL;
+	return g_hash_table_lookup(entry->services_by_name, name);
 }
 
 static gboolean is_evacuated(void *ctx, const char *data_centre)
@@ -174,6 +173,9 @@
 	retry_budget_init(&service->retry_budget, entry->limits.retry_percent);
 	TAILQ_INIT(&service->awaiting_probes);
 	TAILQ_INSERT_TAIL(&entry->services, service, link);
+	g_hash_table_insert(entry->services_by_name,
+			    (gpointer)upstream_service(service->upstream),
+			    service);
 	return service;
 }
 
@@ -202,6 +204,7 @@
 	const schema_t *schema = config_schema(entry->config);
 	const schema_service_t *declared;
 	entry_service_t *service;
+	gboolean was_known;
 
 	TAILQ_FOREACH (service, &entry->services, link)
 		service->declared = FALSE;
@@ -213,9 +216,15 @@
 		upstream_configure(service->upstream, declared,
 				   entry_now(entry));
 		admission_configure(service->admission, schema);
-		if (!declared->instance_list)
+		was_known = service->from_catalogue;
+		service->from_catalogue = declared->instance_list != NULL;
+		if (!service->from_catalogue)
 			set_configured_endpoints(entry, service, declared);
+		else if (!was_known)
+			catalogue_report(entry->catalogue, declared->name);
 	}
+	TAILQ_FOREACH (service, &entry->services, link)
+		service->from_catalogue &= service->declared;
 	route_splits_configure(entry->splits, schema);
 	route_deadlines_configure(entry->deadlines, schema);
 }
@@ -251,7 +260,6 @@
 		configure_services(entry);
 		configure_limits(entry);
 		entry_log_config(entry);
-		catalogue_report_all(entry->catalogue);
 		subscription_notify_all(entry->subscription);
 		entry_endpoints_changed(entry);
 		entry_route_startup_requests(entry);
@@ -520,6 +528,7 @@
 	entry->next_housekeeping =
 		entry_now(entry) + ENTRY_HOUSEKEEPING_INTERVAL;
 	request_ids_expire(entry->ids, entry_now(entry));
+	config_free_replaced(entry->config);
 	distribute_fleet_limits(entry);
 	entry_subscription_tick(entry);
 	TAILQ_FOREACH (service, &entry->services, link) {
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -28,6 +28,7 @@
 	upstream_t *upstream;
 	admission_t *admission;
 	gboolean declared; /* in the schema in force, otherwise draining */
+	gboolean from_catalogue; /* declared, with endpoints from there */
 	retry_budget_t retry_budget;
 	/* Calls that wait for probes, ordered by the end of the wait. */
 	TAILQ_HEAD(probe_wait_list, call) awaiting_probes;
@@ -49,6 +50,7 @@
 	guint resolve_offset; /* rotates the resolved addresses */
 	request_ids_t *ids;
 	TAILQ_HEAD(entry_service_list, entry_service) services;
+	GHashTable *services_by_name; /* name -> entry_service_t */
 
 	startup_queue_t startup_queue; /* until the first configuration */
 	TAILQ_HEAD(call_list, call) calls; /* earliest deadline first */
