Decide crossings by spillover where a price is set

With crossing_price_percent above 0 each service has a spillover_t, which decides from which instant a call may be sent to another data centre; without it the fixed rules stay as they are. The counter attempts_in_other_data_centres counts the attempts there, the dump shows the share and its inputs.

--- a/lib/call/call.h
+++ b/lib/call/call.h
@@ -83,6 +83,7 @@
 	char *log_name; /* identifies the request in logs */
 	gboolean routed; /* matched a route: forwarded without translation */
 	GTimeSpan objective; /* instant, 0 for none */
+	GTimeSpan ready; /* instant at which its first placing began */
 	/* Instant from which endpoints in other data centres are allowed. */
 	GTimeSpan remote_allowed_at;
 	/* Instant from which an outdated load report is sufficient. */
--- a/lib/common/counters.h
+++ b/lib/common/counters.h
@@ -22,6 +22,7 @@
 	X(ATTEMPTS_RETRIED, "attempts_retried", "attempts")                  \
 	X(ATTEMPTS_COLD, "attempts_at_cold_endpoints", "attempts")           \
 	X(ATTEMPTS_PREFERRED, "attempts_at_preferred_endpoints", "attempts") \
+	X(ATTEMPTS_REMOTE, "attempts_in_other_data_centres", "attempts")     \
 	X(ATTEMPTS_SHED, "attempts_shed_by_upstream", "attempts")            \
 	X(ATTEMPTS_FAILED, "attempts_failed", "attempts")                    \
 	X(ANSWERS_DROPPED, "answers_dropped", "answers")                     \
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -62,6 +62,7 @@
 {
 	TAILQ_REMOVE(&entry->services, service, link);
 	admission_free(service->admission);
+	spillover_free(service->spillover);
 	upstream_free(service->upstream);
 	g_free(service);
 }
@@ -143,6 +144,11 @@
 static entry_service_t *add_service(entry_t *entry, const char *name)
 {
 	entry_service_t *service = g_new0(entry_service_t, 1);
+	spillover_options_t spillover = {
+		.price_percent = entry->limits.crossing_price_percent,
+		.log = &entry->actions.log,
+		.random = entry->random,
+	};
 	upstream_options_t options = {
 		.policy = entry->limits.routing,
 		.entries_max = entry->limits.entries_max,
@@ -164,6 +170,10 @@
 
 	service->upstream =
 		upstream_new(name, &options, entry->random, entry->counters);
+	spillover.service = upstream_service(service->upstream);
+	if (spillover.price_percent)
+		service->spillover =
+			spillover_new(&spillover, entry_now(entry));
 	service->admission =
 		admission_new(&entry->limits.admission, entry->counters);
 	if (entry->limits.concurrency_max)
@@ -484,6 +494,8 @@
 	TAILQ_FOREACH (service, &entry->services, link) {
 		if (service->declared)
 			send_probes(entry, service);
+		if (service->spillover)
+			spillover_tick(service->spillover, entry_now(entry));
 	}
 }
 
--- a/lib/entry/entry_attempts.c
+++ b/lib/entry/entry_attempts.c
@@ -128,6 +128,9 @@
 	if (call->routed)
 		entry_log_attempt_started(entry, service, call, attempt,
 					  endpoint);
+	if (upstream_is_remote(service->upstream, attempt->endpoint))
+		counters_add(entry->counters, COUNTER_ATTEMPTS_REMOTE, 1);
+	entry_record_spillover_call(service, call, endpoint, now);
 	g_hash_table_insert(entry->calls_by_attempt, &attempt->id, call);
 	upstream_attempt_started(service->upstream, attempt->endpoint, now);
 	admission_attempt_started(service->admission, &call->queue, now);
@@ -398,6 +401,8 @@
 			       result->has_report ? &result->report : NULL,
 			       now);
 	report_to_admission(service, call, result, latency, now);
+	entry_record_spillover_end(service, attempt->endpoint, result->end,
+				   now);
 	entry_learn_service_time(service, call, attempt->endpoint, result,
 				 latency, now);
 	g_hash_table_remove(entry->calls_by_attempt, &attempt->id);
@@ -418,6 +423,8 @@
 
 	if (!service)
 		return;
+	entry_record_spillover_probe(service, endpoint, report,
+				     entry_now(entry));
 	upstream_probe_ended(service->upstream, endpoint, report,
 			     entry_now(entry));
 	entry_probe_wait_report(entry, service, endpoint);
--- a/lib/entry/entry_dump.c
+++ b/lib/entry/entry_dump.c
@@ -92,6 +92,8 @@
 		  admission_limit(service->admission));
 	w->number(w->ctx, "drain_rate_per_second",
 		  admission_drain_rate(service->admission, entry_now(entry)));
+	if (service->spillover)
+		spillover_dump(service->spillover, w, entry_now(entry));
 	w->end_object(w->ctx);
 }
 
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -13,6 +13,7 @@
 #include "lib/route/route_deadline.h"
 #include "lib/route/route_split.h"
 #include "lib/shutdown/shutdown.h"
+#include "lib/spillover/spillover.h"
 
 /*
  * Interval between rounds of request id expiry, distribution of fleet limits
@@ -31,6 +32,7 @@
 	/* Calls that wait for probes, ordered by the end of the wait. */
 	TAILQ_HEAD(probe_wait_list, call) awaiting_probes;
 	GTimeSpan next_refresh; /* of load reports while calls are queued */
+	spillover_t *spillover; /* NULL if fixed rules decide */
 	/* Moving average in microseconds by priority, 0 without a sample. */
 	double service_time[SCHEMA_PRIORITIES_MAX];
 } entry_service_t;
@@ -254,6 +256,19 @@
 /* Removes the call from the calls that wait for probes, if it is one. */
 void entry_probe_wait_end(entry_service_t *service, call_t *call);
 
+/*
+ * Record what spillover to other data centres depends on, if it is in use: a
+ * call that is sent to the endpoint, or refused if that is NULL; the answer to a
+ * probe, NULL if it failed; the end of an attempt.
+ */
+void entry_record_spillover_call(entry_service_t *service, const call_t *call,
+				 const endpoint_t *endpoint, GTimeSpan now);
+void entry_record_spillover_probe(entry_service_t *service,
+				  const char *endpoint,
+				  const load_report_t *report, GTimeSpan now);
+void entry_record_spillover_end(entry_service_t *service, const char *endpoint,
+				attempt_end_t end, GTimeSpan now);
+
 /* The criteria of a call for the selection of its endpoint. */
 upstream_criteria_t entry_call_criteria(const entry_service_t *service,
 					const call_t *call, GTimeSpan now);
--- a/lib/entry/entry_measure.c
+++ b/lib/entry/entry_measure.c
@@ -72,6 +72,50 @@
 	       !upstream_accepts_local_work(service->upstream, now);
 }
 
+void entry_record_spillover_call(entry_service_t *service, const call_t *call,
+				 const endpoint_t *endpoint, GTimeSpan now)
+{
+	const spillover_call_t record = {
+		.wait = now - call->ready,
+		.wait_max = call->queue.latest_start - call->ready,
+		.remote = endpoint && upstream_is_remote(service->upstream,
+							 endpoint_id(endpoint)),
+		.refused = !endpoint,
+		.left_at_once = call->remote_allowed_at == call->ready,
+	};
+
+	/* Second attempts did not wait for an endpoint alone. */
+	if (service->spillover && call->routed &&
+	    call->attempts_started == (endpoint ? 1 : 0) &&
+	    upstream_accepts_local_work(service->upstream, now))
+		spillover_record_call(service->spillover, &record, now);
+}
+
+void entry_record_spillover_probe(entry_service_t *service,
+				  const char *endpoint,
+				  const load_report_t *report, GTimeSpan now)
+{
+	const spillover_probe_t probe = {
+		.remote = upstream_is_remote(service->upstream, endpoint),
+		.has_capacity = report && load_report_shows_capacity(report),
+		.round_trip =
+			upstream_probe_age(service->upstream, endpoint, now),
+	};
+
+	if (service->spillover && probe.round_trip >= 0)
+		spillover_record_probe(service->spillover, &probe, now);
+}
+
+void entry_record_spillover_end(entry_service_t *service, const char *endpoint,
+				attempt_end_t end, GTimeSpan now)
+{
+	if (service->spillover &&
+	    (end == ATTEMPT_SHED || end == ATTEMPT_SILENT ||
+	     end == ATTEMPT_FAILED) &&
+	    upstream_is_remote(service->upstream, endpoint))
+		spillover_record_remote_refusal(service->spillover, now);
+}
+
 upstream_criteria_t entry_call_criteria(const entry_service_t *service,
 					const call_t *call, GTimeSpan now)
 {
@@ -158,14 +202,15 @@
 /* Refuses a routed call that found no endpoint with capacity in time. */
 static void refuse_no_capacity(entry_t *entry, call_t *call)
 {
+	entry_service_t *service = entry_find_service(entry, call->service);
 	catk_error_t error;
 
+	entry_record_spillover_call(service, call, NULL, entry_now(entry));
 	catk_error_set(&error, CATK_OVERLOADED, OUTCOME_NOT_RUN,
 		       "no endpoint of %.64s had capacity in time: retry "
 		       "after the given time",
 		       call->service);
-	error.retry_after = entry_retry_after(
-		entry, entry_find_service(entry, call->service), call, FALSE);
+	error.retry_after = entry_retry_after(entry, service, call, FALSE);
 	entry_finish_refused(entry, call, &error);
 }
 
@@ -296,6 +341,19 @@
 		   LOCAL_WAIT_MAX);
 }
 
+static GTimeSpan remote_allowed_at(const entry_service_t *service,
+				   const call_t *call, GTimeSpan now)
+{
+	GTimeSpan wait;
+
+	if (service->spillover) {
+		wait = spillover_wait(service->spillover,
+				      call->queue.latest_start - now, now);
+		return wait == CATK_NEVER ? CATK_NEVER : now + wait;
+	}
+	return call->queue.priority == 0 ? now : call->stale_report_allowed_at;
+}
+
 void entry_probe_then_queue(entry_t *entry, entry_service_t *service,
 			    call_t *call)
 {
@@ -308,9 +366,8 @@
 	if (call->routed && !call->queue.latest_start) {
 		call->queue.latest_start = latest_start(service, call, now);
 		call->stale_report_allowed_at = now + local_wait(call, now);
-		call->remote_allowed_at = call->queue.priority == 0 ?
-						  now :
-						  call->stale_report_allowed_at;
+		call->ready = now;
+		call->remote_allowed_at = remote_allowed_at(service, call, now);
 	}
 	call->load_probes.scope = SCOPE_LOCAL;
 	if (call->routed && send_call_probes(entry, service, call, SCOPE_LOCAL))
--- a/lib/upstream/routing_expected_latency.c
+++ b/lib/upstream/routing_expected_latency.c
@@ -76,6 +76,12 @@
 /* An endpoint with more unanswered probes in a row is probed last. */
 #define UNANSWERED_PROBES_MAX 2
 
+gboolean load_report_shows_capacity(const load_report_t *report)
+{
+	return !report->draining && report->in_flight < report->slots &&
+	       report->slowdown_percent <= SLOWDOWN_ACCEPTABLE_PERCENT;
+}
+
 static guint known_slots(const upstream_t *upstream, const endpoint_t *endpoint)
 {
 	if (!endpoint->report.slots && endpoint->info.slots)
--- a/lib/upstream/upstream.c
+++ b/lib/upstream/upstream.c
@@ -135,6 +135,21 @@
 	return NULL;
 }
 
+gboolean upstream_is_remote(const upstream_t *upstream, const char *id)
+{
+	const endpoint_t *endpoint = upstream_find(upstream, id);
+
+	return endpoint && !upstream_is_local(upstream, endpoint);
+}
+
+GTimeSpan upstream_probe_age(const upstream_t *upstream, const char *id,
+			     GTimeSpan now)
+{
+	const endpoint_t *endpoint = upstream_find(upstream, id);
+
+	return endpoint && endpoint->probed_at ? now - endpoint->probed_at : -1;
+}
+
 const char *upstream_address_of(const upstream_t *upstream, const char *id)
 {
 	const endpoint_t *endpoint = upstream_find(upstream, id);
--- a/lib/upstream/upstream.h
+++ b/lib/upstream/upstream.h
@@ -265,6 +265,16 @@
 double upstream_expected_slowdown(const upstream_t *upstream,
 				  const endpoint_t *endpoint, GTimeSpan now);
 
+/* TRUE if the endpoint is known to be in another data centre. */
+gboolean upstream_is_remote(const upstream_t *upstream, const char *id);
+
+/* Time since the last probe of the endpoint was sent, -1 if there was none. */
+GTimeSpan upstream_probe_age(const upstream_t *upstream, const char *id,
+			     GTimeSpan now);
+
+/* TRUE if the report shows a free slot and no slowdown. */
+gboolean load_report_shows_capacity(const load_report_t *report);
+
 /* Address of the endpoint, NULL if the id is unknown. */
 const char *upstream_address_of(const upstream_t *upstream, const char *id);
 
