Let calls cross without probes, and past the head of a queue

With spillover in use, few calls crossed even when half of all callers went to one data centre: the probe budget allows an instance about 3 probes a second of the remote endpoints of an upstream, calls that would be late anyway used them up, and calls that might leave waited behind the head of the queue, which might not. Remote probes are now for calls that can be in time, calls that may leave do so past the head, and those that leave at once or have no local endpoint may use a remote endpoint without a recent report after half of their wait. Without crossing_price_percent nothing changes.

Passed: test_spillover, test_entry, test_upstream, test_routed_calls.

--- a/lib/entry/entry_attempts.c
+++ b/lib/entry/entry_attempts.c
@@ -1,4 +1,6 @@
 /* Attempts: dispatch of calls to endpoints, results of attempts, retries. */
+#include <string.h>
+
 #include "lib/entry/entry_internal.h"
 
 /*
@@ -224,17 +226,55 @@
 	return TRUE;
 }
 
+/* The first queued call of the service that has an endpoint elsewhere. */
+static call_t *find_crossing_call(entry_t *entry, entry_service_t *service)
+{
+	const char *name = upstream_service(service->upstream);
+	GTimeSpan now = entry_now(entry);
+	upstream_criteria_t criteria;
+	call_t *call;
+
+	TAILQ_FOREACH (call, &entry->calls, by_deadline) {
+		if (!call->queue.lane || strcmp(call->service, name) != 0)
+			continue;
+		criteria = entry_call_criteria(service, call, now);
+		if (criteria.remote_allowed &&
+		    upstream_choose_for(service->upstream, &criteria, now))
+			return call;
+	}
+	return NULL;
+}
+
+/*
+ * The first call of a queue may have to wait at home while others may be sent to
+ * another data centre.
+ */
+static void dispatch_crossing_calls(entry_t *entry, entry_service_t *service)
+{
+	call_t *call = find_crossing_call(entry, service);
+
+	while (call) {
+		admission_remove(service->admission, &call->queue);
+		if (!dispatch_call(entry, service, call))
+			return;
+		call = find_crossing_call(entry, service);
+	}
+}
+
 void entry_dispatch(entry_t *entry, entry_service_t *service)
 {
 	admission_item_t *item;
-	gboolean again = TRUE;
+	gboolean started = TRUE;
 
-	while (again) {
+	while (started) {
 		item = admission_next(service->admission, entry_now(entry));
-		again = item &&
-			dispatch_call(entry, service,
-				      container_of(item, call_t, queue));
+		if (!item)
+			return;
+		started = dispatch_call(entry, service,
+					container_of(item, call_t, queue));
 	}
+	if (service->spillover)
+		dispatch_crossing_calls(entry, service);
 }
 
 static void retry_call(entry_t *entry, entry_service_t *service, call_t *call)
--- a/lib/entry/entry_measure.c
+++ b/lib/entry/entry_measure.c
@@ -64,12 +64,28 @@
 	       now >= call->remote_allowed_at;
 }
 
-/* There is nothing to wait for if no local endpoint accepts work. */
+/* TRUE if the call meets its objective when it starts on a usual endpoint. */
+static gboolean can_be_in_time(const entry_service_t *service,
+			       const call_t *call, GTimeSpan now)
+{
+	return !call->objective ||
+	       (double)(call->objective - now) >
+		       service->service_time[call->queue.priority];
+}
+
+/*
+ * There is nothing to wait for if no local endpoint accepts work. With
+ * spillover, a call that will be late anyway does not use up the probes of
+ * calls that can be in time.
+ */
 static gboolean is_remote_allowed(const entry_service_t *service,
 				  const call_t *call, GTimeSpan now)
 {
-	return now >= call->remote_allowed_at ||
-	       !upstream_accepts_local_work(service->upstream, now);
+	if (!upstream_accepts_local_work(service->upstream, now))
+		return TRUE;
+	return now >= call->remote_allowed_at &&
+	       (!service->spillover || can_be_in_time(service, call, now) ||
+		remote_allowed_when_late(call, now));
 }
 
 void entry_record_spillover_call(entry_service_t *service, const call_t *call,
@@ -128,6 +144,13 @@
 		.stale_report_allowed = now >= call->stale_report_allowed_at,
 	};
 
+	criteria.remote_without_report =
+		service->spillover && criteria.remote_allowed &&
+		criteria.stale_report_allowed &&
+		can_be_in_time(service, call, now) &&
+		(call->remote_allowed_at == call->ready ||
+		 !upstream_accepts_local_work(service->upstream, now));
+
 	if (call->objective)
 		criteria.objective_left = MAX(call->objective - now, 1);
 	return criteria;
--- a/lib/upstream/routing_expected_latency.c
+++ b/lib/upstream/routing_expected_latency.c
@@ -208,6 +208,10 @@
 	if (!criteria->stale_report_allowed && upstream->mean_slowdown > 0 &&
 	    now - endpoint->reported_at > REPORT_USABLE_AGE_MAX)
 		return FALSE;
+	if (criteria->remote_without_report &&
+	    !upstream_is_local(upstream, endpoint) &&
+	    now - endpoint->reported_at > REPORT_USABLE_AGE_MAX)
+		return TRUE;
 	return expected_slowdown(upstream, endpoint, now) <=
 		       SLOWDOWN_ACCEPTABLE_PERCENT ||
 	       meets_objective(upstream, endpoint, criteria, now);
@@ -333,7 +337,8 @@
 		return local;
 	remote = best_of_scope(upstream, candidates, criteria, FALSE, now);
 	if (remote && (!upstream_accepts_local_work(upstream, now) ||
-		       (!local && criteria->remote_when_late) ||
+		       (!local && (criteria->remote_when_late ||
+				   criteria->remote_without_report)) ||
 		       meets_objective(upstream, remote, criteria, now)))
 		return remote;
 	return local;
--- a/lib/upstream/upstream.h
+++ b/lib/upstream/upstream.h
@@ -150,6 +150,11 @@
 	gboolean remote_when_late;
 	/* Endpoints without a recent report may be selected. */
 	gboolean stale_report_allowed;
+	/*
+	 * In other data centres even if they may be slowed down, as no local
+	 * one will meet the objective.
+	 */
+	gboolean remote_without_report;
 } upstream_criteria_t;
 
 /* Endpoints in this entry's data centre, or in the others. */
--- a/tests/test_spillover.c
+++ b/tests/test_spillover.c
@@ -7,9 +7,11 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <cmocka.h>
+#include <math.h>
 #include <string.h>
 
 #include "lib/spillover/spillover.h"
+#include "tests/support_placing.h"
 
 #define MS G_TIME_SPAN_MILLISECOND
 #define TICK (50 * MS)
@@ -335,6 +337,150 @@
 	}
 }
 
+/* Remote endpoints may be probed only some time after the start. */
+#define START (12 * G_TIME_SPAN_SECOND)
+#define CALM (3 * G_TIME_SPAN_SECOND)
+#define TROUBLE (13 * G_TIME_SPAN_SECOND)
+
+typedef double (*load_t)(guint data_centre, GTimeSpan since_start);
+
+static double waves(guint data_centre, GTimeSpan since_start)
+{
+	double period = 13.0 * G_TIME_SPAN_SECOND;
+
+	return 1 +
+	       0.55 * sin(2 * G_PI *
+			  ((double)since_start / period + data_centre / 4.0));
+}
+
+/* Half the callers go to one data centre. */
+static double shift(guint data_centre, GTimeSpan since_start)
+{
+	if (since_start < START + CALM)
+		return 1;
+	return data_centre == 0 ? 2.5 : 0.5;
+}
+
+typedef struct {
+	const char *title;
+	load_t load;
+	double rate; /* relative to the usual one */
+	gboolean loses_data_centre;
+	gboolean evacuates_data_centre;
+} scenario_t;
+
+/* A quarter of nilehaven-forms-grown, in 4 data centres. */
+static placing_result_t simulate(const scenario_t *scenario,
+				 guint price_percent)
+{
+	const double rate = scenario->rate / 4;
+	const placing_options_t options = {
+		.data_centres = 4,
+		.instances = 52,
+		.service_count = 3,
+		.services = { { 24, 473 * rate, TRUE, 76 * MS, 250 * MS,
+				1500 * MS, 0 },
+			      { 12, 160 * rate, FALSE, 100 * MS, 300 * MS,
+				2000 * MS, 0 },
+			      { 20, 168 * rate, TRUE, 190 * MS, 600 * MS,
+				2500 * MS, 1 } },
+		.slots = 2,
+		.queue = 4,
+		.caller_retries = 1,
+		.slowdown_factor = 5,
+		.load = scenario->load,
+		.preferred_instances = 6,
+		.crossing_price_percent = price_percent,
+		.seed = 1,
+	};
+	placing_result_t result;
+
+	placing_start(&options);
+	placing_run_for(START);
+	placing_reset();
+	placing_run_for(CALM);
+	if (scenario->loses_data_centre)
+		placing_kill_data_centre(3);
+	if (scenario->evacuates_data_centre)
+		placing_set_evacuated(3, TRUE);
+	placing_run_for(TROUBLE);
+	if (scenario->evacuates_data_centre)
+		placing_set_evacuated(3, FALSE);
+	placing_run_for(CALM);
+	result = placing_result();
+	print_message("%s, price %u: ", scenario->title, price_percent);
+	placing_print(scenario->title);
+	placing_stop();
+	return result;
+}
+
+static double in_time(const placing_result_t *result)
+{
+	return (double)result->in_time / result->requests;
+}
+
+/* Part of calls in time that the simulation gives or takes by chance. */
+#define NOISE 0.01
+
+/*
+ * Fails if calls cross without need, or if those that stay at home are late: the
+ * endpoints of each data centre suffice.
+ */
+static void calm_fleet_crosses_no_more(void **state)
+{
+	const scenario_t calm = { .title = "calm", .rate = 1 };
+	placing_result_t fixed = simulate(&calm, 0);
+	placing_result_t priced = simulate(&calm, PRICE_PERCENT);
+
+	(void)state;
+	assert_true(priced.crossings <= fixed.crossings);
+	assert_true(in_time(&priced) >= in_time(&fixed) - NOISE);
+}
+
+/*
+ * Fails if waits at home make calls late while the capacity is elsewhere: waves
+ * out of phase, half the callers in one data centre.
+ */
+static void uneven_load_is_served_in_time(void **state)
+{
+	const scenario_t scenarios[] = {
+		{ .title = "waves", .load = waves, .rate = 1.3 },
+		{ .title = "shift", .load = shift, .rate = 1 },
+	};
+	gsize i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(scenarios); i++) {
+		placing_result_t fixed = simulate(&scenarios[i], 0);
+		placing_result_t priced =
+			simulate(&scenarios[i], PRICE_PERCENT);
+
+		assert_true(in_time(&priced) >= in_time(&fixed));
+	}
+}
+
+/* Fails if the loss or the evacuation of a data centre makes calls wait. */
+static void lost_data_centre_is_replaced(void **state)
+{
+	const scenario_t scenarios[] = {
+		{ .title = "loss", .rate = 1, .loses_data_centre = TRUE },
+		{ .title = "evacuation",
+		  .rate = 1,
+		  .evacuates_data_centre = TRUE },
+	};
+	gsize i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(scenarios); i++) {
+		placing_result_t fixed = simulate(&scenarios[i], 0);
+		placing_result_t priced =
+			simulate(&scenarios[i], PRICE_PERCENT);
+
+		assert_true(in_time(&priced) >= in_time(&fixed) - NOISE);
+		assert_int_equal(priced.evacuated_attempts, 0);
+	}
+}
+
 #define TEST(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 
 int main(void)
@@ -349,6 +495,9 @@
 		TEST(single_call_leaves_after_the_wait_worth_the_price),
 		TEST(estimates_decay_without_calls),
 		TEST(two_data_centres_do_not_oscillate),
+		cmocka_unit_test(calm_fleet_crosses_no_more),
+		cmocka_unit_test(uneven_load_is_served_in_time),
+		cmocka_unit_test(lost_data_centre_is_replaced),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
