Bound the search for crossing calls and keep the limit of attempts

The search past the head of a queue sought an endpoint for each queued call at every dispatch, up to 200 selections in one step of the event loop, and started calls without asking admission for the limit of attempts again. It now tries 4 calls of the priority that admission offers, and admission is asked after each start. Passed: test_entry, test_routed_calls.

--- a/lib/entry/entry_attempts.c
+++ b/lib/entry/entry_attempts.c
@@ -20,6 +20,9 @@
 /* Attempts per call that may fail to be sent without counting as attempts. */
 #define UNSENT_ATTEMPTS_MAX 4
 
+/* Calls for which an endpoint elsewhere is sought at once, to limit the work. */
+#define CROSSING_CALLS_TRIED 4
+
 static const char *priority_name(const entry_t *entry, guint priority)
 {
 	const schema_t *schema = config_schema(entry->config);
@@ -226,55 +229,50 @@
 	return TRUE;
 }
 
-/* The first queued call of the service that has an endpoint elsewhere. */
-static call_t *find_crossing_call(entry_t *entry, entry_service_t *service)
+/*
+ * Starts one of the first calls of the priority that may leave the data centre,
+ * if one finds an endpoint. The first call of a queue may have to wait at home
+ * while others need not.
+ */
+static gboolean dispatch_crossing_call(entry_t *entry, entry_service_t *service,
+				       guint priority)
 {
 	const char *name = upstream_service(service->upstream);
 	GTimeSpan now = entry_now(entry);
 	upstream_criteria_t criteria;
+	guint tried = 0;
 	call_t *call;
 
 	TAILQ_FOREACH (call, &entry->calls, by_deadline) {
-		if (!call->queue.lane || strcmp(call->service, name) != 0)
+		if (!call->queue.lane || call->queue.priority != priority ||
+		    strcmp(call->service, name) != 0)
 			continue;
 		criteria = entry_call_criteria(service, call, now);
-		if (criteria.remote_allowed &&
-		    upstream_choose_for(service->upstream, &criteria, now))
-			return call;
-	}
-	return NULL;
-}
-
-/*
- * The first call of a queue may have to wait at home while others may be sent to
- * another data centre.
- */
-static void dispatch_crossing_calls(entry_t *entry, entry_service_t *service)
-{
-	call_t *call = find_crossing_call(entry, service);
-
-	while (call) {
-		admission_remove(service->admission, &call->queue);
-		if (!dispatch_call(entry, service, call))
-			return;
-		call = find_crossing_call(entry, service);
+		if (!criteria.remote_allowed)
+			continue;
+		if (upstream_choose_for(service->upstream, &criteria, now)) {
+			admission_remove(service->admission, &call->queue);
+			return dispatch_call(entry, service, call);
+		}
+		if (++tried == CROSSING_CALLS_TRIED)
+			return FALSE;
 	}
+	return FALSE;
 }
 
 void entry_dispatch(entry_t *entry, entry_service_t *service)
 {
 	admission_item_t *item;
-	gboolean started = TRUE;
 
-	while (started) {
-		item = admission_next(service->admission, entry_now(entry));
-		if (!item)
+	while ((item = admission_next(service->admission, entry_now(entry)))) {
+		guint priority = item->priority;
+
+		if (!dispatch_call(entry, service,
+				   container_of(item, call_t, queue)) &&
+		    !(service->spillover &&
+		      dispatch_crossing_call(entry, service, priority)))
 			return;
-		started = dispatch_call(entry, service,
-					container_of(item, call_t, queue));
 	}
-	if (service->spillover)
-		dispatch_crossing_calls(entry, service);
 }
 
 static void retry_call(entry_t *entry, entry_service_t *service, call_t *call)
