--- a/lib/entry/entry_attempts.c
+++ b/lib/entry/entry_attempts.c
@@ -1,4 +1,6 @@
 /* Attempts: dispatch of calls to endpoints, results of attempts, retries. */
+#include <string.h>
+
 #include "lib/entry/entry_internal.h"
 
 /*
@@ -18,6 +20,9 @@
 /* Attempts per call that may fail to be sent without counting as attempts. */
 #define UNSENT_ATTEMPTS_MAX 4
 
+/* Calls for which an endpoint elsewhere is sought at once, to limit the work. */
+#define CROSSING_CALLS_TRIED 4
+
 static const char *priority_name(const entry_t *entry, guint priority)
 {
 	const schema_t *schema = config_schema(entry->config);
@@ -128,6 +133,9 @@
 	if (call->routed)
 		entry_log_attempt_started(entry, service, call, attempt,
 					  endpoint);
+	if (upstream_is_remote(service->upstream, attempt->endpoint))
+		counters_add(entry->counters, COUNTER_ATTEMPTS_REMOTE, 1);
+	entry_record_spillover_call(service, call, endpoint, now);
 	g_hash_table_insert(entry->calls_by_attempt, &attempt->id, call);
 	upstream_attempt_started(service->upstream, attempt->endpoint, now);
 	admission_attempt_started(service->admission, &call->queue, now);
@@ -224,16 +232,49 @@
 	return TRUE;
 }
 
+/*
+ * Starts one of the first calls of the priority that may leave the data centre,
+ * if one finds an endpoint. The first call of a queue may have to wait at home
+ * while others need not.
+ */
+static gboolean dispatch_crossing_call(entry_t *entry, entry_service_t *service,
+				       guint priority)
+{
+	const char *name = upstream_service(service->upstream);
+	GTimeSpan now = entry_now(entry);
+	upstream_criteria_t criteria;
+	guint tried = 0;
+	call_t *call;
+
+	TAILQ_FOREACH (call, &entry->calls, by_deadline) {
+		if (!call->queue.lane || call->queue.priority != priority ||
+		    strcmp(call->service, name) != 0)
+			continue;
+		criteria = entry_call_criteria(service, call, now);
+		if (!criteria.remote_allowed)
+			continue;
+		if (upstream_choose_for(service->upstream, &criteria, now)) {
+			admission_remove(service->admission, &call->queue);
+			return dispatch_call(entry, service, call);
+		}
+		if (++tried == CROSSING_CALLS_TRIED)
+			return FALSE;
+	}
+	return FALSE;
+}
+
 void entry_dispatch(entry_t *entry, entry_service_t *service)
 {
 	admission_item_t *item;
-	gboolean again = TRUE;
 
-	while (again) {
-		item = admission_next(service->admission, entry_now(entry));
-		again = item &&
-			dispatch_call(entry, service,
-				      container_of(item, call_t, queue));
+	while ((item = admission_next(service->admission, entry_now(entry)))) {
+		guint priority = item->priority;
+
+		if (!dispatch_call(entry, service,
+				   container_of(item, call_t, queue)) &&
+		    !(service->spillover &&
+		      dispatch_crossing_call(entry, service, priority)))
+			return;
 	}
 }
 
@@ -401,6 +442,8 @@
 			       result->has_report ? &result->report : NULL,
 			       now);
 	report_to_admission(service, call, result, latency, now);
+	entry_record_spillover_end(service, attempt->endpoint, result->end,
+				   now);
 	entry_learn_service_time(service, call, attempt->endpoint, result,
 				 latency, now);
 	g_hash_table_remove(entry->calls_by_attempt, &attempt->id);
@@ -423,6 +466,8 @@
 
 	if (!service)
 		return;
+	entry_record_spillover_probe(service, endpoint, report,
+				     entry_now(entry));
 	upstream_probe_ended(service->upstream, endpoint, report,
 			     entry_now(entry));
 	entry_probe_wait_report(entry, service, endpoint);
--- a/lib/entry/entry_dump.c
+++ b/lib/entry/entry_dump.c
@@ -97,6 +97,8 @@
 	w->integer(w->ctx, "organisations_active",
 		   fair_share_organisations(
 			   admission_fair_share(service->admission)));
+	if (service->spillover)
+		spillover_dump(service->spillover, w, entry_now(entry));
 	w->end_object(w->ctx);
 }
 
--- a/lib/entry/entry_measure.c
+++ b/lib/entry/entry_measure.c
@@ -64,12 +64,72 @@
 	       now >= call->remote_allowed_at;
 }
 
-/* There is nothing to wait for if no local endpoint accepts work. */
+/* TRUE if the call meets its objective when it starts on a usual endpoint. */
+static gboolean can_be_in_time(const entry_service_t *service,
+			       const call_t *call, GTimeSpan now)
+{
+	return !call->objective ||
+	       (double)(call->objective - now) >
+		       service->service_time[call->queue.priority];
+}
+
+/*
+ * There is nothing to wait for if no local endpoint accepts work. With
+ * spillover, a call that will be late anyway does not use up the probes of
+ * calls that can be in time.
+ */
 static gboolean is_remote_allowed(const entry_service_t *service,
 				  const call_t *call, GTimeSpan now)
 {
-	return now >= call->remote_allowed_at ||
-	       !upstream_accepts_local_work(service->upstream, now);
+	if (!upstream_accepts_local_work(service->upstream, now))
+		return TRUE;
+	return now >= call->remote_allowed_at &&
+	       (!service->spillover || can_be_in_time(service, call, now) ||
+		remote_allowed_when_late(call, now));
+}
+
+void entry_record_spillover_call(entry_service_t *service, const call_t *call,
+				 const endpoint_t *endpoint, GTimeSpan now)
+{
+	const spillover_call_t record = {
+		.wait = now - call->ready,
+		.wait_max = call->queue.latest_start - call->ready,
+		.remote = endpoint && upstream_is_remote(service->upstream,
+							 endpoint_id(endpoint)),
+		.refused = !endpoint,
+		.left_at_once = call->remote_allowed_at == call->ready,
+	};
+
+	/* Second attempts did not wait for an endpoint alone. */
+	if (service->spillover && call->routed &&
+	    call->attempts_started == (endpoint ? 1 : 0) &&
+	    upstream_accepts_local_work(service->upstream, now))
+		spillover_record_call(service->spillover, &record, now);
+}
+
+void entry_record_spillover_probe(entry_service_t *service,
+				  const char *endpoint,
+				  const load_report_t *report, GTimeSpan now)
+{
+	const spillover_probe_t probe = {
+		.remote = upstream_is_remote(service->upstream, endpoint),
+		.has_capacity = report && load_report_shows_capacity(report),
+		.round_trip =
+			upstream_probe_age(service->upstream, endpoint, now),
+	};
+
+	if (service->spillover && probe.round_trip >= 0)
+		spillover_record_probe(service->spillover, &probe, now);
+}
+
+void entry_record_spillover_end(entry_service_t *service, const char *endpoint,
+				attempt_end_t end, GTimeSpan now)
+{
+	if (service->spillover &&
+	    (end == ATTEMPT_SHED || end == ATTEMPT_SILENT ||
+	     end == ATTEMPT_FAILED) &&
+	    upstream_is_remote(service->upstream, endpoint))
+		spillover_record_remote_refusal(service->spillover, now);
 }
 
 upstream_criteria_t entry_call_criteria(const entry_service_t *service,
@@ -84,6 +144,13 @@
 		.stale_report_allowed = now >= call->stale_report_allowed_at,
 	};
 
+	criteria.remote_without_report =
+		service->spillover && criteria.remote_allowed &&
+		criteria.stale_report_allowed &&
+		can_be_in_time(service, call, now) &&
+		(call->remote_allowed_at == call->ready ||
+		 !upstream_accepts_local_work(service->upstream, now));
+
 	if (call->objective)
 		criteria.objective_left = MAX(call->objective - now, 1);
 	return criteria;
@@ -163,6 +230,7 @@
 
 	admission_no_capacity(service->admission, &call->queue,
 			      entry_now(entry));
+	entry_record_spillover_call(service, call, NULL, entry_now(entry));
 	catk_error_set(&error, CATK_OVERLOADED, OUTCOME_NOT_RUN,
 		       "no endpoint of %.64s had capacity in time: retry "
 		       "after the given time",
@@ -298,6 +366,19 @@
 		   LOCAL_WAIT_MAX);
 }
 
+static GTimeSpan remote_allowed_at(const entry_service_t *service,
+				   const call_t *call, GTimeSpan now)
+{
+	GTimeSpan wait;
+
+	if (service->spillover) {
+		wait = spillover_wait(service->spillover,
+				      call->queue.latest_start - now, now);
+		return wait == CATK_NEVER ? CATK_NEVER : now + wait;
+	}
+	return call->queue.priority == 0 ? now : call->stale_report_allowed_at;
+}
+
 void entry_probe_then_queue(entry_t *entry, entry_service_t *service,
 			    call_t *call)
 {
@@ -310,9 +391,8 @@
 	if (call->routed && !call->queue.latest_start) {
 		call->queue.latest_start = latest_start(service, call, now);
 		call->stale_report_allowed_at = now + local_wait(call, now);
-		call->remote_allowed_at = call->queue.priority == 0 ?
-						  now :
-						  call->stale_report_allowed_at;
+		call->ready = now;
+		call->remote_allowed_at = remote_allowed_at(service, call, now);
 	}
 	call->load_probes.scope = SCOPE_LOCAL;
 	if (call->routed && send_call_probes(entry, service, call, SCOPE_LOCAL))
--- a/lib/upstream/routing_expected_latency.c
+++ b/lib/upstream/routing_expected_latency.c
@@ -76,6 +76,12 @@
 /* An endpoint with more unanswered probes in a row is probed last. */
 #define UNANSWERED_PROBES_MAX 2
 
+gboolean load_report_shows_capacity(const load_report_t *report)
+{
+	return !report->draining && report->in_flight < report->slots &&
+	       report->slowdown_percent <= SLOWDOWN_ACCEPTABLE_PERCENT;
+}
+
 static guint known_slots(const upstream_t *upstream, const endpoint_t *endpoint)
 {
 	if (!endpoint->report.slots && endpoint->info.slots)
@@ -202,6 +208,10 @@
 	if (!criteria->stale_report_allowed && upstream->mean_slowdown > 0 &&
 	    now - endpoint->reported_at > REPORT_USABLE_AGE_MAX)
 		return FALSE;
+	if (criteria->remote_without_report &&
+	    !upstream_is_local(upstream, endpoint) &&
+	    now - endpoint->reported_at > REPORT_USABLE_AGE_MAX)
+		return TRUE;
 	return expected_slowdown(upstream, endpoint, now) <=
 		       SLOWDOWN_ACCEPTABLE_PERCENT ||
 	       meets_objective(upstream, endpoint, criteria, now);
@@ -327,7 +337,8 @@
 		return local;
 	remote = best_of_scope(upstream, candidates, criteria, FALSE, now);
 	if (remote && (!upstream_accepts_local_work(upstream, now) ||
-		       (!local && criteria->remote_when_late) ||
+		       (!local && (criteria->remote_when_late ||
+				   criteria->remote_without_report)) ||
 		       meets_objective(upstream, remote, criteria, now)))
 		return remote;
 	return local;
--- a/lib/upstream/upstream.h
+++ b/lib/upstream/upstream.h
@@ -150,6 +150,11 @@
 	gboolean remote_when_late;
 	/* Endpoints without a recent report may be selected. */
 	gboolean stale_report_allowed;
+	/*
+	 * In other data centres even if they may be slowed down, as no local
+	 * one will meet the objective.
+	 */
+	gboolean remote_without_report;
 } upstream_criteria_t;
 
 /* Endpoints in this entry's data centre, or in the others. */
@@ -265,6 +270,16 @@
 double upstream_expected_slowdown(const upstream_t *upstream,
 				  const endpoint_t *endpoint, GTimeSpan now);
 
+/* TRUE if the endpoint is known to be in another data centre. */
+gboolean upstream_is_remote(const upstream_t *upstream, const char *id);
+
+/* Time since the last probe of the endpoint was sent, -1 if there was none. */
+GTimeSpan upstream_probe_age(const upstream_t *upstream, const char *id,
+			     GTimeSpan now);
+
+/* TRUE if the report shows a free slot and no slowdown. */
+gboolean load_report_shows_capacity(const load_report_t *report);
+
 /* Address of the endpoint, NULL if the id is unknown. */
 const char *upstream_address_of(const upstream_t *upstream, const char *id);
 
