Remember 64 requests for the shares of organisations

Cause: an instance has 1.6 requests/s for one of four services, 16 in the 10 s that the counts remembered.

Change: the counts remember 64 requests, 10 to 40 s. The floor is 0.26 of an organisation's requests, times the part of the admitted ones that is started; an organisation has 5 requests beyond its share.

--- a/lib/admission/fair_share.c
+++ b/lib/admission/fair_share.c
@@ -5,17 +5,20 @@
 #include "lib/common/intrusive.h"
 
 /*
- * Time constant of all counts. An instance has about 2 requests/s for a service:
- * shorter ones hold too few to tell a hot organisation from chance.
+ * The counts remember about as many requests, which takes 40 s at the 1.6
+ * requests/s that an instance has for a service: with fewer, a hot organisation
+ * cannot be told from chance.
  */
-#define MEMORY (10 * G_TIME_SPAN_SECOND)
+#define MEMORY_REQUESTS 64
+#define MEMORY_MIN (10 * G_TIME_SPAN_SECOND)
+#define MEMORY_MAX (40 * G_TIME_SPAN_SECOND)
 #define UPDATE_INTERVAL (100 * G_TIME_SPAN_MILLISECOND)
 /*
  * Requests that an organisation may have by chance beyond its share: a few, and
  * a multiple of the standard deviation of a random count. With 2 and 0, the
  * others keep 0.92 instead of 0.95 beside one that is hot.
  */
-#define COUNT_NOISE 4.0
+#define COUNT_NOISE 5.0
 #define NOISE_DEVIATIONS 2.5
 #define COUNT_FORGOTTEN 0.05
 /* Requests without capacity, as a part of those admitted, that are a shortage. */
@@ -28,17 +31,17 @@
 #define ADMITTED_IN_SHORTAGE 0.95
 #define ADMITTED_AT_THE_EDGE 1.1
 /*
- * Each organisation keeps this part of the share that all requests together
- * have served. A quarter is required; the excess covers chance.
+ * Part of its requests that each organisation has admitted, if all that is
+ * admitted is started. A quarter is required; the excess covers chance.
  */
-#define FLOOR_OF_SERVED 0.4
+#define FLOOR_ADMITTED 0.26
 #define LEVEL_STEPS 24 /* of the bisection */
 
 typedef struct sharer {
 	TAILQ_ENTRY(sharer) link;
 	char *name;
 	double weight;
-	double count; /* requests, decaying with MEMORY */
+	double count; /* requests, decaying */
 	GTimeSpan counted_at;
 	double admit_part; /* of its requests, 1 without a shortage */
 	double credit; /* requests that may be admitted next */
@@ -48,6 +51,7 @@
 	TAILQ_HEAD(sharer_list, sharer) list;
 	GHashTable *by_name; /* name -> sharer_t */
 	double offered, started, lacking; /* decaying counts */
+	GTimeSpan memory; /* time constant of all counts */
 	GTimeSpan counted_at, updated_at;
 	double served;
 };
@@ -59,6 +63,7 @@
 	TAILQ_INIT(&share->list);
 	share->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	share->served = 1;
+	share->memory = MEMORY_MIN;
 	return share;
 }
 
@@ -80,9 +85,11 @@
 	g_free(share);
 }
 
-static double decay(GTimeSpan *counted_at, GTimeSpan now)
+static double decay(const fair_share_t *share, GTimeSpan *counted_at,
+		    GTimeSpan now)
 {
-	double factor = exp(-(double)(now - *counted_at) / (double)MEMORY);
+	double factor =
+		exp(-(double)(now - *counted_at) / (double)share->memory);
 
 	*counted_at = now;
 	return factor;
@@ -90,7 +97,7 @@
 
 static void decay_totals(fair_share_t *share, GTimeSpan now)
 {
-	double factor = decay(&share->counted_at, now);
+	double factor = decay(share, &share->counted_at, now);
 
 	share->offered *= factor;
 	share->started *= factor;
@@ -179,12 +186,22 @@
 	sharer_t *sharer, *next;
 
 	TAILQ_FOREACH_SAFE (sharer, &share->list, link, next) {
-		sharer->count *= decay(&sharer->counted_at, now);
+		sharer->count *= decay(share, &sharer->counted_at, now);
 		if (sharer->count < COUNT_FORGOTTEN)
 			sharer_free(share, sharer);
 	}
 }
 
+/* offered over memory is the rate of requests. */
+static void adapt_memory(fair_share_t *share)
+{
+	double memory = MEMORY_REQUESTS * (double)share->memory /
+			MAX(share->offered, 1);
+
+	share->memory = (GTimeSpan)CLAMP(memory, (double)MEMORY_MIN,
+					 (double)MEMORY_MAX);
+}
+
 static void update(fair_share_t *share, GTimeSpan now)
 {
 	double mean, budget, floor, level;
@@ -193,6 +210,7 @@
 
 	share->updated_at = now;
 	decay_sharers(share, now);
+	adapt_memory(share);
 	is_short = share->lacking >
 		   SHORTAGE_PART * (share->started + share->lacking);
 	budget = share->started *
@@ -203,7 +221,8 @@
 				share->started / share->offered :
 				1;
 	mean = mean_weight(share);
-	floor = FLOOR_OF_SERVED * share->served;
+	floor = FLOOR_ADMITTED * share->started /
+		MAX(share->started + share->lacking, 1);
 	level = share->served < 1 ? find_level(share, mean, budget, floor) : 0;
 	TAILQ_FOREACH (sharer, &share->list, link)
 		sharer->admit_part =
@@ -221,7 +240,8 @@
 	decay_totals(share, now);
 	share->offered++;
 	sharer->weight = weight;
-	sharer->count = sharer->count * decay(&sharer->counted_at, now) + 1;
+	sharer->count =
+		sharer->count * decay(share, &sharer->counted_at, now) + 1;
 	if (now - share->updated_at >= UPDATE_INTERVAL)
 		update(share, now);
 	if (sharer->admit_part >= 1) {
--- a/tests/test_fair_share.c
+++ b/tests/test_fair_share.c
@@ -16,7 +16,9 @@
 #define MS G_TIME_SPAN_MILLISECOND
 #define INSTANCES 141
 #define ORGANISATIONS 86
-#define USUAL_RATE 922.0 /* requests/s of all organisations */
+/* Requests/s of all organisations, for one service or for one of four. */
+#define ONE_SERVICE 922.0
+#define ONE_OF_FOUR 230.0
 #define HOT_FACTOR 7.5
 #define CAPACITY_PART 0.7 /* of the offered load */
 #define RATE_TO_USUAL 1.6 /* configured rate over the usual one */
@@ -25,7 +27,7 @@
 #define USED_MIN 0.95 /* of the capacity */
 #define SERVED_TOLERANCE 50 /* requests that wait at the end */
 #define STEP (5 * MS)
-#define WARM_UP (40 * G_TIME_SPAN_SECOND)
+#define WARM_UP (100 * G_TIME_SPAN_SECOND)
 #define MEASURED (120 * G_TIME_SPAN_SECOND)
 #define SERVICE_TIME (300 * MS)
 #define DEADLINE (3000 * MS)
@@ -55,6 +57,7 @@
 } sim_organisation_t;
 
 typedef struct {
+	double usual_rate; /* requests/s of all organisations */
 	guint hot; /* index, NONE for none */
 	guint entrances; /* instances that the hot one's clients use */
 	double capacity; /* requests/s */
@@ -86,7 +89,7 @@
 
 		g_snprintf(organisation->name, sizeof(organisation->name),
 			   "o%u", i);
-		organisation->usual *= USUAL_RATE / sum;
+		organisation->usual *= sim->scenario->usual_rate / sum;
 		organisation->rate = organisation->usual;
 		if (i == sim->scenario->hot)
 			organisation->rate *= HOT_FACTOR;
@@ -318,13 +321,14 @@
  * One organisation at 7.5 times its usual rate, through a number of instances,
  * compared with the same capacity without it being hot.
  */
-static void check_hot(guint hot, guint entrances, guint queue_max)
+static void check_hot(double usual_rate, guint hot, guint entrances,
+		      guint queue_max)
 {
-	scenario_t scenario = { hot, entrances, 0, queue_max };
+	scenario_t scenario = { usual_rate, hot, entrances, 0, queue_max };
 	sim_t before = { 0 }, during = { 0 };
 	guint offered, served;
 	double hot_share, others, all;
-	double capacity = USUAL_RATE;
+	double capacity = usual_rate;
 
 	during.scenario = &scenario;
 	init_organisations(&during);
@@ -340,9 +344,9 @@
 	others =
 		share(served_others(&during, hot), served_others(&before, hot));
 	print_message(
-		"o%u hot by %u instances, queue %u: others keep %.3f, "
+		"%.0f/s, o%u hot by %u instances, queue %u: others keep %.3f, "
 		"hot %.3f, lowest %.3f, all %.3f, used %.3f\n",
-		hot, entrances, queue_max, others, hot_share,
+		usual_rate, hot, entrances, queue_max, others, hot_share,
 		lowest_share(&during), all,
 		served / (scenario.capacity * MEASURED / G_TIME_SPAN_SECOND));
 	assert_true(others >= FLOOR_OF_OTHERS);
@@ -358,35 +362,38 @@
 static void largest_is_hot(void **state)
 {
 	(void)state;
-	check_hot(0, INSTANCES, 64);
+	check_hot(ONE_SERVICE, 0, INSTANCES, 64);
+	check_hot(ONE_OF_FOUR, 0, INSTANCES, 64);
 }
 
 /* Fails if an instance that serves few others takes capacity for the hot one. */
 static void hot_clients_use_few_instances(void **state)
 {
 	(void)state;
-	check_hot(0, 5, 64);
-	check_hot(5, 5, 64);
+	check_hot(ONE_SERVICE, 0, 5, 64);
+	check_hot(ONE_SERVICE, 5, 5, 64);
 }
 
 static void medium_one_is_hot(void **state)
 {
 	(void)state;
-	check_hot(5, INSTANCES, 64);
-	check_hot(40, INSTANCES, 64);
+	check_hot(ONE_SERVICE, 5, INSTANCES, 64);
+	check_hot(ONE_OF_FOUR, 5, INSTANCES, 64);
+	check_hot(ONE_SERVICE, 40, INSTANCES, 64);
 }
 
 /* Fails if a full queue, which shows no order, hides the shortage. */
 static void queue_of_one(void **state)
 {
 	(void)state;
-	check_hot(5, INSTANCES, 1);
+	check_hot(ONE_SERVICE, 5, INSTANCES, 1);
 }
 
 /* Fails if shares refuse anything while there is capacity for all. */
 static void no_refusal_without_shortage(void **state)
 {
-	const scenario_t scenario = { 5, INSTANCES, 2 * USUAL_RATE, 64 };
+	const scenario_t scenario = { ONE_SERVICE, 5, INSTANCES,
+				      2 * ONE_SERVICE, 64 };
 	sim_t sim;
 	guint offered, served;
 
@@ -400,8 +407,8 @@
 /* Fails if the largest pays for all when nobody is hot: 30% too little. */
 static void general_shortage_spares_each(void **state)
 {
-	const scenario_t scenario = { NONE, INSTANCES,
-				      USUAL_RATE * CAPACITY_PART, 64 };
+	const scenario_t scenario = { ONE_SERVICE, NONE, INSTANCES,
+				      ONE_SERVICE * CAPACITY_PART, 64 };
 	sim_t sim;
 	guint offered, served;
 
