Soak: keys, evacuations and a store that returns to a copy

Cause: no randomized run touched organisations, evacuations or a restored store.

Change: soak_rules.c adds and withdraws keys, evacuates data centres and lets the store return to an older copy, whose losses are written again; it draws from a stream of its own, and --no-rule-series leaves it out. New checks: KEY (no request with a withdrawn or unknown key reaches an endpoint later than the bound, nor in a process that has shown the version without it; no valid key is refused), TENANT, EVACUATED.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -2,7 +2,7 @@
  * Randomized soak test of the whole system.
  *   soak --seed N [--seconds N] [--instances N] [--endpoints N] [--rate N]
  *        [--daemon PROGRAM] [--port-base PORT] [--no-outage-series]
- *        [--no-stop-series] [--verbose]
+ *        [--no-stop-series] [--no-rule-series] [--verbose]
  * The exit status is 0 without violations and 1 otherwise. After a violation
  * the settings and logs are kept in the build directory, in soak-SEED-PORT.
  */
@@ -148,6 +148,8 @@
 	  "Leave out the outages of the store between changes", 0 },
 	{ "no-stop-series", 'S', NULL, 0,
 	  "Leave out the planned stops in series", 0 },
+	{ "no-rule-series", 'R', NULL, 0,
+	  "Leave out keys, evacuations and copies of the store", 0 },
 	{ "verbose", 'v', NULL, 0, "Log faults and statistics", 0 },
 	{ 0 }
 };
@@ -174,6 +176,8 @@
 		options->outage_series = FALSE;
 	else if (key == 'S')
 		options->stop_series = FALSE;
+	else if (key == 'R')
+		options->rule_series = FALSE;
 	else if (key == 'v')
 		verbose = TRUE;
 	else
@@ -194,6 +198,7 @@
 				     .port_base = 24000,
 				     .outage_series = TRUE,
 				     .stop_series = TRUE,
+				     .rule_series = TRUE,
 				     .daemon = "catkinstalld" } };
 	gchar *directory;
 
@@ -211,11 +216,13 @@
 	soak.outage_random =
 		g_rand_new_with_seed((guint32)soak.options.seed + 2);
 	soak.stop_random = g_rand_new_with_seed((guint32)soak.options.seed + 3);
+	soak.rule_random = g_rand_new_with_seed((guint32)soak.options.seed + 4);
 	soak.store_fault_intervals =
 		g_array_new(FALSE, FALSE, sizeof(fault_interval_t));
 	soak.config_acked_at = g_array_new(FALSE, TRUE, sizeof(GTimeSpan));
 	TAILQ_INIT(&soak.instances);
 	TAILQ_INIT(&soak.endpoints);
+	rules_init(&soak);
 	start_time = soak_now();
 	busy_since = start_time;
 	g_main_context_set_poll_func(NULL, poll_and_measure);
@@ -231,6 +238,9 @@
 	g_rand_free(soak.traffic_random);
 	g_rand_free(soak.outage_random);
 	g_rand_free(soak.stop_random);
+	g_rand_free(soak.rule_random);
+	g_ptr_array_unref(soak.keys);
+	g_ptr_array_unref(soak.evacuations);
 	g_free(directory);
 	return soak.violations ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -14,11 +14,15 @@
 /* Guaranteed limits; all but RECONNECT_MAX are in the instances' settings. */
 #define CHANGE_PROPAGATION_MAX (2 * G_TIME_SPAN_SECOND) /* drain, config */
 #define RECONNECT_MAX (3 * G_TIME_SPAN_SECOND) /* after the last fault */
+#define EVACUATION_MAX (5 * G_TIME_SPAN_SECOND)
+/* Requests sent this long after a version was served must find it, too. */
+#define DOWNGRADE_GRACE (250 * G_TIME_SPAN_MILLISECOND)
 #define SHUTDOWN_MAX_MS 5000
 #define ROUTE_TIMEOUT_MS 2000 /* shorter than the callers' deadline */
 #define PROBES_PER_SECOND 20 /* to one endpoint, from all instances */
 #define RETRY_PERCENT 20
 #define RETRY_SAVED 56
+#define ZONES 2 /* k0 and k1, by the index of instances and endpoints */
 
 typedef struct {
 	guint64 seed;
@@ -29,6 +33,7 @@
 	guint port_base;
 	gboolean outage_series; /* see soak_outages.c */
 	gboolean stop_series; /* see soak_stops.c */
+	gboolean rule_series; /* see soak_rules.c */
 	const char *daemon; /* program that the instances run */
 	const char *directory; /* of settings and logs */
 } soak_options_t;
@@ -39,7 +44,8 @@
 	FAULT_DOWN = 1 << 2, /* killed or crashed, until the next start */
 	FAULT_STOP = 1 << 3, /* planned, from its request to the next start */
 	FAULT_STORE = 1 << 4,
-	FAULT_STALL = 1 << 5 /* see soak_record_stall() */
+	FAULT_STALL = 1 << 5, /* see soak_record_stall() */
+	FAULT_RESTORE = 1 << 6 /* until what the store lost is written again */
 } fault_cause_t;
 
 /* The period of one fault at an instance, an endpoint or the store. */
@@ -82,6 +88,21 @@
 	GTimeSpan stop_at; /* planned end after a drain, 0 for none */
 } endpoint_t;
 
+/* A key of an organisation. */
+typedef struct {
+	char text[16];
+	char organisation[8];
+	guint added; /* first version that has it */
+	guint withdrawn; /* first version without it, 0: still valid */
+} soak_key_t;
+
+/* An evacuation of a data centre. */
+typedef struct {
+	guint zone;
+	GTimeSpan acked_at; /* 0: the store did not confirm it */
+	GTimeSpan lifted_at; /* CATK_NEVER while it lasts */
+} soak_evacuation_t;
+
 /* What a request is to be, before it is sent. */
 typedef struct {
 	guint instance; /* index */
@@ -98,6 +119,8 @@
 	gchar *expected_body; /* body of a 2xx response */
 	gboolean idempotent;
 	guint config_version; /* first one with the route, 0: any */
+	const soak_key_t *key; /* NULL for none or an unknown one */
+	guint version_known; /* served by the process before, 0: none */
 	guint instance; /* index */
 	guint incarnation; /* of the instance when the request was sent */
 	GTimeSpan sent_at;
@@ -135,6 +158,7 @@
 	GRand *traffic_random; /* used for requests only */
 	GRand *outage_random; /* used for soak_outages.c only */
 	GRand *stop_random; /* used for soak_stops.c only */
+	GRand *rule_random; /* used for soak_rules.c only */
 	GTimeSpan faults_end_at;
 	GTimeSpan quiet_until; /* no other faults before */
 	process_t *store;
@@ -144,6 +168,8 @@
 	guint endpoints_started; /* in total; index of the next one */
 	guint config_version; /* last one written */
 	GArray *config_acked_at; /* GTimeSpan by version, 0 if not */
+	GPtrArray *keys; /* of soak_key_t; empty without organisations */
+	GPtrArray *evacuations; /* of soak_evacuation_t */
 	GHashTable *requests; /* id -> soak_request_t */
 	http_client_t *client; /* of the callers */
 	http_client_t *operator_client;
@@ -202,6 +228,10 @@
 void fleet_crash_endpoint(soak_t *soak, endpoint_t *endpoint);
 /* Writes the next version of the configuration. */
 void fleet_put_config(soak_t *soak);
+/* Writes or deletes the object of the evacuation, as its lifted_at says. */
+void fleet_write_evacuation(soak_t *soak, soak_evacuation_t *evacuation);
+/* Writes all objects anew, in their present state. */
+void fleet_rewrite_all(soak_t *soak);
 /* Makes the store misbehave; mode is one of fake_store, "none" to end. */
 void fleet_store_fault(soak_t *soak, const char *mode);
 /* The port on which the instance accepts the callers' requests. */
@@ -241,6 +271,18 @@
 /* soak_stops.c: planned stops in series, for that time. */
 void stops_start(soak_t *soak);
 
+/* soak_rules.c: keys, evacuations and copies of the store, for that time. */
+void rules_init(soak_t *soak);
+void rules_start(soak_t *soak);
+void rules_append_organisations(const soak_t *soak, GString *text);
+/* Chooses the key of a request and appends the headers with it. */
+void rules_choose_key(soak_t *soak, soak_request_t *request, GString *headers);
+void rules_check_response(soak_t *soak, const soak_request_t *request,
+			  const instance_t *instance,
+			  const http_message_t *response);
+void rules_check_arrival(soak_t *soak, const endpoint_t *endpoint,
+			 const soak_request_t *request, GTimeSpan time);
+
 /* soak_traffic.c: sends requests and checks each response. */
 void traffic_start(soak_t *soak);
 void traffic_send(soak_t *soak, const soak_request_plan_t *plan);
--- a/tests/soak/soak_checks.c
+++ b/tests/soak/soak_checks.c
@@ -64,12 +64,14 @@
 		deliveries->end = ran ? RUN_OPEN : RUN_NONE;
 	}
 	checker->arrivals++;
-	if (request)
+	if (request) {
 		check_drain(checker, endpoint, request, time);
-	else
+		rules_check_arrival(checker->soak, endpoint, request, time);
+	} else {
 		soak_violation(checker->soak, "UNASKED",
 			       "%s got a request that no caller sent: %s",
 			       endpoint->id, id);
+	}
 }
 
 static run_end_t run_end_from_event(const char *event)
@@ -151,7 +153,8 @@
 {
 	return request->end == HTTP_CLIENT_COMPLETED &&
 	       (request->status == 503 || request->status == 429 ||
-		request->status == 408 || request->status == 421);
+		request->status == 408 || request->status == 421 ||
+		request->status == 401);
 }
 
 static void check_request(checker_t *checker, const soak_request_t *request)
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -310,6 +310,8 @@
 		outages_start(soak);
 	if (soak->options.stop_series)
 		stops_start(soak);
+	if (soak->options.rule_series)
+		rules_start(soak);
 }
 
 void faults_wait_cleared(void)
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -128,6 +128,7 @@
 	guint incarnation; /* of the instance */
 	endpoint_t *endpoint; /* whose drain is stored, NULL for none */
 	guint version; /* of the configuration stored, 0 for none */
+	soak_evacuation_t *evacuation; /* which is stored, NULL for none */
 } operation_t;
 
 static GHashTable *pending_operations; /* request id -> operation_t */
@@ -160,6 +161,8 @@
 		on_operation_failed(operation);
 	else if (operation->endpoint)
 		operation->endpoint->drain_acked_at = soak_now();
+	else if (operation->evacuation)
+		operation->evacuation->acked_at = soak_now();
 	else if (operation->version)
 		g_array_index(soak->config_acked_at, GTimeSpan,
 			      operation->version) = soak_now();
@@ -234,6 +237,7 @@
 	while (soak->config_acked_at->len <= version)
 		g_array_append_val(soak->config_acked_at, none);
 	g_string_printf(text, "{\"version\":\"r%u\",\"resources\":[", version);
+	rules_append_organisations(soak, text);
 	append_route(text, "safe", "/safe/", "safe");
 	append_route(text, "once", "/once/", "unsafe");
 	for (i = 1; i <= version; i++) {
@@ -265,8 +269,9 @@
 		"\"zone\":\"k%u\",\"version\":\"v1\",\"max_concurrency\":3,"
 		"\"state\":\"%s\",\"warmup_left_ms\":0,\"sequence\":%u,"
 		"\"born\":%u}",
-		endpoint_port(soak, endpoint->index, TRUE), endpoint->index % 2,
-		state, ++endpoint->sequence, endpoint->index + 1);
+		endpoint_port(soak, endpoint->index, TRUE),
+		endpoint->index % ZONES, state, ++endpoint->sequence,
+		endpoint->index + 1);
 	operation_t *operation = write_store(soak, "PUT", path, body);
 
 	g_free(body);
@@ -331,6 +336,53 @@
 	write_store(soak, "PUT", "/-/objects/servers/a-malformed", spec);
 }
 
+void fleet_write_evacuation(soak_t *soak, soak_evacuation_t *evacuation)
+{
+	gchar *path =
+		g_strdup_printf("/-/objects/evacuations/k%u", evacuation->zone);
+
+	if (evacuation->lifted_at != CATK_NEVER)
+		write_store(soak, "DELETE", path, "");
+	else if (evacuation->acked_at)
+		write_store(soak, "PUT", path, "{}");
+	else
+		write_store(soak, "PUT", path, "{}")->evacuation = evacuation;
+	g_free(path);
+}
+
+static gboolean is_last_of_zone(const soak_t *soak, guint index)
+{
+	const soak_evacuation_t *evacuation =
+		g_ptr_array_index(soak->evacuations, index);
+	const soak_evacuation_t *later;
+
+	while (++index < soak->evacuations->len) {
+		later = g_ptr_array_index(soak->evacuations, index);
+		if (later->zone == evacuation->zone)
+			return FALSE;
+	}
+	return TRUE;
+}
+
+void fleet_rewrite_all(soak_t *soak)
+{
+	endpoint_t *endpoint;
+	guint i;
+
+	fleet_put_config(soak);
+	TAILQ_FOREACH (endpoint, &soak->endpoints, link)
+		if (endpoint->process)
+			put_endpoint(soak, endpoint,
+				     endpoint->stop_at ? "draining" : "ready");
+		else
+			remove_entry(soak, endpoint);
+	/* Evacuations follow each other: only the last of a zone counts. */
+	for (i = 0; i < soak->evacuations->len; i++)
+		if (is_last_of_zone(soak, i))
+			fleet_write_evacuation(
+				soak, g_ptr_array_index(soak->evacuations, i));
+}
+
 static void on_endpoint_gone(void *ctx)
 {
 	endpoint_t *endpoint = ctx;
@@ -389,8 +441,8 @@
 		"\"entries_max\":%u,\"retry_percent\":%u,\"retry_saved\":%u,"
 		"\"change_bound_ms\":%u,\"resolve_ttl_ms\":500,"
 		"\"resolve_addresses\":8,\"request_id_lifetime_ms\":100,"
-		"\"shutdown_max_ms\":%u}",
-		i, i % 2, instance_port(soak, i, CALLER_PORT),
+		"\"shutdown_max_ms\":%u,\"evacuation_bound_ms\":%u}",
+		i, i % ZONES, instance_port(soak, i, CALLER_PORT),
 		instance_port(soak, i, PEER_PROXY_PORT),
 		instance_port(soak, i, PEER_PORT),
 		instance_port(soak, 0, PEER_PROXY_PORT),
@@ -401,7 +453,10 @@
 		instance_port(soak, i, STORE_PROXY_PORT), PROBES_PER_SECOND,
 		soak->options.instances, RETRY_PERCENT, RETRY_SAVED,
 		(guint)(CHANGE_PROPAGATION_MAX / G_TIME_SPAN_MILLISECOND),
-		SHUTDOWN_MAX_MS);
+		SHUTDOWN_MAX_MS,
+		soak->options.rule_series ?
+			(guint)(EVACUATION_MAX / G_TIME_SPAN_MILLISECOND) :
+			0);
 
 	g_assert_true(g_file_set_contents(path, text, -1, NULL));
 	instance->incarnation++;
--- a/tests/soak/soak_traffic.c
+++ b/tests/soak/soak_traffic.c
@@ -9,8 +9,6 @@
 /* Longer than ROUTE_TIMEOUT_MS, for a busy CPU. */
 #define CALLER_TIMEOUT (6 * G_TIME_SPAN_SECOND)
 #define IDLE_MAX (10 * G_TIME_SPAN_SECOND)
-/* Requests sent this long after a version was served must find it, too. */
-#define DOWNGRADE_GRACE (250 * G_TIME_SPAN_MILLISECOND)
 
 static guint timer;
 static double due_requests; /* may be fractional */
@@ -101,6 +99,7 @@
 		NULL;
 	if (request->status / 100 == 2)
 		check_success(soak, request, result->response);
+	rules_check_response(soak, request, instance, result->response);
 	if (request->config_version)
 		check_config(soak, request, instance);
 }
@@ -165,6 +164,7 @@
 	soak_request_t *request = request_new(soak, plan);
 	guint64 number = soak->last_request_id;
 	gchar *target = format_target(plan, number);
+	GString *headers = g_string_new(NULL);
 	gchar *body = plan->idempotent ?
 			      g_strdup("") :
 			      g_strdup_printf("b%" G_GUINT64_FORMAT, number);
@@ -178,15 +178,17 @@
 		.idle_max = plan->new_connection ? 0 : IDLE_MAX,
 	};
 
+	rules_choose_key(soak, request, headers);
 	request->expected_body = g_strdup_printf("%s %s %s %s", plan->method,
 						 target, request->id, body);
 	g_string_printf(sent.message,
 			"%s %s HTTP/1.1\r\nHost: a.example\r\n"
 			"X-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n"
-			"Content-Length: %zu\r\n\r\n%s",
+			"%sContent-Length: %zu\r\n\r\n%s",
 			plan->method, target, request->id, DEADLINE_MS,
-			strlen(body), body);
+			headers->str, strlen(body), body);
 	http_client_send(soak->client, &sent);
+	g_string_free(headers, TRUE);
 	g_string_free(sent.message, TRUE);
 	g_free(address);
 	g_free(target);
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -14,8 +14,11 @@
 #define FAULT_SECONDS "6" /* unless a seed needs longer to show its fault */
 #define STOP_SECONDS "8" /* some stops end before the faults do */
 
-/* What a run has beside its random faults, see soak_outages.c, soak_stops.c. */
-enum { OUTAGE_SERIES = 1 << 0, STOP_SERIES = 1 << 1 };
+/*
+ * What a run has beside its random faults, see soak_outages.c, soak_stops.c,
+ * soak_rules.c.
+ */
+enum { OUTAGE_SERIES = 1 << 0, STOP_SERIES = 1 << 1, RULE_SERIES = 1 << 2 };
 
 /*
  * Runs the faults of a seed with a set of series. Returns the exit status: 0
@@ -24,7 +27,7 @@
 static int run_soak(const char *seed, const char *seconds, const char *daemon,
 		    guint series)
 {
-	const char *left_out[] = { NULL, NULL };
+	const char *left_out[] = { NULL, NULL, NULL };
 	guint count = 0;
 	gchar *port = g_strdup_printf("%u", test_port(0) + PORT_OFFSET);
 	process_t *process;
@@ -33,10 +36,12 @@
 	if (!(series & OUTAGE_SERIES))
 		left_out[count++] = "--no-outage-series";
 	if (!(series & STOP_SERIES))
-		left_out[count] = "--no-stop-series";
+		left_out[count++] = "--no-stop-series";
+	if (!(series & RULE_SERIES))
+		left_out[count] = "--no-rule-series";
 	process = process_start("soak", "--seed", seed, "--seconds", seconds,
 				"--port-base", port, "--daemon", daemon,
-				left_out[0], left_out[1], NULL);
+				left_out[0], left_out[1], left_out[2], NULL);
 	status = process_wait(process);
 	process_free(process);
 	g_free(port);
@@ -87,6 +92,13 @@
 		run_soak("4", STOP_SECONDS, "catkinstalld", STOP_SERIES), 0);
 }
 
+/* Fails if a withdrawn key, an evacuation or a restored store is not respected. */
+static void rules_hold_under_faults(void **state)
+{
+	(void)state;
+	assert_int_equal(run_soak("1", "18", "catkinstalld", RULE_SERIES), 0);
+}
+
 /* Fails if the soak misses requests that a planned stop cuts. */
 static void requests_cut_by_a_stop_are_detected(void **state)
 {
@@ -112,6 +124,7 @@
 		cmocka_unit_test(silent_store_watch_is_replaced),
 		cmocka_unit_test(changes_around_outages_are_learnt),
 		cmocka_unit_test(planned_stops_lose_no_request),
+		cmocka_unit_test(rules_hold_under_faults),
 		cmocka_unit_test(retry_without_proof_is_detected),
 		cmocka_unit_test(requests_cut_by_a_stop_are_detected),
 	};
