--- a/lib/common/counters.h
+++ b/lib/common/counters.h
@@ -41,7 +41,32 @@
 	X(PEER_MESSAGES_RECEIVED, "peer_messages_received", "messages")      \
 	X(LOG_LINES_DROPPED, "log_lines_dropped", "lines")                   \
 	X(CONNECTIONS_SILENT, "connections_closed_as_silent", "connections") \
-	X(BODIES_REFUSED, "bodies_refused", "requests")
+	X(BODIES_REFUSED, "bodies_refused", "requests")                      \
+	X(BODIES_REFUSED_PROXY, "bodies_refused_proxy", "requests")          \
+	X(BODIES_REFUSED_CALLERS, "bodies_refused_callers", "requests")      \
+	X(BODIES_REFUSED_DIRECTORY, "bodies_refused_directory", "requests")  \
+	X(BODIES_REFUSED_READINESS, "bodies_refused_readiness", "requests")  \
+	X(BODIES_REFUSED_PEERS, "bodies_refused_peers", "requests")          \
+	X(CONNECTIONS_REFUSED_PROXY, "connections_refused_proxy",            \
+	  "connections")                                                     \
+	X(CONNECTIONS_REFUSED_CALLERS, "connections_refused_callers",        \
+	  "connections")                                                     \
+	X(CONNECTIONS_REFUSED_DIRECTORY, "connections_refused_directory",    \
+	  "connections")                                                     \
+	X(CONNECTIONS_REFUSED_READINESS, "connections_refused_readiness",    \
+	  "connections")                                                     \
+	X(CONNECTIONS_REFUSED_PEERS, "connections_refused_peers",            \
+	  "connections")                                                     \
+	X(CONNECTIONS_REPLACED_PROXY, "connections_replaced_proxy",          \
+	  "connections")                                                     \
+	X(CONNECTIONS_REPLACED_CALLERS, "connections_replaced_callers",      \
+	  "connections")                                                     \
+	X(CONNECTIONS_REPLACED_DIRECTORY, "connections_replaced_directory",  \
+	  "connections")                                                     \
+	X(CONNECTIONS_REPLACED_READINESS, "connections_replaced_readiness",  \
+	  "connections")                                                     \
+	X(CONNECTIONS_REPLACED_PEERS, "connections_replaced_peers",          \
+	  "connections")
 
 typedef enum {
 #define X(id, name, unit) COUNTER_##id,
--- a/net/http_message.c
+++ b/net/http_message.c
@@ -6,6 +6,12 @@
 /* Returned to http_parser from the callback for complete headers. */
 #define SKIP_BODY 1
 
+/* The memory of a body grows by one part in so many beyond what is needed. */
+#define BODY_GROWTH_DIVISOR 8
+#define BODY_BYTES_MIN 1024 /* of the first allocation */
+/* Memory of a header beside its characters: http_header_t and two blocks. */
+#define HEADER_OVERHEAD_BYTES 96
+
 struct http_message_parser {
 	http_parser impl;
 	http_message_limits_t limits;
@@ -13,8 +19,11 @@
 	GString *name; /* of the header being parsed */
 	GString *value;
 	GString *target;
-	GByteArray *body;
+	guint8 *body; /* body_bytes of body_allocated, NULL without one */
+	gsize body_bytes;
+	gsize body_allocated;
 	gsize header_bytes;
+	guint header_count;
 	gsize announced_bytes; /* Content-Length, 0 without one */
 	gboolean bodiless; /* responses end with their headers */
 	gboolean value_begun; /* part of that header's value was parsed */
@@ -137,6 +146,7 @@
 	http_message_free(parser->message);
 	parser->message = message_new();
 	parser->header_bytes = 0;
+	parser->header_count = 0;
 	parser->announced_bytes = 0;
 	parser->value_begun = FALSE;
 	parser->has_headers = FALSE;
@@ -165,6 +175,7 @@
 	header->name = g_strdup(parser->name->str);
 	header->value = g_strdup(g_strchomp(parser->value->str));
 	TAILQ_INSERT_TAIL(&parser->message->headers, header, link);
+	parser->header_count++;
 	g_string_truncate(parser->name, 0);
 	g_string_truncate(parser->value, 0);
 	parser->value_begun = FALSE;
@@ -268,25 +279,63 @@
 	return 0;
 }
 
+/* Grows by a part, not to the double: a body takes little more than it has. */
+static void reserve_body(http_message_parser_t *parser, gsize bytes)
+{
+	gsize max = parser->limits.body_bytes_max;
+	gsize wanted;
+
+	if (bytes <= parser->body_allocated)
+		return;
+	wanted = MAX(bytes + bytes / BODY_GROWTH_DIVISOR, BODY_BYTES_MIN);
+	if (max)
+		wanted = MIN(wanted, max);
+	if (parser->announced_bytes)
+		wanted = MIN(wanted, parser->announced_bytes);
+	wanted = MAX(wanted, bytes);
+	parser->body = g_realloc(parser->body, wanted);
+	parser->body_allocated = wanted;
+}
+
+static void clear_body(http_message_parser_t *parser)
+{
+	g_clear_pointer(&parser->body, g_free);
+	parser->body_bytes = 0;
+	parser->body_allocated = 0;
+}
+
 static int on_body(http_parser *impl, const char *data, size_t size)
 {
 	http_message_parser_t *parser = parser_from(impl);
+	gsize bytes = parser->body_bytes + size;
 
-	g_byte_array_append(parser->body, (const guint8 *)data, (guint)size);
 	if (parser->limits.body_bytes_max &&
-	    parser->body->len > parser->limits.body_bytes_max)
+	    bytes > parser->limits.body_bytes_max)
 		return fail(parser, HTTP_PARSE_BODY_TOO_LARGE);
+	reserve_body(parser, bytes);
+	memcpy(parser->body + parser->body_bytes, data, size);
+	parser->body_bytes = bytes;
 	return 0;
 }
 
+/* Returns the body; what it does not use of its memory is given back. */
+static GBytes *take_body(http_message_parser_t *parser)
+{
+	gsize size = parser->body_bytes;
+	guint8 *body = g_realloc(parser->body, size);
+
+	parser->body = NULL;
+	clear_body(parser);
+	return g_bytes_new_take(body, size);
+}
+
 static int on_complete(http_parser *impl)
 {
 	http_message_parser_t *parser = parser_from(impl);
 
 	parser->message->keep_alive = http_should_keep_alive(impl) != 0;
 	/* The message takes the data over: a kept connection holds no body. */
-	parser->message->body = g_byte_array_free_to_bytes(parser->body);
-	parser->body = g_byte_array_new();
+	parser->message->body = take_body(parser);
 	parser->complete = TRUE;
 	/* Parsing resumes after http_message_parser_take(). */
 	http_parser_pause(impl, 1);
@@ -313,7 +362,6 @@
 	parser->name = g_string_new(NULL);
 	parser->value = g_string_new(NULL);
 	parser->target = g_string_new(NULL);
-	parser->body = g_byte_array_new();
 	return parser;
 }
 
@@ -325,7 +373,7 @@
 	g_string_free(parser->name, TRUE);
 	g_string_free(parser->value, TRUE);
 	g_string_free(parser->target, TRUE);
-	g_byte_array_unref(parser->body);
+	clear_body(parser);
 	g_free(parser);
 }
 
@@ -399,14 +447,25 @@
 
 gsize http_message_parser_kept_bytes(const http_message_parser_t *parser)
 {
-	return parser->header_bytes + parser->body->len;
+	return parser->header_bytes + parser->body_bytes;
 }
 
 gsize http_message_parser_body_bytes(const http_message_parser_t *parser)
 {
 	if (parser->complete)
 		return g_bytes_get_size(parser->message->body);
-	return MAX(parser->announced_bytes, parser->body->len);
+	return MAX(parser->announced_bytes, parser->body_allocated);
+}
+
+gsize http_message_parser_header_bytes(const http_message_parser_t *parser)
+{
+	return parser->header_bytes +
+	       (gsize)parser->header_count * HEADER_OVERHEAD_BYTES;
+}
+
+gsize http_message_parser_received_bytes(const http_message_parser_t *parser)
+{
+	return parser->body_bytes;
 }
 
 gboolean http_message_parser_has_begun(const http_message_parser_t *parser)
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -113,11 +113,17 @@
 gsize http_message_parser_kept_bytes(const http_message_parser_t *parser);
 
 /*
- * Bytes of the body of the current message: as announced, as received so far if
- * that is more, or of the complete body.
+ * Bytes that the body of the current message takes: as announced, as allocated
+ * so far if that is more, or of the complete body.
  */
 gsize http_message_parser_body_bytes(const http_message_parser_t *parser);
 
+/* Bytes that the headers of the current message take. */
+gsize http_message_parser_header_bytes(const http_message_parser_t *parser);
+
+/* Bytes of the body of the current, incomplete message received so far. */
+gsize http_message_parser_received_bytes(const http_message_parser_t *parser);
+
 /* TRUE when part of the current message was received. */
 gboolean http_message_parser_has_begun(const http_message_parser_t *parser);
 
--- a/net/http_reply.c
+++ b/net/http_reply.c
@@ -1,76 +1,75 @@
 #include "net/http_reply.h"
 
+#include <http_parser.h>
+#include <string.h>
+
 #include "codec/dump_json.h"
 
 guint http_status_for_error(catk_error_kind_t kind)
 {
 	switch (kind) {
 	case CATK_OK:
-		return SOUP_STATUS_OK;
+		return HTTP_STATUS_OK;
 	case CATK_INVALID_ARGUMENT:
-		return SOUP_STATUS_BAD_REQUEST;
+		return HTTP_STATUS_BAD_REQUEST;
 	case CATK_UNAUTHENTICATED:
-		return SOUP_STATUS_UNAUTHORIZED;
+		return HTTP_STATUS_UNAUTHORIZED;
 	case CATK_NOT_FOUND:
-		return SOUP_STATUS_NOT_FOUND;
+		return HTTP_STATUS_NOT_FOUND;
 	case CATK_CONFLICT:
 	case CATK_CANCELLED:
-		return SOUP_STATUS_CONFLICT;
+		return HTTP_STATUS_CONFLICT;
 	case CATK_TOO_LARGE:
-		return SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE;
+		return HTTP_STATUS_PAYLOAD_TOO_LARGE;
 	case CATK_RATE_LIMITED:
-		return 429; /* RFC 6585; libsoup has no name for it */
+		return HTTP_STATUS_TOO_MANY_REQUESTS;
 	case CATK_OVERLOADED:
 	case CATK_UNAVAILABLE:
-		return SOUP_STATUS_SERVICE_UNAVAILABLE;
+		return HTTP_STATUS_SERVICE_UNAVAILABLE;
 	case CATK_DEADLINE_EXCEEDED:
-		return SOUP_STATUS_GATEWAY_TIMEOUT;
+		return HTTP_STATUS_GATEWAY_TIMEOUT;
 	case CATK_UPSTREAM_FAILED:
 	case CATK_OUTCOME_UNKNOWN:
-		return SOUP_STATUS_BAD_GATEWAY;
+		return HTTP_STATUS_BAD_GATEWAY;
 	case CATK_INTERNAL:
 	case CATK_ERROR_KIND_COUNT:
 		break;
 	}
-	return SOUP_STATUS_INTERNAL_SERVER_ERROR;
+	return HTTP_STATUS_INTERNAL_SERVER_ERROR;
 }
 
-static void set_json(SoupServerMessage *message, guint status,
-		     JsonBuilder *builder)
+static void reply_json(http_exchange_t *exchange, guint status,
+		       const char *headers, JsonBuilder *builder)
 {
 	gchar *text = json_builder_to_text(builder);
+	GBytes *body = g_bytes_new_take(text, strlen(text));
 
-	soup_server_message_set_status(message, status, NULL);
-	soup_server_message_set_response(message, "application/json",
-					 SOUP_MEMORY_TAKE, text, strlen(text));
+	http_reply_bytes(exchange, status, "application/json", headers, body);
+	g_bytes_unref(body);
 }
 
-static void set_retry_after(SoupServerMessage *message, GTimeSpan retry_after)
+static void append_retry_after(GString *headers, GTimeSpan retry_after)
 {
 	gint64 seconds =
 		(retry_after + G_TIME_SPAN_SECOND - 1) / G_TIME_SPAN_SECOND;
-	gchar *text;
 
-	if (retry_after <= 0)
-		return;
-	text = g_strdup_printf("%" G_GINT64_FORMAT, seconds);
-	soup_message_headers_replace(
-		soup_server_message_get_response_headers(message),
-		"Retry-After", text);
-	g_free(text);
+	if (retry_after > 0)
+		g_string_append_printf(headers,
+				       "Retry-After: %" G_GINT64_FORMAT "\r\n",
+				       seconds);
 }
 
-void http_reply_error(SoupServerMessage *message, const catk_error_t *error)
+void http_reply_error(http_exchange_t *exchange, const catk_error_t *error)
 {
-	http_reply_error_with(message, error, NULL, NULL);
+	http_reply_error_with(exchange, error, NULL, NULL);
 }
 
-void http_reply_error_with(SoupServerMessage *message,
-			   const catk_error_t *error,
+void http_reply_error_with(http_exchange_t *exchange, const catk_error_t *error,
 			   void (*add)(void *ctx, JsonBuilder *builder),
 			   void *ctx)
 {
 	JsonBuilder *builder = json_builder_new();
+	GString *headers = g_string_new(NULL);
 
 	json_builder_begin_object(builder);
 	json_builder_set_member_name(builder, "error");
@@ -90,30 +89,29 @@
 		add(ctx, builder);
 	json_builder_end_object(builder);
 
-	soup_message_headers_replace(
-		soup_server_message_get_response_headers(message),
-		"Catkinstall-Outcome", outcome_name(error->outcome));
-	set_retry_after(message, error->retry_after);
-	set_json(message, http_status_for_error(error->kind), builder);
+	g_string_printf(headers, "Catkinstall-Outcome: %s\r\n",
+			outcome_name(error->outcome));
+	append_retry_after(headers, error->retry_after);
+	reply_json(exchange, http_status_for_error(error->kind), headers->str,
+		   builder);
+	g_string_free(headers, TRUE);
 	g_object_unref(builder);
 }
 
-void http_reply_json(SoupServerMessage *message, JsonBuilder *builder)
+void http_reply_json(http_exchange_t *exchange, JsonBuilder *builder)
 {
-	set_json(message, SOUP_STATUS_OK, builder);
+	reply_json(exchange, HTTP_STATUS_OK, "", builder);
 }
 
-void http_reply_bytes(SoupServerMessage *message, guint status,
-		      const char *content_type, GBytes *body)
+void http_reply_bytes(http_exchange_t *exchange, guint status,
+		      const char *content_type, const char *headers,
+		      GBytes *body)
 {
-	SoupMessageBody *response =
-		soup_server_message_get_response_body(message);
+	gchar *all = g_strdup_printf("Content-Type: %s\r\n%s", content_type,
+				     headers);
 
-	soup_server_message_set_status(message, status, NULL);
-	soup_message_headers_set_content_type(
-		soup_server_message_get_response_headers(message), content_type,
-		NULL);
-	soup_message_body_append_bytes(response, body);
+	http_exchange_reply(exchange, status, all, body);
+	g_free(all);
 }
 
 gboolean http_parse_number(const char *name, const char *text, guint64 min,
--- a/net/http_reply.h
+++ b/net/http_reply.h
@@ -1,11 +1,11 @@
-/* Responses of the libsoup servers: status codes, JSON documents and errors. */
+/* Responses of the small HTTP interfaces: status codes, JSON documents and errors. */
 #ifndef CATK_HTTP_REPLY_H
 #define CATK_HTTP_REPLY_H
 
 #include <json-glib/json-glib.h>
-#include <libsoup/soup.h>
 
 #include "lib/common/error.h"
+#include "net/http_server.h"
 
 /* Returns the HTTP status code for a kind of error. */
 guint http_status_for_error(catk_error_kind_t kind);
@@ -14,23 +14,26 @@
  * Responds with an error: the JSON document {"error":{...}}, the status code,
  * the outcome header and, where the error says when to retry, Retry-After.
  */
-void http_reply_error(SoupServerMessage *message, const catk_error_t *error);
+void http_reply_error(http_exchange_t *exchange, const catk_error_t *error);
 
 /*
  * Like http_reply_error(), but calls add to append members beside "error" to
  * the document. add may be NULL.
  */
-void http_reply_error_with(SoupServerMessage *message,
-			   const catk_error_t *error,
+void http_reply_error_with(http_exchange_t *exchange, const catk_error_t *error,
 			   void (*add)(void *ctx, JsonBuilder *builder),
 			   void *ctx);
 
 /* Responds with status 200 and the builder's document. */
-void http_reply_json(SoupServerMessage *message, JsonBuilder *builder);
+void http_reply_json(http_exchange_t *exchange, JsonBuilder *builder);
 
-/* Responds with a body of the given content type; references body. */
-void http_reply_bytes(SoupServerMessage *message, guint status,
-		      const char *content_type, GBytes *body);
+/*
+ * Responds with a body of the given content type; references body. headers are
+ * further complete header lines.
+ */
+void http_reply_bytes(http_exchange_t *exchange, guint status,
+		      const char *content_type, const char *headers,
+		      GBytes *body);
 
 /*
  * Parses the value of a header or query parameter as a decimal number between
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -21,6 +21,25 @@
  */
 #define LINGER_TIMEOUT (1 * G_TIME_SPAN_SECOND)
 
+/*
+ * Headers of usual size are not part of the budget of bodies; what they take
+ * beyond this is, in bytes.
+ */
+#define HEADER_BYTES_FREE 4096
+/*
+ * Slowest transfer of a body after a grace period: far below what a link of any
+ * client does, but a client that sends single bytes does not hold a body for good.
+ */
+#define BODY_BYTES_PER_S_MIN 1024
+#define BODY_GRACE (30 * G_TIME_SPAN_SECOND)
+/*
+ * At the limit of connections, one without progress for this long is closed in
+ * favour of a new one.
+ */
+#define REPLACE_IDLE_MIN (1 * G_TIME_SPAN_SECOND)
+/* Time after which accepting is tried again when descriptors have run out. */
+#define ACCEPT_RETRY_MS 100
+
 /* Header of a refusal for want of room: by then another body may have left. */
 #define BODY_REFUSED_HEADERS "Retry-After: 1\r\n"
 
@@ -37,6 +56,7 @@
 	guint exchange_count;
 	GTimeSpan timer_start; /* last response or first byte of a request */
 	GTimeSpan last_received; /* instant */
+	GTimeSpan body_started; /* instant; 0 without a body in progress */
 	gsize body_held; /* of the budget, for the request being received */
 	gboolean unused; /* has received nothing yet */
 	gboolean closing; /* accepts no requests, ends with the last response */
@@ -64,7 +84,10 @@
 	GSource *accept_source;
 	guint timeout_source;
 	guint resume_source; /* parses input after a pipeline was full */
+	guint accept_timer; /* resumes accepting, 0 while it is not paused */
 	gboolean stopped; /* accepts no more connections */
+	guint connections_max; /* 0 for no limit */
+	guint connection_count;
 	TAILQ_HEAD(connection_list, connection) connections;
 };
 
@@ -96,6 +119,7 @@
 static void connection_free(connection_t *connection)
 {
 	TAILQ_REMOVE(&connection->server->connections, connection, link);
+	connection->server->connection_count--;
 	release_body(connection->server, &connection->body_held);
 	while (!TAILQ_EMPTY(&connection->exchanges))
 		exchange_free(TAILQ_FIRST(&connection->exchanges));
@@ -253,28 +277,50 @@
 static void reject_request(connection_t *connection, guint status,
 			   const char *headers)
 {
+	const char *more = connection->server->events.refusal_headers;
 	http_exchange_t *exchange = add_exchange(connection, NULL);
+	gchar *all = g_strconcat(headers, more ? more : "", NULL);
 
 	connection->closing = TRUE;
-	http_exchange_reply(exchange, status, headers, NULL);
+	http_exchange_reply(exchange, status, all, NULL);
+	g_free(all);
 }
 
-/* Returns FALSE if the budget has no room for the body being received. */
+/* What the request being received takes of the budget. */
+static gsize request_bytes(const connection_t *connection)
+{
+	gsize headers = http_message_parser_header_bytes(connection->parser);
+
+	return http_message_parser_body_bytes(connection->parser) +
+	       (headers > HEADER_BYTES_FREE ? headers - HEADER_BYTES_FREE : 0);
+}
+
+/* Returns FALSE if the budget has no room for the request being received. */
 static gboolean hold_body(connection_t *connection)
 {
 	body_budget_t *budget = connection->server->body_budget;
-	gsize bytes = http_message_parser_body_bytes(connection->parser);
+	gsize bytes = request_bytes(connection);
 
 	return !budget || bytes <= connection->body_held ||
 	       body_budget_resize(budget, &connection->body_held, bytes);
 }
 
+/* Gives back what the last growth of a complete body did not use. */
+static void trim_body(connection_t *connection)
+{
+	body_budget_t *budget = connection->server->body_budget;
+
+	if (budget)
+		body_budget_resize(budget, &connection->body_held,
+				   MIN(connection->body_held,
+				       request_bytes(connection)));
+}
+
 static void refuse_body(connection_t *connection)
 {
 	const http_server_events_t *events = &connection->server->events;
 
-	events->body_refused(events->ctx, http_message_parser_body_bytes(
-						  connection->parser));
+	events->body_refused(events->ctx, request_bytes(connection));
 	reject_request(connection, HTTP_STATUS_SERVICE_UNAVAILABLE,
 		       BODY_REFUSED_HEADERS);
 }
@@ -282,11 +328,15 @@
 static void dispatch_request(connection_t *connection)
 {
 	const http_server_events_t *events = &connection->server->events;
-	http_message_t *request = http_message_parser_take(connection->parser);
-	http_exchange_t *exchange = add_exchange(connection, request);
+	http_message_t *request;
+	http_exchange_t *exchange;
 
+	trim_body(connection);
+	request = http_message_parser_take(connection->parser);
+	exchange = add_exchange(connection, request);
 	exchange->body_held = connection->body_held;
 	connection->body_held = 0;
+	connection->body_started = 0;
 	if (!request->keep_alive)
 		connection->closing = TRUE;
 	connection->timer_start = connection_now(connection);
@@ -326,6 +376,9 @@
 						  data + consumed,
 						  size - consumed, &used);
 		consumed += used;
+		if (!connection->body_started &&
+		    http_message_parser_has_headers(connection->parser))
+			connection->body_started = connection_now(connection);
 		if (result != HTTP_PARSE_COMPLETE &&
 		    result != HTTP_PARSE_INCOMPLETE)
 			reject_request(connection,
@@ -410,40 +463,10 @@
 	connection->timer_start = catk_clock_now(server->clock);
 	TAILQ_INIT(&connection->exchanges);
 	TAILQ_INSERT_TAIL(&server->connections, connection, link);
+	server->connection_count++;
 	connection->stream = stream_new_from_socket(socket, &events);
 }
 
-/* Accepts up to max connections that wait in the kernel. */
-static void accept_connections(http_server_t *server, guint max)
-{
-	GError *error = NULL;
-	GSocket *socket;
-	guint i;
-
-	for (i = 0; i < max; i++) {
-		socket = g_socket_accept(server->listener, NULL, &error);
-		if (!socket)
-			break;
-		accept_connection(server, socket);
-		g_object_unref(socket);
-	}
-	if (error &&
-	    !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
-		g_warning("cannot accept a connection: %s; raise the open "
-			  "file limit if it is reached",
-			  error->message);
-	g_clear_error(&error);
-}
-
-static gboolean on_incoming_connection(GSocket *listener,
-				       GIOCondition condition, gpointer data)
-{
-	(void)listener;
-	(void)condition;
-	accept_connections(data, ACCEPTS_PER_ITERATION);
-	return G_SOURCE_CONTINUE;
-}
-
 /* TRUE while a response is pending, or may not have reached the client. */
 static gboolean is_busy(const connection_t *connection)
 {
@@ -483,6 +506,140 @@
 	return now - MAX(connection->last_received, connection->timer_start);
 }
 
+static gboolean is_replaced_before(const connection_t *connection,
+				   const connection_t *other, GTimeSpan now)
+{
+	gboolean begun = http_message_parser_has_begun(connection->parser);
+
+	if (begun != http_message_parser_has_begun(other->parser))
+		return !begun;
+	return time_without_progress(connection, now) >
+	       time_without_progress(other, now);
+}
+
+/*
+ * The connection that has been without progress for longest, one without a
+ * request first, or NULL. No request that has been received whole is waiting on
+ * it, so that its end is not taken for that of a request that ran.
+ */
+static connection_t *find_replaceable(const http_server_t *server)
+{
+	GTimeSpan now = catk_clock_now(server->clock);
+	connection_t *connection, *found = NULL;
+
+	TAILQ_FOREACH (connection, &server->connections, link) {
+		GTimeSpan idle = time_without_progress(connection, now);
+
+		if (is_busy(connection) || idle < REPLACE_IDLE_MIN ||
+		    stream_has_input(connection->stream))
+			continue;
+		if (!found || is_replaced_before(connection, found, now))
+			found = connection;
+	}
+	return found;
+}
+
+/* Returns FALSE if there is no room for one more connection. */
+static gboolean make_room(http_server_t *server)
+{
+	const http_server_events_t *events = &server->events;
+	connection_t *replaceable;
+
+	if (!server->connections_max ||
+	    server->connection_count < server->connections_max)
+		return TRUE;
+	replaceable = find_replaceable(server);
+	if (replaceable)
+		connection_close(replaceable);
+	if (events->connection_limited)
+		events->connection_limited(events->ctx, replaceable != NULL);
+	return replaceable != NULL;
+}
+
+static gboolean on_incoming_connection(GSocket *listener,
+				       GIOCondition condition, gpointer data);
+
+static void start_accepting(http_server_t *server)
+{
+	server->accept_source =
+		g_socket_create_source(server->listener, G_IO_IN, NULL);
+	g_source_set_callback(server->accept_source,
+			      G_SOURCE_FUNC(on_incoming_connection), server,
+			      NULL);
+	g_source_attach(server->accept_source, NULL);
+}
+
+static void pause_accepting(http_server_t *server)
+{
+	if (!server->accept_source)
+		return;
+	g_source_destroy(server->accept_source);
+	g_clear_pointer(&server->accept_source, g_source_unref);
+}
+
+static gboolean on_accept_retry(gpointer data)
+{
+	http_server_t *server = data;
+
+	server->accept_timer = 0;
+	start_accepting(server);
+	return G_SOURCE_REMOVE;
+}
+
+/* The listener would wake the main loop at once as long as one waits. */
+static void on_accept_failed(http_server_t *server, const GError *error)
+{
+	g_warning("cannot accept a connection: %s; raise the open file limit "
+		  "if it is reached",
+		  error->message);
+	if (server->stopped)
+		return;
+	pause_accepting(server);
+	if (!server->accept_timer)
+		server->accept_timer =
+			g_timeout_add(ACCEPT_RETRY_MS, on_accept_retry, server);
+}
+
+/* Accepts up to max connections that wait in the kernel. */
+static void accept_connections(http_server_t *server, guint max)
+{
+	GError *error = NULL;
+	GSocket *socket;
+	guint i;
+
+	for (i = 0; i < max; i++) {
+		socket = g_socket_accept(server->listener, NULL, &error);
+		if (!socket)
+			break;
+		if (make_room(server))
+			accept_connection(server, socket);
+		g_object_unref(socket);
+	}
+	if (error &&
+	    !g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+		on_accept_failed(server, error);
+	g_clear_error(&error);
+}
+
+static gboolean on_incoming_connection(GSocket *listener,
+				       GIOCondition condition, gpointer data)
+{
+	(void)listener;
+	(void)condition;
+	accept_connections(data, ACCEPTS_PER_ITERATION);
+	return G_SOURCE_CONTINUE;
+}
+
+static gboolean is_body_slow(const connection_t *connection, GTimeSpan now)
+{
+	GTimeSpan elapsed = now - connection->body_started;
+
+	return elapsed > BODY_GRACE &&
+	       http_message_parser_received_bytes(connection->parser) <
+		       (gsize)(elapsed / G_TIME_SPAN_SECOND) *
+			       BODY_BYTES_PER_S_MIN;
+}
+
 /* A request whose headers take too long, or whose body makes no progress. */
 static gboolean is_request_overdue(const connection_t *connection,
 				   const schema_request_limits_t *limits,
@@ -491,8 +648,9 @@
 	if (!http_message_parser_has_headers(connection->parser))
 		return limits->header_timeout &&
 		       now - connection->timer_start > limits->header_timeout;
-	return limits->idle_timeout &&
-	       time_without_progress(connection, now) > limits->idle_timeout;
+	return is_body_slow(connection, now) ||
+	       (limits->idle_timeout &&
+		time_without_progress(connection, now) > limits->idle_timeout);
 }
 
 static void check_timeouts(connection_t *connection,
@@ -548,11 +706,7 @@
 	server->listener = socket;
 	TAILQ_INIT(&server->connections);
 	g_socket_set_blocking(socket, FALSE);
-	server->accept_source = g_socket_create_source(socket, G_IO_IN, NULL);
-	g_source_set_callback(server->accept_source,
-			      G_SOURCE_FUNC(on_incoming_connection), server,
-			      NULL);
-	g_source_attach(server->accept_source, NULL);
+	start_accepting(server);
 	server->timeout_source = g_timeout_add(TIMEOUT_CHECK_INTERVAL_MS,
 					       on_timeout_check, server);
 	return server;
@@ -563,13 +717,20 @@
 	server->body_budget = budget;
 }
 
+void http_server_set_connections_max(http_server_t *server, guint max)
+{
+	server->connections_max = max;
+}
+
 static void stop_accepting(http_server_t *server)
 {
 	if (server->stopped)
 		return;
 	server->stopped = TRUE;
-	g_source_destroy(server->accept_source);
-	g_source_unref(server->accept_source);
+	pause_accepting(server);
+	if (server->accept_timer)
+		g_source_remove(server->accept_timer);
+	server->accept_timer = 0;
 	g_object_unref(server->listener);
 }
 
@@ -611,12 +772,7 @@
 
 guint http_server_connection_count(const http_server_t *server)
 {
-	const connection_t *connection;
-	guint count = 0;
-
-	TAILQ_FOREACH (connection, &server->connections, link)
-		count++;
-	return count;
+	return server->connection_count;
 }
 
 const http_message_t *http_exchange_request(const http_exchange_t *exchange)
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -40,6 +40,13 @@
 	 * least bytes. Not NULL if a budget is set.
 	 */
 	void (*body_refused)(void *ctx, gsize bytes);
+	/*
+	 * A new connection met the limit of connections: either one without
+	 * progress was closed in its favour, or it was refused. May be NULL.
+	 */
+	void (*connection_limited)(void *ctx, gboolean replaced);
+	/* Complete header lines of the server's own refusals, or NULL. */
+	const char *refusal_headers;
 	void *ctx;
 } http_server_events_t;
 
@@ -58,6 +65,12 @@
  */
 void http_server_set_body_budget(http_server_t *server, body_budget_t *budget);
 
+/*
+ * Limits the open connections, 0 for no limit. At the limit, a new connection
+ * replaces the one that has been without progress for longest, or is refused.
+ */
+void http_server_set_connections_max(http_server_t *server, guint max);
+
 /* Closes all connections without callbacks. NULL is allowed. */
 void http_server_free(http_server_t *server);
 
--- a/net/metrics.c
+++ b/net/metrics.c
@@ -1,6 +1,7 @@
 #include "net/metrics.h"
 
 #include <gsl/gsl_histogram.h>
+#include <http_parser.h>
 
 #include "net/http_reply.h"
 
@@ -32,7 +33,7 @@
 };
 
 struct metrics {
-	SoupServer *server;
+	http_service_t *service;
 	const counters_t *counters;
 	const entry_t *entry;
 	latency_histogram_t latencies[RESULT_COUNT];
@@ -146,15 +147,14 @@
 				G_TIME_SPAN_SECOND);
 }
 
-static void on_metrics(SoupServer *server, SoupServerMessage *message,
-		       const char *path, GHashTable *query, gpointer data)
+static void on_metrics(void *ctx, http_exchange_t *exchange, const char *path,
+		       GHashTable *query)
 {
-	const metrics_t *metrics = data;
+	const metrics_t *metrics = ctx;
 	GString *text = g_string_new(NULL);
 	GBytes *body;
 	int i;
 
-	(void)server;
 	(void)path;
 	(void)query;
 	append_counters(metrics, text);
@@ -169,18 +169,20 @@
 	for (i = 0; i < RESULT_COUNT; i++)
 		append_latency(&metrics->latencies[i], result_names[i], text);
 	body = g_string_free_to_bytes(text);
-	http_reply_bytes(message, SOUP_STATUS_OK, "text/plain; version=0.0.4",
-			 body);
+	http_reply_bytes(exchange, HTTP_STATUS_OK, "text/plain; version=0.0.4",
+			 "", body);
 	g_bytes_unref(body);
 }
 
-metrics_t *metrics_new(SoupServer *server, const counters_t *counters,
+metrics_t *metrics_new(http_service_t *service, const counters_t *counters,
 		       const entry_t *entry)
 {
 	metrics_t *metrics = g_new0(metrics_t, 1);
+	const http_handler_t handler = { .request = on_metrics,
+					 .ctx = metrics };
 	int i;
 
-	metrics->server = server;
+	metrics->service = service;
 	metrics->counters = counters;
 	metrics->entry = entry;
 	for (i = 0; i < RESULT_COUNT; i++) {
@@ -190,8 +192,7 @@
 					 bucket_bounds,
 					 G_N_ELEMENTS(bucket_bounds));
 	}
-	soup_server_add_handler(server, METRICS_PATH, on_metrics, metrics,
-				NULL);
+	http_service_add_handler(service, METRICS_PATH, &handler);
 	return metrics;
 }
 
@@ -201,7 +202,7 @@
 
 	if (!metrics)
 		return;
-	soup_server_remove_handler(metrics->server, METRICS_PATH);
+	http_service_remove_handler(metrics->service, METRICS_PATH);
 	for (i = 0; i < RESULT_COUNT; i++)
 		gsl_histogram_free(metrics->latencies[i].buckets);
 	g_free(metrics);
--- a/net/metrics.h
+++ b/net/metrics.h
@@ -2,18 +2,17 @@
 #ifndef CATK_METRICS_H
 #define CATK_METRICS_H
 
-#include <libsoup/soup.h>
-
 #include "lib/common/counters.h"
 #include "lib/entry/entry.h"
+#include "net/http_service.h"
 
 typedef struct metrics metrics_t;
 
 /*
- * Serves /metrics on server. All arguments must outlive the result. Free with
+ * Serves /metrics on service. All arguments must outlive the result. Free with
  * metrics_free().
  */
-metrics_t *metrics_new(SoupServer *server, const counters_t *counters,
+metrics_t *metrics_new(http_service_t *service, const counters_t *counters,
 		       const entry_t *entry);
 
 /* Stops serving /metrics. NULL is allowed. */
--- a/net/operator_api.c
+++ b/net/operator_api.c
@@ -1,5 +1,8 @@
 #include "net/operator_api.h"
 
+#include <http_parser.h>
+#include <string.h>
+
 #include "codec/config_json.h"
 #include "codec/dump_json.h"
 #include "lib/common/intrusive.h"
@@ -16,13 +19,11 @@
 typedef struct pending_change {
 	TAILQ_ENTRY(pending_change) link;
 	operator_api_t *api;
-	SoupServerMessage *message;
-	gulong disconnected; /* signal handler */
-	gboolean connected;
+	http_exchange_t *exchange; /* NULL once its client disconnected */
 } pending_change_t;
 
 struct operator_api {
-	SoupServer *server;
+	http_service_t *service;
 	entry_t *entry;
 	config_store_t *store; /* NULL if the configuration is a local file */
 	TAILQ_HEAD(pending_list, pending_change) pending;
@@ -31,83 +32,77 @@
 static void pending_free(pending_change_t *pending)
 {
 	TAILQ_REMOVE(&pending->api->pending, pending, link);
-	g_clear_signal_handler(&pending->disconnected, pending->message);
-	if (pending->connected)
-		soup_server_message_unpause(pending->message);
-	g_object_unref(pending->message);
 	g_free(pending);
 }
 
-static void on_dump(SoupServer *server, SoupServerMessage *message,
-		    const char *path, GHashTable *query, gpointer data)
+static void on_dump(void *ctx, http_exchange_t *exchange, const char *path,
+		    GHashTable *query)
 {
-	operator_api_t *api = data;
+	operator_api_t *api = ctx;
 	JsonBuilder *builder = json_builder_new();
 	dump_writer_t writer = dump_json_writer(builder);
 
-	(void)server;
 	(void)path;
 	(void)query;
 	entry_dump(api->entry, &writer);
-	http_reply_json(message, builder);
+	http_reply_json(exchange, builder);
 	g_object_unref(builder);
 }
 
-static void set_version_header(SoupServerMessage *message, guint64 version)
+/* Responds with a document on the version in force. */
+static void reply_document(operator_api_t *api, http_exchange_t *exchange,
+			   GBytes *body)
 {
-	gchar *text = g_strdup_printf("%" G_GUINT64_FORMAT, version);
+	gchar *headers =
+		g_strdup_printf("Config-Version: %" G_GUINT64_FORMAT "\r\n",
+				config_version(entry_config(api->entry)));
 
-	soup_message_headers_replace(
-		soup_server_message_get_response_headers(message),
-		"Config-Version", text);
-	g_free(text);
+	http_reply_bytes(exchange, HTTP_STATUS_OK, "application/json", headers,
+			 body);
+	g_free(headers);
 }
 
 /* Returns the record in force, or sends an error and returns NULL. */
 static config_record_t *get_record_in_force(operator_api_t *api,
-					    SoupServerMessage *message)
+					    http_exchange_t *exchange)
 {
 	const config_t *config = entry_config(api->entry);
 	catk_error_t error;
 
-	if (config_version(config)) {
-		set_version_header(message, config_version(config));
+	if (config_version(config))
 		return config_record_from_json(config_document(config),
 					       config_version(config), NULL,
 					       NULL);
-	}
 	catk_error_set(&error, CATK_NOT_FOUND, OUTCOME_NOT_RUN,
 		       "no configuration is in force: apply one with "
 		       "catkinctl config apply FILE --base-version 0");
-	http_reply_error(message, &error);
+	http_reply_error(exchange, &error);
 	return NULL;
 }
 
-static void reply_config(operator_api_t *api, SoupServerMessage *message)
+static void reply_config(operator_api_t *api, http_exchange_t *exchange)
 {
-	config_record_t *record = get_record_in_force(api, message);
+	config_record_t *record = get_record_in_force(api, exchange);
 
 	if (record)
-		http_reply_bytes(message, SOUP_STATUS_OK, "application/json",
-				 record->schema);
+		reply_document(api, exchange, record->schema);
 	config_record_free(record);
 }
 
-static void on_history(SoupServer *server, SoupServerMessage *message,
-		       const char *path, GHashTable *query, gpointer data)
+static void on_history(void *ctx, http_exchange_t *exchange, const char *path,
+		       GHashTable *query)
 {
-	config_record_t *record = get_record_in_force(data, message);
+	config_record_t *record = get_record_in_force(ctx, exchange);
 	GBytes *body;
 	gchar *text;
 
-	(void)server;
 	(void)path;
 	(void)query;
 	if (!record)
 		return;
 	text = config_history_to_json(record);
 	body = g_bytes_new_take(text, strlen(text));
-	http_reply_bytes(message, SOUP_STATUS_OK, "application/json", body);
+	reply_document(ctx, exchange, body);
 	g_bytes_unref(body);
 	config_record_free(record);
 }
@@ -202,7 +197,7 @@
 }
 
 /* If the schema is invalid, sends all its errors and returns FALSE. */
-static gboolean check_schema(SoupServerMessage *message, GBytes *document)
+static gboolean check_schema(http_exchange_t *exchange, GBytes *document)
 {
 	JsonBuilder *issues = json_builder_new();
 	catk_error_t error;
@@ -216,7 +211,7 @@
 			&error, CATK_INVALID_ARGUMENT, OUTCOME_NOT_RUN,
 			"the schema is not valid: correct all issues and "
 			"apply it again");
-		http_reply_error_with(message, &error, add_issues, issues);
+		http_reply_error_with(exchange, &error, add_issues, issues);
 	}
 	g_object_unref(issues);
 	if (!schema)
@@ -233,7 +228,7 @@
 	json_builder_add_int_value(builder, (gint64)result->version);
 }
 
-static void reply_accepted(SoupServerMessage *message,
+static void reply_accepted(http_exchange_t *exchange,
 			   const config_store_result_t *result)
 {
 	JsonBuilder *builder = json_builder_new();
@@ -241,7 +236,7 @@
 	json_builder_begin_object(builder);
 	add_version((void *)result, builder);
 	json_builder_end_object(builder);
-	http_reply_json(message, builder);
+	http_reply_json(exchange, builder);
 	g_object_unref(builder);
 }
 
@@ -279,18 +274,18 @@
 			       "written: apply again later");
 }
 
-static void reply_result(SoupServerMessage *message,
+static void reply_result(http_exchange_t *exchange,
 			 const config_store_result_t *result)
 {
 	catk_error_t error;
 
 	if (result->step == CONFIG_APPLY_ACCEPTED) {
-		reply_accepted(message, result);
+		reply_accepted(exchange, result);
 		return;
 	}
 	set_error_from_result(result, &error);
 	http_reply_error_with(
-		message, &error,
+		exchange, &error,
 		result->step == CONFIG_APPLY_CONFLICT ? add_version : NULL,
 		(void *)result);
 }
@@ -303,71 +298,66 @@
 	if (result->document)
 		config_source_activate(pending->api->entry, result->version,
 				       result->document, NULL);
-	reply_result(pending->message, result);
+	if (pending->exchange)
+		reply_result(pending->exchange, result);
 	pending_free(pending);
 }
 
 /* The change continues; only its answer is lost. */
-static void on_disconnected(SoupServerMessage *message, gpointer data)
+static void on_disconnected(void *ctx, http_exchange_t *exchange)
 {
-	pending_change_t *pending = data;
+	operator_api_t *api = ctx;
+	pending_change_t *pending;
 
-	(void)message;
-	pending->connected = FALSE;
+	TAILQ_FOREACH (pending, &api->pending, link)
+		if (pending->exchange == exchange)
+			pending->exchange = NULL;
 }
 
 static pending_change_t *pending_new(operator_api_t *api,
-				     SoupServerMessage *message)
+				     http_exchange_t *exchange)
 {
 	pending_change_t *pending = g_new0(pending_change_t, 1);
 
 	pending->api = api;
-	pending->message = g_object_ref(message);
-	pending->connected = TRUE;
-	pending->disconnected = g_signal_connect(
-		message, "disconnected", G_CALLBACK(on_disconnected), pending);
+	pending->exchange = exchange;
 	TAILQ_INSERT_TAIL(&api->pending, pending, link);
-	soup_server_message_pause(message);
 	return pending;
 }
 
-static void apply_config(operator_api_t *api, SoupServerMessage *message,
+static void apply_config(operator_api_t *api, http_exchange_t *exchange,
 			 GHashTable *query)
 {
-	GBytes *schema = soup_message_body_flatten(
-		soup_server_message_get_request_body(message));
+	GBytes *schema = http_exchange_request(exchange)->body;
 	config_change_t change = { 0 };
 	catk_error_t error;
 	guint64 base;
 
 	if (!read_change(api, query, &change, &base, &error))
-		http_reply_error(message, &error);
-	else if (check_schema(message, schema))
+		http_reply_error(exchange, &error);
+	else if (check_schema(exchange, schema))
 		config_store_apply(api->store, &change, base, schema,
-				   on_applied, pending_new(api, message));
-	g_bytes_unref(schema);
+				   on_applied, pending_new(api, exchange));
 }
 
-static void on_config(SoupServer *server, SoupServerMessage *message,
-		      const char *path, GHashTable *query, gpointer data)
+static void on_config(void *ctx, http_exchange_t *exchange, const char *path,
+		      GHashTable *query)
 {
-	const char *method = soup_server_message_get_method(message);
+	const char *method = http_exchange_request(exchange)->method;
 
-	(void)server;
 	(void)path;
-	if (g_str_equal(method, SOUP_METHOD_POST))
-		apply_config(data, message, query);
+	if (g_str_equal(method, "POST"))
+		apply_config(ctx, exchange, query);
 	else
-		reply_config(data, message);
+		reply_config(ctx, exchange);
 }
 
-static void on_drain(SoupServer *server, SoupServerMessage *message,
-		     const char *path, GHashTable *query, gpointer data)
+static void on_drain(void *ctx, http_exchange_t *exchange, const char *path,
+		     GHashTable *query)
 {
-	operator_api_t *api = data;
+	operator_api_t *api = ctx;
 	JsonBuilder *builder = json_builder_new();
 
-	(void)server;
 	(void)path;
 	(void)query;
 	entry_shutdown(api->entry, "operator");
@@ -375,23 +365,34 @@
 	json_builder_set_member_name(builder, "leaving");
 	json_builder_add_boolean_value(builder, TRUE);
 	json_builder_end_object(builder);
-	http_reply_json(message, builder);
+	http_reply_json(exchange, builder);
 	g_object_unref(builder);
 }
 
-operator_api_t *operator_api_new(SoupServer *server, entry_t *entry,
+static void add_handler(operator_api_t *api, const char *path,
+			void (*request)(void *ctx, http_exchange_t *exchange,
+					const char *path, GHashTable *query))
+{
+	const http_handler_t handler = { .request = request,
+					 .disconnected = on_disconnected,
+					 .ctx = api };
+
+	http_service_add_handler(api->service, path, &handler);
+}
+
+operator_api_t *operator_api_new(http_service_t *service, entry_t *entry,
 				 object_api_t *object_api)
 {
 	operator_api_t *api = g_new0(operator_api_t, 1);
 
-	api->server = server;
+	api->service = service;
 	api->entry = entry;
 	api->store = object_api ? config_store_new(object_api) : NULL;
 	TAILQ_INIT(&api->pending);
-	soup_server_add_handler(server, DUMP_PATH, on_dump, api, NULL);
-	soup_server_add_handler(server, CONFIG_PATH, on_config, api, NULL);
-	soup_server_add_handler(server, HISTORY_PATH, on_history, api, NULL);
-	soup_server_add_handler(server, DRAIN_PATH, on_drain, api, NULL);
+	add_handler(api, DUMP_PATH, on_dump);
+	add_handler(api, CONFIG_PATH, on_config);
+	add_handler(api, HISTORY_PATH, on_history);
+	add_handler(api, DRAIN_PATH, on_drain);
 	return api;
 }
 
@@ -401,13 +402,15 @@
 
 	if (!api)
 		return;
-	soup_server_remove_handler(api->server, DUMP_PATH);
-	soup_server_remove_handler(api->server, CONFIG_PATH);
-	soup_server_remove_handler(api->server, HISTORY_PATH);
-	soup_server_remove_handler(api->server, DRAIN_PATH);
+	http_service_remove_handler(api->service, DUMP_PATH);
+	http_service_remove_handler(api->service, CONFIG_PATH);
+	http_service_remove_handler(api->service, HISTORY_PATH);
+	http_service_remove_handler(api->service, DRAIN_PATH);
 	config_store_free(api->store);
 	while (!TAILQ_EMPTY(&api->pending)) {
-		reply_result(TAILQ_FIRST(&api->pending)->message, &unknown);
+		if (TAILQ_FIRST(&api->pending)->exchange)
+			reply_result(TAILQ_FIRST(&api->pending)->exchange,
+				     &unknown);
 		pending_free(TAILQ_FIRST(&api->pending));
 	}
 	g_free(api);
--- a/net/proxy.c
+++ b/net/proxy.c
@@ -39,9 +39,7 @@
 	entry_t *entry;
 	proxy_codec_t codec;
 	const catk_clock_t *clock;
-	const event_log_t *log;
-	counters_t *counters;
-	body_budget_t request_bodies;
+	listener_t *listener;
 	http_server_t *server;
 	http_client_t *client;
 	guint64 next_probe_id;
@@ -156,12 +154,15 @@
 {
 	const proxy_t *proxy = ctx;
 
-	counters_add(proxy->counters, COUNTER_BODIES_REFUSED, 1);
-	LOG_EVENT(proxy->log, "body_refused",
-		  LOG_NUMBER("bytes", (gint64)bytes),
-		  LOG_NUMBER("held_bytes",
-			     (gint64)body_budget_used(&proxy->request_bodies)),
-		  LOG_NUMBER("max_bytes", (gint64)proxy->request_bodies.max));
+	listener_body_refused(proxy->listener, bytes);
+}
+
+static void on_connection_limited(void *ctx, gboolean replaced)
+{
+	const proxy_t *proxy = ctx;
+
+	listener_connection_limited(proxy->listener, replaced,
+				    catk_clock_now(proxy->clock));
 }
 
 static attempt_end_t attempt_end_from(http_client_end_t end)
@@ -268,13 +269,13 @@
 }
 
 proxy_t *proxy_new(const char *address, entry_t *entry,
-		   const proxy_codec_t *codec, const proxy_limits_t *limits,
-		   const catk_clock_t *clock, const event_log_t *log,
-		   counters_t *counters, catk_error_t *err)
+		   const proxy_codec_t *codec, gsize response_bytes_max,
+		   listener_t *listener, const catk_clock_t *clock,
+		   catk_error_t *err)
 {
 	const http_message_limits_t response_limits = {
 		.header_bytes_max = HTTP_RESPONSE_HEADER_BYTES_MAX,
-		.body_bytes_max = limits->response_bytes_max,
+		.body_bytes_max = response_bytes_max,
 	};
 	proxy_t *proxy = g_new0(proxy_t, 1);
 	http_server_events_t server_events = {
@@ -283,6 +284,7 @@
 		.limits = current_limits,
 		.closing = is_leaving,
 		.body_refused = on_body_refused,
+		.connection_limited = on_connection_limited,
 		.ctx = proxy,
 	};
 	http_client_events_t client_events = {
@@ -295,24 +297,23 @@
 	proxy->entry = entry;
 	proxy->codec = *codec;
 	proxy->clock = clock;
-	proxy->log = log;
-	proxy->counters = counters;
-	body_budget_init(&proxy->request_bodies, limits->request_bodies_max);
+	proxy->listener = listener;
 	proxy->next_probe_id = FIRST_PROBE_ID;
 	TAILQ_INIT(&proxy->outgoing);
 	proxy->outgoing_by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	proxy->exchanges = g_hash_table_new(NULL, NULL);
 	proxy->client =
 		http_client_new(&client_events, &response_limits, clock);
-	http_client_set_kept_bytes_max(proxy->client,
-				       MAX(RESPONSES_BYTES_MAX,
-					   limits->response_bytes_max));
+	http_client_set_kept_bytes_max(proxy->client, MAX(RESPONSES_BYTES_MAX,
+							  response_bytes_max));
 	proxy->server = http_server_new(address, &server_events, clock, err);
-	if (proxy->server)
-		http_server_set_body_budget(proxy->server,
-					    &proxy->request_bodies);
-	else
-		g_clear_pointer(&proxy, proxy_free);
+	if (!proxy->server) {
+		proxy_free(proxy);
+		return NULL;
+	}
+	http_server_set_body_budget(proxy->server, listener->bodies);
+	http_server_set_connections_max(proxy->server,
+					listener->connections_max);
 	return proxy;
 }
 
--- a/net/proxy.h
+++ b/net/proxy.h
@@ -5,6 +5,7 @@
 #ifndef CATK_PROXY_H
 #define CATK_PROXY_H
 
+#include "lib/admission/listener.h"
 #include "lib/entry/entry.h"
 #include "net/http_message.h"
 
@@ -67,21 +68,17 @@
 	void *ctx;
 } proxy_codec_t;
 
-typedef struct {
-	gsize response_bytes_max; /* of the body of one answer */
-	gsize request_bodies_max; /* bytes of all requests together */
-} proxy_limits_t;
-
 /*
- * Listens on "ip:port". All arguments must outlive the proxy, except codec and
- * limits, which are copied.
+ * Listens on "ip:port" within the limits of listener. response_bytes_max limits
+ * the body of one answer. The pointers must outlive the proxy, except codec,
+ * which is copied.
  * Returns NULL with CATK_INVALID_ARGUMENT or CATK_UNAVAILABLE.
  * Free with proxy_free().
  */
 proxy_t *proxy_new(const char *address, entry_t *entry,
-		   const proxy_codec_t *codec, const proxy_limits_t *limits,
-		   const catk_clock_t *clock, const event_log_t *log,
-		   counters_t *counters, catk_error_t *err);
+		   const proxy_codec_t *codec, gsize response_bytes_max,
+		   listener_t *listener, const catk_clock_t *clock,
+		   catk_error_t *err);
 
 /* Drops requests in flight without a response. NULL is allowed. */
 void proxy_free(proxy_t *proxy);
--- a/net/soup_sockets.c
+++ b/net/soup_sockets.c
@@ -110,17 +110,3 @@
 		       soup_message_headers_get_content_length(headers);
 	return !connection_has_ended(message);
 }
-
-gboolean soup_sockets_has_whole_request(SoupServerMessage *message)
-{
-	SoupMessageHeaders *headers =
-		soup_server_message_get_request_headers(message);
-	goffset size = soup_server_message_get_request_body(message)->length;
-	GSocket *socket = soup_server_message_get_socket(message);
-
-	if (size && soup_message_headers_get_encoding(headers) ==
-			    SOUP_ENCODING_CONTENT_LENGTH)
-		return TRUE;
-	/* NULL once libsoup has closed the connection. */
-	return socket && !has_ended(socket);
-}
--- a/net/soup_sockets.h
+++ b/net/soup_sockets.h
@@ -23,7 +23,4 @@
  */
 gboolean soup_sockets_has_whole_response(SoupMessage *message, gsize body_size);
 
-/* The same of a request to a libsoup server, when its handler is called. */
-gboolean soup_sockets_has_whole_request(SoupServerMessage *message);
-
 #endif
--- a/programs/daemon.c
+++ b/programs/daemon.c
@@ -1,12 +1,13 @@
 #include "programs/daemon.h"
 
 #include <glib-unix.h>
-#include <libsoup/soup.h>
 #include <signal.h>
+#include <sys/resource.h>
 
 #include "net/caller_api.h"
 #include "net/config_source.h"
-#include "net/http_listen.h"
+#include "net/config_store.h"
+#include "net/http_service.h"
 #include "net/log.h"
 #include "net/metrics.h"
 #include "net/object_api.h"
@@ -20,11 +21,6 @@
 
 #define OBJECT_API_TIMEOUT (2 * G_TIME_SPAN_SECOND)
 #define INCARNATION_RANDOM_BITS 10
-/*
- * Percentage of the process's memory for the bodies of requests. The rest is for
- * responses, connections, configuration and records of request ids.
- */
-#define REQUEST_BODIES_PERCENT 40
 
 typedef struct {
 	const settings_t *settings;
@@ -35,7 +31,9 @@
 	metrics_t *metrics;
 	guint64 incarnation;
 	entry_t *entry;
-	SoupServer *server;
+	body_budget_t bodies; /* of requests on all listeners */
+	listener_t listeners[LISTENER_COUNT];
+	http_service_t *service; /* of callers, operators and metrics */
 	caller_api_t *caller_api;
 	operator_api_t *operator_api;
 	upstream_client_t *upstream_client;
@@ -82,7 +80,7 @@
 
 static gboolean all_answers_written(const daemon_t *daemon)
 {
-	return caller_api_is_flushed(daemon->caller_api) &&
+	return http_service_is_flushed(daemon->service) &&
 	       (!daemon->proxy || proxy_is_idle(daemon->proxy));
 }
 
@@ -367,21 +365,21 @@
 {
 	const settings_t *settings = daemon->settings;
 	proxy_codec_t codec = http_codec();
-	const proxy_limits_t limits = {
-		.response_bytes_max = (gsize)settings->body_bytes_max,
-		.request_bodies_max = ((gsize)settings->memory_max_mb << 20) /
-				      100 * REQUEST_BODIES_PERCENT,
+	const platform_listeners_t listeners = {
+		.directory = &daemon->listeners[LISTENER_DIRECTORY],
+		.readiness = &daemon->listeners[LISTENER_READINESS],
 	};
 
-	daemon->platform = platform_new(settings, daemon->entry, &system_clock,
-					&daemon->counters, err);
+	daemon->platform = platform_new(settings, daemon->entry, &listeners,
+					&system_clock, &daemon->counters, err);
 	if (!daemon->platform)
 		return FALSE;
 	if (!settings->proxy_address)
 		return TRUE;
 	daemon->proxy = proxy_new(settings->proxy_address, daemon->entry,
-				  &codec, &limits, &system_clock, &daemon->log,
-				  &daemon->counters, err);
+				  &codec, (gsize)settings->body_bytes_max,
+				  &daemon->listeners[LISTENER_PROXY],
+				  &system_clock, err);
 	return daemon->proxy != NULL;
 }
 
@@ -418,6 +416,39 @@
 	sigprocmask(SIG_UNBLOCK, &signals, NULL);
 }
 
+/* The descriptors that the process may open. */
+static guint64 descriptor_limit(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+	    limit.rlim_cur == RLIM_INFINITY)
+		return G_MAXINT;
+	return limit.rlim_cur;
+}
+
+static void set_up_listeners(daemon_t *daemon)
+{
+	const gsize memory = (gsize)daemon->settings->memory_max_mb << 20;
+	const guint64 descriptors = descriptor_limit();
+	int i;
+
+	body_budget_init(&daemon->bodies,
+			 memory / 100 * LISTENER_BODIES_PERCENT);
+	for (i = 0; i < LISTENER_COUNT; i++)
+		listener_init(&daemon->listeners[i], (listener_id_t)i,
+			      descriptors, &daemon->bodies, &daemon->counters,
+			      &daemon->log);
+}
+
+/* A kept connection would be cut when the process ends. */
+static gboolean is_leaving(void *ctx)
+{
+	const daemon_t *daemon = ctx;
+
+	return entry_is_leaving(daemon->entry);
+}
+
 static void add_entry_timer(daemon_t *daemon)
 {
 	daemon->entry_timer =
@@ -443,20 +474,24 @@
 	daemon.loop = g_main_loop_new(NULL, FALSE);
 	daemon.random = g_rand_new();
 	daemon.incarnation = new_incarnation(daemon.random);
-	daemon.server = soup_server_new(NULL, NULL);
+	set_up_listeners(&daemon);
+	daemon.service = http_service_new(MAX((gsize)settings->body_bytes_max,
+					      CONFIG_STORE_BYTES_MAX),
+					  is_leaving, &daemon, &system_clock);
 	set_up_entry(&daemon);
 	set_up_upstream_client(&daemon);
-	daemon.caller_api = caller_api_new(daemon.server, daemon.entry,
+	daemon.caller_api = caller_api_new(daemon.service, daemon.entry,
 					   (gsize)settings->body_bytes_max);
 	if (settings->object_api)
 		daemon.object_api =
 			object_api_new(settings->object_api, settings->instance,
 				       OBJECT_API_TIMEOUT, &daemon.counters);
 	daemon.metrics =
-		metrics_new(daemon.server, &daemon.counters, daemon.entry);
-	daemon.operator_api = operator_api_new(daemon.server, daemon.entry,
+		metrics_new(daemon.service, &daemon.counters, daemon.entry);
+	daemon.operator_api = operator_api_new(daemon.service, daemon.entry,
 					       daemon.object_api);
-	if (!http_listen(daemon.server, settings->caller_address, err) ||
+	if (!http_service_listen(daemon.service, settings->caller_address,
+				 &daemon.listeners[LISTENER_CALLERS], err) ||
 	    !set_up_peers(&daemon, err))
 		goto out;
 	if (settings->metadata_store) {
@@ -490,8 +525,7 @@
 	object_api_free(daemon.object_api);
 	caller_api_free(daemon.caller_api);
 	upstream_client_free(daemon.upstream_client);
-	soup_server_disconnect(daemon.server);
-	g_object_unref(daemon.server);
+	http_service_free(daemon.service);
 	entry_free(daemon.entry);
 	g_rand_free(daemon.random);
 	g_main_loop_unref(daemon.loop);
