Bound what peers can hold

Cause: a connection to the peer listener could announce a message of the largest size and keep what it sent of it for 300 s, answers for peers that do not read grew to four largest messages a connection, and nothing limited the connections.

Change: a message above 16 KiB takes its announced size from a budget: up to the size of a configuration one of 5% of memory_max_mb that clients cannot take, else the budget of all bodies. Without room, an accepted connection that stalled within a message is closed, or else the new message is dropped with its connection. Messages that peers have not read share 12% of the memory, and TCP_USER_TIMEOUT ends a connection whose peer does not read for 4 s. The first message has at most 256 bytes. Accepted connections have a limit as on the other listeners; the one idle for longest, without a hello first, gives way. A message below 16 KiB/s ends after 30 s. A connection gives the memory of a large message back after it.

--- a/lib/admission/listener.h
+++ b/lib/admission/listener.h
@@ -17,6 +17,8 @@
  * Clients cannot take this part.
  */
 #define LISTENER_PEERS_PERCENT 5
+/* Percentage of it for messages that peers have not read yet. */
+#define LISTENER_PEERS_SEND_PERCENT 12
 
 typedef enum {
 	LISTENER_PROXY, /* users' requests */
--- a/net/peer_link.c
+++ b/net/peer_link.c
@@ -32,6 +32,21 @@
  */
 #define LONG_IDLE_TIMEOUT (300 * G_TIME_SPAN_SECOND)
 
+/* The first message of a connection that a peer opened, in bytes. */
+#define HELLO_BYTES_MAX 256
+/* Messages up to this size, a configuration, have a budget of their own. */
+#define CONTROL_BYTES_MAX (PEER_CONFIG_BYTES_MAX + MESSAGE_OVERHEAD)
+/*
+ * An accepted connection without progress for this long may be closed for
+ * another that needs its place or its memory.
+ */
+#define REPLACE_IDLE_MIN (1 * G_TIME_SPAN_SECOND)
+/* Slowest transfer of a message after a grace period; links have 10 Mbit/s. */
+#define MESSAGE_BYTES_PER_S_MIN 16384
+#define MESSAGE_GRACE (30 * G_TIME_SPAN_SECOND)
+/* A peer that does not read for this long loses its connection. */
+#define USER_TIMEOUT_MS 4000
+
 typedef struct connection {
 	TAILQ_ENTRY(connection) link;
 	peer_link_t *owner; /* NULL once closed */
@@ -44,6 +59,12 @@
 	gboolean hello_done;
 	guint8 buffer[READ_BYTES_MAX]; /* of the read in progress */
 	GByteArray *received; /* start of an incomplete message */
+	/* Budget of the incomplete message, NULL if it is a small one. */
+	body_budget_t *held_in;
+	gsize held;
+	GTimeSpan held_since; /* instant */
+	gboolean refused; /* no room for its message */
+	gsize send_held; /* of the budget for messages to send */
 	GByteArray *queued; /* to send after the write in progress */
 	GByteArray *writing; /* NULL if no write is in progress */
 	GTimeSpan ping_pending_since; /* 0 if no ping is unanswered */
@@ -55,6 +76,9 @@
 	peer_link_events_t events;
 	counters_t *counters;
 	gsize message_bytes_max; /* without the length */
+	listener_t *listener; /* NULL for no limits */
+	body_budget_t control; /* for received messages up to CONTROL_BYTES_MAX */
+	body_budget_t sending; /* for messages that peers have not read yet */
 	GSocketService *service;
 	GSocketClient *client;
 	TAILQ_HEAD(connection_list, connection) connections;
@@ -71,6 +95,32 @@
 	gboolean protocol_error;
 } delivery_t;
 
+/* Gives the memory of a large message back, with its budget. */
+static void release_received(connection_t *connection)
+{
+	GByteArray *rest;
+
+	if (!connection->held_in)
+		return;
+	body_budget_resize(connection->held_in, &connection->held, 0);
+	connection->held_in = NULL;
+	rest = g_byte_array_new();
+	g_byte_array_append(rest, connection->received->data,
+			    connection->received->len);
+	g_byte_array_unref(connection->received);
+	connection->received = rest;
+}
+
+/* Returns FALSE if there is no room for so many bytes to send. */
+static gboolean hold_sending(connection_t *connection, gsize bytes)
+{
+	peer_link_t *link = connection->owner;
+
+	return !link->listener ||
+	       body_budget_resize(&link->sending, &connection->send_held,
+				  bytes);
+}
+
 static void connection_free(connection_t *connection)
 {
 	g_clear_object(&connection->socket);
@@ -89,6 +139,9 @@
 static void detach(connection_t *connection)
 {
 	TAILQ_REMOVE(&connection->owner->connections, connection, link);
+	release_received(connection);
+	body_budget_resize(&connection->owner->sending, &connection->send_held,
+			   0);
 	connection->owner = NULL;
 	g_cancellable_cancel(connection->connecting);
 	if (connection->socket)
@@ -152,6 +205,7 @@
 	g_clear_pointer(&connection->writing, g_byte_array_unref);
 	if (!end_operation(connection))
 		return;
+	hold_sending(connection, connection->queued->len);
 	if (ok)
 		start_write(connection);
 	else
@@ -186,9 +240,17 @@
 	return peer_codec_encode(&compressed);
 }
 
+/* Bytes that the peer has not read yet, as far as this process keeps them. */
+static gsize unsent_bytes(const connection_t *connection)
+{
+	return connection->queued->len +
+	       (connection->writing ? connection->writing->len : 0);
+}
+
 /*
- * Drops the message if the send queue is full because the peer does not read.
- * To the sender this is a lost message: each request has a timeout.
+ * Drops the message if the send queue is full because the peer does not read, or
+ * if there is no room for it beside what other peers have not read. To the
+ * sender this is a lost message: each request has a timeout.
  */
 static void queue_message(connection_t *connection,
 			  const peer_message_t *message)
@@ -198,7 +260,9 @@
 	guint32 length = g_htonl(bytes->len);
 
 	if (connection->queued->len + bytes->len <=
-	    QUEUE_MESSAGES_MAX * link->message_bytes_max) {
+		    QUEUE_MESSAGES_MAX * link->message_bytes_max &&
+	    hold_sending(connection, unsent_bytes(connection) + LENGTH_BYTES +
+					     bytes->len)) {
 		g_byte_array_append(connection->queued, (const guint8 *)&length,
 				    LENGTH_BYTES);
 		g_byte_array_append(connection->queued, bytes->data,
@@ -259,7 +323,61 @@
 		delivery->protocol_error = TRUE;
 }
 
-/* Delivers all complete messages. Returns FALSE on a protocol error. */
+static gboolean is_replaceable(const connection_t *connection, GTimeSpan now)
+{
+	return !connection->address[0] &&
+	       now - connection->last_used >= REPLACE_IDLE_MIN;
+}
+
+/*
+ * Closes the accepted connection that holds a part of the budget and has been
+ * without progress for longest. Returns FALSE if there is none.
+ */
+static gboolean end_stalled_message(peer_link_t *link,
+				    const body_budget_t *budget,
+				    const connection_t *except)
+{
+	GTimeSpan now = catk_clock_now(&system_clock);
+	connection_t *connection, *found = NULL;
+
+	TAILQ_FOREACH (connection, &link->connections, link)
+		if (connection != except && connection->held_in == budget &&
+		    is_replaceable(connection, now) &&
+		    (!found || connection->last_used < found->last_used))
+			found = connection;
+	if (found)
+		close_connection(found);
+	return found != NULL;
+}
+
+/*
+ * Takes room for the message whose length was received. Returns FALSE if there
+ * is none.
+ */
+static gboolean hold_message(connection_t *connection, gsize bytes)
+{
+	peer_link_t *link = connection->owner;
+	body_budget_t *budget = &link->control;
+
+	if (!link->listener || bytes <= READ_BYTES_MAX || connection->held_in)
+		return TRUE;
+	if (bytes > CONTROL_BYTES_MAX)
+		budget = link->listener->bodies;
+	while (!body_budget_resize(budget, &connection->held, bytes))
+		if (!end_stalled_message(link, budget, connection)) {
+			listener_body_refused(link->listener, bytes);
+			connection->refused = TRUE;
+			return FALSE;
+		}
+	connection->held_in = budget;
+	connection->held_since = catk_clock_now(&system_clock);
+	return TRUE;
+}
+
+/*
+ * Delivers all complete messages. Returns FALSE on a protocol error, or if there
+ * is no room for the next message.
+ */
 static gboolean process_received(connection_t *connection)
 {
 	GByteArray *received = connection->received;
@@ -270,10 +388,14 @@
 	while (received->len - offset >= LENGTH_BYTES) {
 		memcpy(&size, received->data + offset, LENGTH_BYTES);
 		size = g_ntohl(size);
-		if (size > connection->owner->message_bytes_max)
+		if (size > connection->owner->message_bytes_max ||
+		    (!connection->hello_done && size > HELLO_BYTES_MAX))
 			return FALSE;
-		if (received->len - offset - LENGTH_BYTES < size)
+		if (received->len - offset - LENGTH_BYTES < size) {
+			if (!hold_message(connection, size))
+				return FALSE;
 			break;
+		}
 		offset += LENGTH_BYTES;
 		if (!peer_codec_decode(received->data + offset, size,
 				       on_message, &delivery) ||
@@ -281,8 +403,10 @@
 			return FALSE;
 		offset += size;
 	}
-	if (offset)
+	if (offset) {
 		g_byte_array_remove_range(received, 0, offset);
+		release_received(connection);
+	}
 	return TRUE;
 }
 
@@ -308,9 +432,10 @@
 		start_read(connection);
 		return;
 	}
-	g_warning("peer connection closed: the peer sent an invalid or "
-		  "oversized message or uses another protocol version; run "
-		  "the same version on all instances");
+	if (!connection->refused)
+		g_warning("peer connection closed: the peer sent an invalid or "
+			  "oversized message or uses another protocol version; "
+			  "run the same version on all instances");
 	close_connection(connection);
 }
 
@@ -331,6 +456,8 @@
 	/* Nagle's algorithm would delay small requests and answers. */
 	g_socket_set_option(g_socket_connection_get_socket(socket), IPPROTO_TCP,
 			    TCP_NODELAY, 1, NULL);
+	g_socket_set_option(g_socket_connection_get_socket(socket), IPPROTO_TCP,
+			    TCP_USER_TIMEOUT, USER_TIMEOUT_MS, NULL);
 	start_read(connection);
 	start_write(connection);
 }
@@ -432,11 +559,57 @@
 		}
 }
 
+/*
+ * The accepted connection that has been idle for longest, one without a hello
+ * first, or NULL.
+ */
+static connection_t *find_replaceable(const peer_link_t *link)
+{
+	GTimeSpan now = catk_clock_now(&system_clock);
+	connection_t *connection, *found = NULL;
+
+	TAILQ_FOREACH (connection, &link->connections, link)
+		if (is_replaceable(connection, now) &&
+		    (!found || connection->hello_done < found->hello_done ||
+		     (connection->hello_done == found->hello_done &&
+		      connection->last_used < found->last_used)))
+			found = connection;
+	return found;
+}
+
+static guint accepted_count(const peer_link_t *link)
+{
+	const connection_t *connection;
+	guint count = 0;
+
+	TAILQ_FOREACH (connection, &link->connections, link)
+		count += !connection->address[0];
+	return count;
+}
+
+/* Returns FALSE if there is no room for one more accepted connection. */
+static gboolean make_room(peer_link_t *link)
+{
+	connection_t *replaceable;
+
+	if (!link->listener ||
+	    accepted_count(link) < link->listener->connections_max)
+		return TRUE;
+	replaceable = find_replaceable(link);
+	if (replaceable)
+		close_connection(replaceable);
+	listener_connection_limited(link->listener, replaceable != NULL,
+				    catk_clock_now(&system_clock));
+	return replaceable != NULL;
+}
+
 static gboolean on_accepted(GSocketService *service, GSocketConnection *socket,
 			    GObject *source, gpointer data)
 {
 	(void)service;
 	(void)source;
+	if (!make_room(data))
+		return TRUE;
 	start_io(connection_new(data, ""), g_object_ref(socket));
 	return TRUE;
 }
@@ -455,6 +628,16 @@
 			     (keep ? LONG_IDLE_TIMEOUT : IDLE_TIMEOUT);
 }
 
+static gboolean is_message_slow(const connection_t *connection, GTimeSpan now)
+{
+	GTimeSpan elapsed = now - connection->held_since;
+
+	return connection->held_in && elapsed > MESSAGE_GRACE &&
+	       connection->received->len <
+		       (gsize)(elapsed / G_TIME_SPAN_SECOND) *
+			       MESSAGE_BYTES_PER_S_MIN;
+}
+
 static void check_connection(peer_link_t *link, connection_t *connection,
 			     gboolean after_pause, GTimeSpan now)
 {
@@ -462,7 +645,8 @@
 		connection->ping_pending_since = now;
 	if (is_silent(connection, now) && connection->socket)
 		counters_add(link->counters, COUNTER_CONNECTIONS_SILENT, 1);
-	if (is_silent(connection, now) || is_idle(connection, now))
+	if (is_silent(connection, now) || is_idle(connection, now) ||
+	    is_message_slow(connection, now))
 		close_connection(connection);
 }
 
@@ -532,6 +716,15 @@
 	return link;
 }
 
+void peer_link_set_limits(peer_link_t *link, listener_t *listener,
+			  gsize control_bytes, gsize send_bytes)
+{
+	link->listener = listener;
+	body_budget_init(&link->control, MAX(control_bytes, CONTROL_BYTES_MAX));
+	body_budget_init(&link->sending,
+			 MAX(send_bytes, link->message_bytes_max));
+}
+
 void peer_link_free(peer_link_t *link)
 {
 	if (!link)
--- a/net/peer_link.h
+++ b/net/peer_link.h
@@ -7,6 +7,7 @@
 #define CATK_PEER_LINK_H
 
 #include "lib/common/counters.h"
+#include "lib/admission/listener.h"
 #include "lib/entry/peer_message.h"
 
 typedef struct peer_link peer_link_t;
@@ -32,6 +33,15 @@
 			   const peer_link_events_t *events,
 			   counters_t *counters, catk_error_t *err);
 
+/*
+ * Limits what peers can hold: the connections that they open, the messages being
+ * received from them, up to control_bytes of those up to the size of a
+ * configuration and the rest in the budget of the listener, and send_bytes of
+ * messages that they have not read. listener must outlive the link.
+ */
+void peer_link_set_limits(peer_link_t *link, listener_t *listener,
+			  gsize control_bytes, gsize send_bytes);
+
 /* Closes all connections without events. NULL is allowed. */
 void peer_link_free(peer_link_t *link);
 
--- a/programs/daemon.c
+++ b/programs/daemon.c
@@ -348,6 +348,7 @@
 		.outbound_lost = on_peer_lost,
 		.ctx = daemon,
 	};
+	const gsize memory = (gsize)settings->memory_max_mb << 20;
 	const char *listen_address = settings->peer_listen ?
 					     settings->peer_listen :
 					     settings->peer_address;
@@ -357,8 +358,14 @@
 	daemon->peer_link = peer_link_new(listen_address,
 					  (gsize)settings->body_bytes_max,
 					  &events, &daemon->counters, err);
+	if (!daemon->peer_link)
+		return FALSE;
+	peer_link_set_limits(daemon->peer_link,
+			     &daemon->listeners[LISTENER_PEERS],
+			     memory / 100 * LISTENER_PEERS_PERCENT,
+			     memory / 100 * LISTENER_PEERS_SEND_PERCENT);
 	add_seeds(daemon, settings);
-	return daemon->peer_link != NULL;
+	return TRUE;
 }
 
 static gboolean set_up_platform(daemon_t *daemon, catk_error_t *err)
