Count bodies of forwarded calls, and headers of pipelined requests

Cause: the room of a message was released with the room of the next one, so that a stalled message that followed another in one read was not counted. The body of a forwarded call was not counted while the call was in progress, nor the headers of requests that wait on a connection.

Change: the room of a message becomes that of its body, until the last reference to it is gone. Headers of further requests on a connection count in full. Only the connection found is asked for input. http_server answers the expectation where its owner wants it.

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -1,6 +1,7 @@
 #include "net/http_server.h"
 
 #include <http_parser.h>
+#include <string.h>
 
 #include "net/address.h"
 #include "net/stream.h"
@@ -23,7 +24,8 @@
 
 /*
  * Headers of usual size are not part of the budget of bodies; what they take
- * beyond this is, in bytes.
+ * beyond this is, in bytes. Those of further requests on a connection with one
+ * in progress count in full.
  */
 #define HEADER_BYTES_FREE 4096
 /*
@@ -290,9 +292,10 @@
 static gsize request_bytes(const connection_t *connection)
 {
 	gsize headers = http_message_parser_header_bytes(connection->parser);
+	gsize bytes_free = connection->exchange_count ? 0 : HEADER_BYTES_FREE;
 
-	return http_message_parser_body_bytes(connection->parser) +
-	       (headers > HEADER_BYTES_FREE ? headers - HEADER_BYTES_FREE : 0);
+	return http_message_parser_body_bytes(connection->parser) + headers -
+	       MIN(headers, bytes_free);
 }
 
 /* Returns FALSE if the budget has no room for the request being received. */
@@ -325,6 +328,20 @@
 		       BODY_REFUSED_HEADERS);
 }
 
+/* The client waits with the body until it is told to continue. */
+static void send_continue(connection_t *connection)
+{
+	static const char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
+	const http_message_t *head =
+		http_message_parser_head(connection->parser);
+	const char *expect = head ? http_message_header(head, "Expect") : NULL;
+
+	if (connection->server->events.sends_continue && expect &&
+	    g_ascii_strcasecmp(expect, "100-continue") == 0 &&
+	    !connection->exchange_count)
+		stream_write(connection->stream, text, strlen(text));
+}
+
 static void dispatch_request(connection_t *connection)
 {
 	const http_server_events_t *events = &connection->server->events;
@@ -363,6 +380,7 @@
 			    gsize size)
 {
 	http_parse_result_t result;
+	gboolean body_started;
 	gsize consumed = 0;
 	gsize used;
 
@@ -376,8 +394,10 @@
 						  data + consumed,
 						  size - consumed, &used);
 		consumed += used;
-		if (!connection->body_started &&
-		    http_message_parser_has_headers(connection->parser))
+		body_started =
+			!connection->body_started &&
+			http_message_parser_has_headers(connection->parser);
+		if (body_started)
 			connection->body_started = connection_now(connection);
 		if (result != HTTP_PARSE_COMPLETE &&
 		    result != HTTP_PARSE_INCOMPLETE)
@@ -387,6 +407,8 @@
 			refuse_body(connection);
 		else if (result == HTTP_PARSE_COMPLETE)
 			dispatch_request(connection);
+		else if (body_started)
+			send_continue(connection);
 	}
 	return connection->closing ? size : consumed;
 }
@@ -519,8 +541,9 @@
 
 /*
  * The connection that has been without progress for longest, one without a
- * request first, or NULL. No request that has been received whole is waiting on
- * it, so that its end is not taken for that of a request that ran.
+ * request first, or NULL. No request that was received whole waits on it, so
+ * that its end is not taken for that of a request that ran. Only one connection
+ * is asked for input: a system call for each would take long.
  */
 static connection_t *find_replaceable(const http_server_t *server)
 {
@@ -530,13 +553,12 @@
 	TAILQ_FOREACH (connection, &server->connections, link) {
 		GTimeSpan idle = time_without_progress(connection, now);
 
-		if (is_busy(connection) || idle < REPLACE_IDLE_MIN ||
-		    stream_has_input(connection->stream))
+		if (is_busy(connection) || idle < REPLACE_IDLE_MIN)
 			continue;
 		if (!found || is_replaced_before(connection, found, now))
 			found = connection;
 	}
-	return found;
+	return found && !stream_has_input(found->stream) ? found : NULL;
 }
 
 /* Returns FALSE if there is no room for one more connection. */
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -45,6 +45,8 @@
 	 * progress was closed in its favour, or it was refused. May be NULL.
 	 */
 	void (*connection_limited)(void *ctx, gboolean replaced);
+	/* Answers a request that expects "100-continue" with it. */
+	gboolean sends_continue;
 	/* Complete header lines of the server's own refusals, or NULL. */
 	const char *refusal_headers;
 	void *ctx;
--- a/net/http_service.c
+++ b/net/http_service.c
@@ -205,6 +205,7 @@
 		.closing = is_closing,
 		.body_refused = on_body_refused,
 		.connection_limited = on_connection_limited,
+		.sends_continue = TRUE,
 		.refusal_headers = "Catkinstall-Outcome: not_run\r\n",
 		.ctx = port,
 	};
--- a/net/peer_link.c
+++ b/net/peer_link.c
@@ -89,22 +89,34 @@
 	GTimeSpan last_pause; /* detected by the last check, 0 if none */
 };
 
+/* Body of a forwarded call, counted in a budget. */
+typedef struct {
+	body_budget_t *budget;
+	gsize held;
+	GBytes *bytes;
+} held_body_t;
+
 /* Context of on_message(). */
 typedef struct {
 	connection_t *connection;
 	gboolean protocol_error;
 } delivery_t;
 
-/* Gives the memory of a large message back, with its budget. */
-static void release_received(connection_t *connection)
+/* Returns FALSE if the connection held no room for a message. */
+static gboolean release_message(connection_t *connection)
 {
-	GByteArray *rest;
-
 	if (!connection->held_in)
-		return;
+		return FALSE;
 	body_budget_resize(connection->held_in, &connection->held, 0);
 	connection->held_in = NULL;
-	rest = g_byte_array_new();
+	return TRUE;
+}
+
+/* Gives the memory of a large message back; a GByteArray would keep it. */
+static void shrink_received(connection_t *connection)
+{
+	GByteArray *rest = g_byte_array_new();
+
 	g_byte_array_append(rest, connection->received->data,
 			    connection->received->len);
 	g_byte_array_unref(connection->received);
@@ -139,7 +151,7 @@
 static void detach(connection_t *connection)
 {
 	TAILQ_REMOVE(&connection->owner->connections, connection, link);
-	release_received(connection);
+	release_message(connection);
 	body_budget_resize(&connection->owner->sending, &connection->send_held,
 			   0);
 	connection->owner = NULL;
@@ -286,20 +298,61 @@
 	return gap > PAUSE_MIN ? gap : link->last_pause;
 }
 
+static void held_body_free(gpointer data)
+{
+	held_body_t *body = data;
+
+	body_budget_resize(body->budget, &body->held, 0);
+	g_bytes_unref(body->bytes);
+	g_free(body);
+}
+
+/*
+ * Returns the body of a forwarded call, which is part of the budget until its
+ * last reference is gone. Returns NULL if there is no room.
+ */
+static GBytes *hold_body(connection_t *connection, GBytes *bytes)
+{
+	listener_t *listener = connection->owner->listener;
+	gsize size;
+	gconstpointer data = g_bytes_get_data(bytes, &size);
+	held_body_t *body;
+
+	if (!listener || !size)
+		return g_bytes_ref(bytes);
+	body = g_new0(held_body_t, 1);
+	body->budget = listener->bodies;
+	if (!body_budget_resize(body->budget, &body->held, size)) {
+		listener_body_refused(listener, size);
+		connection->refused = TRUE;
+		g_free(body);
+		return NULL;
+	}
+	body->bytes = g_bytes_ref(bytes);
+	return g_bytes_new_with_free_func(data, size, held_body_free, body);
+}
+
 /*
  * A forwarded call carries the time remaining until its deadline, from which a
  * pause of this process is subtracted. For one check interval after a pause,
  * calls that have not waited lose this time too.
  */
-static void deliver_message(const connection_t *connection,
+static void deliver_message(connection_t *connection,
 			    const peer_message_t *message)
 {
 	const peer_link_events_t *events = &connection->owner->events;
 	peer_message_t adjusted = *message;
 
-	if (message->kind == PEER_FORWARD_CALL)
-		adjusted.u.call.remaining -= recent_pause(connection->owner);
+	if (message->kind != PEER_FORWARD_CALL) {
+		events->message(events->ctx, connection->id, message);
+		return;
+	}
+	adjusted.u.call.remaining -= recent_pause(connection->owner);
+	adjusted.u.call.body = hold_body(connection, message->u.call.body);
+	if (!adjusted.u.call.body)
+		return;
 	events->message(events->ctx, connection->id, &adjusted);
+	g_bytes_unref(adjusted.u.call.body);
 }
 
 static void on_message(void *ctx, const peer_message_t *message)
@@ -382,6 +435,7 @@
 {
 	GByteArray *received = connection->received;
 	delivery_t delivery = { .connection = connection };
+	gboolean was_large = FALSE;
 	guint offset = 0;
 	guint32 size;
 
@@ -397,16 +451,18 @@
 			break;
 		}
 		offset += LENGTH_BYTES;
+		/* Its room goes to the body that is decoded from it. */
+		was_large |= release_message(connection);
 		if (!peer_codec_decode(received->data + offset, size,
 				       on_message, &delivery) ||
-		    delivery.protocol_error)
+		    delivery.protocol_error || connection->refused)
 			return FALSE;
 		offset += size;
 	}
-	if (offset) {
+	if (offset)
 		g_byte_array_remove_range(received, 0, offset);
-		release_received(connection);
-	}
+	if (was_large)
+		shrink_received(connection);
 	return TRUE;
 }
 
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -33,6 +33,10 @@
 	gboolean closing;
 	body_budget_t budget; /* in use after set_body_budget() */
 	guint bodies_refused;
+	guint replaced, refused; /* connections */
+	GTimeSpan idle_timeout;
+	GTimeSpan clock_offset; /* ahead of the system's clock */
+	catk_clock_t clock;
 } fixture_t;
 
 static void on_request(void *ctx, http_exchange_t *exchange)
@@ -50,10 +54,9 @@
 
 static schema_request_limits_t idle_limit(void *ctx)
 {
-	(void)ctx;
-	return (schema_request_limits_t){
-		.idle_timeout = IDLE_TIMEOUT_MS * G_TIME_SPAN_MILLISECOND
-	};
+	const fixture_t *f = ctx;
+
+	return (schema_request_limits_t){ .idle_timeout = f->idle_timeout };
 }
 
 static gboolean is_closing(void *ctx)
@@ -77,6 +80,23 @@
 	http_server_set_body_budget(f->server, &f->budget);
 }
 
+static void on_connection_limited(void *ctx, gboolean replaced)
+{
+	fixture_t *f = ctx;
+
+	if (replaced)
+		f->replaced++;
+	else
+		f->refused++;
+}
+
+static GTimeSpan offset_now(void *ctx)
+{
+	const fixture_t *f = ctx;
+
+	return catk_clock_now(&system_clock) + f->clock_offset;
+}
+
 static GSocket *connect_client(void)
 {
 	GSocketAddress *address = g_inet_socket_address_new_from_string(
@@ -99,11 +119,17 @@
 					.limits = idle_limit,
 					.closing = is_closing,
 					.body_refused = on_body_refused,
+					.connection_limited =
+						on_connection_limited,
+					.sends_continue = TRUE,
+					.refusal_headers = "X-Refusal: 1\r\n",
 					.ctx = f };
 	gchar *address =
 		g_strdup_printf("127.0.0.1:%u", test_port(SERVER_PORT));
 
-	f->server = http_server_new(address, &events, &system_clock, NULL);
+	f->idle_timeout = IDLE_TIMEOUT_MS * G_TIME_SPAN_MILLISECOND;
+	f->clock = (catk_clock_t){ .now = offset_now, .ctx = f };
+	f->server = http_server_new(address, &events, &f->clock, NULL);
 	assert_non_null(f->server);
 	g_free(address);
 	f->client = connect_client();
@@ -401,6 +427,94 @@
 	assert_int_equal(body_budget_used(&f->budget), 0);
 }
 
+/*
+ * Fails if connections exceed their limit, or if one with a request in progress
+ * gives way.
+ */
+static void connection_at_the_limit_replaces_an_idle_one(void **state)
+{
+	fixture_t *f = *state;
+	GSocket *idle = connect_client();
+	GSocket *third, *fourth;
+
+	f->idle_timeout = 0;
+	http_server_set_connections_max(f->server, 2);
+	send_text(f, REQUEST);
+	run_loop_for(50);
+	assert_int_equal(f->requests, 1);
+	/* Both have made progress just now. */
+	third = connect_client();
+	run_loop_for(50);
+	assert_int_equal(f->refused, 1);
+	assert_int_equal(http_server_connection_count(f->server), 2);
+	f->clock_offset = 2 * G_TIME_SPAN_SECOND;
+	fourth = connect_client();
+	run_loop_for(50);
+	assert_int_equal(f->replaced, 1);
+	assert_int_equal(http_server_connection_count(f->server), 2);
+	reply_with(f, 0, 1);
+	assert_status(f->client, "HTTP/1.1 200 ");
+	g_object_unref(idle);
+	g_object_unref(third);
+	g_object_unref(fourth);
+}
+
+/* Fails if a client that sends single bytes holds its room for good. */
+static void body_below_the_least_rate_ends(void **state)
+{
+	fixture_t *f = *state;
+
+	f->idle_timeout = 0;
+	set_body_budget(f, 1000000);
+	send_text(f, "PUT / HTTP/1.1\r\nHost: a\r\n"
+		     "Content-Length: 700000\r\n\r\nx");
+	run_loop_for(50);
+	f->clock_offset = 29 * G_TIME_SPAN_SECOND;
+	send_text(f, "x");
+	run_loop_for(TIMEOUT_CHECK_MS);
+	assert_int_equal(body_budget_used(&f->budget), 700000);
+	f->clock_offset = 31 * G_TIME_SPAN_SECOND;
+	send_text(f, "x");
+	run_loop_for(TIMEOUT_CHECK_MS);
+	assert_status(f->client, "HTTP/1.1 408 Request Timeout\r\n"
+				 "X-Refusal: 1\r\n");
+	assert_int_equal(f->requests, 0);
+}
+
+/* Fails if headers that a crowd sends are not part of the budget. */
+static void headers_of_unusual_size_are_held(void **state)
+{
+	char *value = g_strnfill(20000, 'x');
+	fixture_t *f = *state;
+
+	set_body_budget(f, 1000000);
+	send_text(f, "PUT / HTTP/1.1\r\nHost: a\r\nA: ");
+	send_text(f, value);
+	send_text(f, "\r\n");
+	run_loop_for(50);
+	assert_in_range(body_budget_used(&f->budget), 15904, 20000);
+	send_text(f, "\r\n");
+	run_loop_for(50);
+	assert_int_equal(f->requests, 1);
+	reply_with(f, 0, 1);
+	assert_int_equal(body_budget_used(&f->budget), 0);
+	g_free(value);
+}
+
+/* Fails if a client that waits for leave to send its body waits for good. */
+static void expectation_to_continue_is_answered(void **state)
+{
+	fixture_t *f = *state;
+
+	send_text(f, "PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n"
+		     "Expect: 100-continue\r\n\r\n");
+	run_loop_for(50);
+	assert_status(f->client, "HTTP/1.1 100 Continue\r\n\r\n");
+	send_text(f, "x");
+	run_loop_for(50);
+	assert_int_equal(f->requests, 1);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
@@ -417,6 +531,10 @@
 		TEST(slow_reader_gets_the_whole_last_response),
 		TEST(requests_in_progress_are_answered_before_a_close),
 		TEST(body_without_room_is_refused_at_its_head),
+		TEST(connection_at_the_limit_replaces_an_idle_one),
+		TEST(body_below_the_least_rate_ends),
+		TEST(headers_of_unusual_size_are_held),
+		TEST(expectation_to_continue_is_answered),
 		TEST(chunked_body_is_held_as_it_grows),
 		TEST(body_without_progress_times_out),
 	};
