Test the largest single request that has room

A request of 40 MB with an answer of that size must be served on an instance with memory_max_mb 112, announced and chunked, within that memory.

--- a/tests/test_overload_clients.c
+++ b/tests/test_overload_clients.c
@@ -29,6 +29,10 @@
 #define DESCRIPTORS_BOUND (DESCRIPTORS_MAX * 7 / 8)
 #define BODY_BYTES_MAX ((gsize)4 << 20)
 #define BLOCK_BYTES 65536 /* sent at a time */
+/* A single request on an instance with 112 MB, whose bodies have 44.8 MB. */
+#define LARGEST_BYTES_MAX ((gsize)40 << 20)
+#define LARGEST_BYTES (LARGEST_BYTES_MAX - (gsize)2 * BLOCK_BYTES)
+#define LARGEST_TIMEOUT_S 20 /* also of its route */
 #define CLIENTS_MAX 400
 #define COMPLETE_EACH 4 /* every fourth request is sent to its end */
 /* A client that cannot send for longer ends; in microseconds. */
@@ -55,6 +59,7 @@
 } listener_t;
 
 static const listener_t proxy = { PROXY_PORT, "PUT /once/a", "/safe/a" };
+static const listener_t large_proxy = { PROXY_PORT, "PUT /large/a", "/safe/a" };
 static const listener_t callers = { CALLER_PORT, "POST /v1/call/s/m",
 				    "/v1/resolve" };
 static const listener_t operators = { CALLER_PORT,
@@ -149,6 +154,8 @@
 typedef struct {
 	const listener_t *listener; /* NULL for all in turn */
 	const crowd_kind_t *kinds; /* ends with one without a name */
+	gsize body_bytes_max; /* 0: BODY_BYTES_MAX */
+	guint memory_max_mb; /* 0: MEMORY_MAX_MB */
 } case_t;
 
 typedef struct {
@@ -170,10 +177,10 @@
 	reply_clear(&reply);
 }
 
-#define ROUTE(name, prefix, type)                                        \
+#define ROUTE(name, prefix, type, timeout_ms)                            \
 	"{\"entry_kind\":\"routes\",\"metadata\":{\"name\":\"" name      \
 	"\"},\"spec\":{\"host\":\"a.example\",\"path_prefix\":\"" prefix \
-	"\",\"route_type\":\"" type "\",\"timeout_ms\":2000,"            \
+	"\",\"route_type\":\"" type "\",\"timeout_ms\":" timeout_ms ","  \
 	"\"target_latency_ms\":1000,\"priority\":1,\"max_attempts\":2,"  \
 	"\"service\":\"s\"}},"
 
@@ -185,7 +192,7 @@
 	"\"max_header_bytes\":4000,\"max_body_bytes\":%zu,"     \
 	"\"header_timeout_ms\":500,\"idle_timeout_ms\":4000}}"
 
-static void fill_store(void)
+static void fill_store(const fixture_t *f)
 {
 	gchar *body = g_strdup_printf(
 		"{\"service\":\"s\",\"address\":\"127.0.0.1:%u\","
@@ -196,11 +203,13 @@
 
 	put_object("/-/objects/servers/i-0", body);
 	g_free(body);
-	body = g_strdup_printf("{\"version\":\"r7\",\"resources\":[" ROUTE(
-				       "safe", "/safe/", "safe")
-				       ROUTE("once", "/once/", "unsafe")
-					       SERVICE LIMITS "]}",
-			       BODY_BYTES_MAX);
+	body = g_strdup_printf(
+		"{\"version\":\"r7\",\"resources\":[" ROUTE("safe", "/safe/",
+							    "safe", "2000")
+			ROUTE("once", "/once/", "unsafe", "2000")
+				ROUTE("large", "/large/", "unsafe", "20000")
+					SERVICE LIMITS "]}",
+		f->test.body_bytes_max);
 	put_object("/-/objects/config/main", body);
 	g_free(body);
 }
@@ -218,11 +227,11 @@
 		"\"ready_address\":\"127.0.0.1:%u\","
 		"\"metadata_store\":\"127.0.0.1:%u\","
 		"\"routing\":\"expected_latency\",\"entries_max\":1,"
-		"\"body_bytes_max\":%zu,\"memory_max_mb\":%d}",
+		"\"body_bytes_max\":%zu,\"memory_max_mb\":%u}",
 		test_port(CALLER_PORT), test_port(PEER_PORT),
 		test_port(PROXY_PORT), test_port(DIRECTORY_PORT),
-		test_port(READY_PORT), test_port(STORE_PORT), BODY_BYTES_MAX,
-		MEMORY_MAX_MB);
+		test_port(READY_PORT), test_port(STORE_PORT),
+		f->test.body_bytes_max, f->test.memory_max_mb);
 	struct rlimit own, lowered;
 
 	assert_int_equal(getrlimit(RLIMIT_NOFILE, &own), 0);
@@ -402,6 +411,10 @@
 	guint i;
 
 	f->test = *(const case_t *)*state;
+	if (!f->test.body_bytes_max)
+		f->test.body_bytes_max = BODY_BYTES_MAX;
+	if (!f->test.memory_max_mb)
+		f->test.memory_max_mb = MEMORY_MAX_MB;
 	for (i = 0; i < CLIENTS_MAX; i++)
 		f->clients[i] = -1;
 	f->store = process_start("fake_store", "--port", port, NULL);
@@ -411,7 +424,7 @@
 				    "i-0", NULL);
 	g_free(port);
 	assert_true(wait_until(is_store_ready, f, START_TIMEOUT_MS));
-	fill_store();
+	fill_store(f);
 	start_daemon(f);
 	assert_true(wait_until(is_request_served, f, START_TIMEOUT_MS));
 	assert_true(wait_until(is_listener_answered, f, START_TIMEOUT_MS));
@@ -562,8 +575,8 @@
 	const char *end = kind->framing == FRAMED_BY_LENGTH ? "x" : "0\r\n\r\n";
 	guint i;
 
-	if (kind->announced || kind->bytes > BODY_BYTES_MAX || kind->line ||
-	    !kind->bytes)
+	if (kind->announced || kind->bytes > f->test.body_bytes_max ||
+	    kind->line || !kind->bytes)
 		return;
 	for (i = 0; i < kind->clients; i += COMPLETE_EACH)
 		send_block(f, i, end, strlen(end));
@@ -627,21 +640,78 @@
 	}
 }
 
-#define TEST(listener, kinds)                                            \
-	{                                                                \
-#listener "_" #kinds, survives_crowd, set_up, tear_down, \
-			&(case_t)                                        \
-		{                                                        \
-			&listener, kinds                                 \
-		}                                                        \
+/* The endpoint's answer has the body of the request. */
+static const crowd_kind_t largest[] = {
+	{ .name = "largest, announced", .clients = 1, .bytes = LARGEST_BYTES },
+	{ .name = "largest, chunked",
+	  .framing = FRAMED_BY_CHUNKS,
+	  .clients = 1,
+	  .bytes = LARGEST_BYTES,
+	  .chunk = BLOCK_BYTES },
+	{ 0 }
+};
+
+/* Reads an answer to its end; returns its size, 0 if its status is not 200. */
+static gsize read_whole_answer(int fd)
+{
+	static const char expected[] = "HTTP/1.1 200 ";
+	const struct timeval timeout = { .tv_sec = LARGEST_TIMEOUT_S };
+	char *data = g_malloc(BLOCK_BYTES);
+	gsize size = 0;
+	ssize_t count;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+	while (size < LARGEST_BYTES) {
+		count = recv(fd, data, BLOCK_BYTES, 0);
+		if (count <= 0 ||
+		    (!size && ((gsize)count < sizeof(expected) ||
+			       memcmp(data, expected, sizeof(expected) - 1))))
+			break;
+		size += (gsize)count;
+	}
+	g_free(data);
+	return size;
+}
+
+/*
+ * Fails if a single request that has room in the budget is not served, or takes
+ * more memory with its answer than the instance has.
+ */
+static void serves_largest_request(void **state)
+{
+	const struct timeval timeout = { .tv_sec = LARGEST_TIMEOUT_S };
+	fixture_t *f = *state;
+	const crowd_kind_t *kind;
+	gsize size, peak_kb;
+
+	for (kind = f->test.kinds; kind->name; kind++) {
+		start_clients(f, kind);
+		setsockopt(f->clients[0], SOL_SOCKET, SO_SNDTIMEO, &timeout,
+			   sizeof(timeout));
+		send_bodies(f, kind);
+		complete_some(f, kind);
+		size = read_whole_answer(f->clients[0]);
+		if (size < LARGEST_BYTES)
+			fail_msg("%s: %zu bytes were answered", kind->name,
+				 size);
+		end_crowd(f);
+		peak_kb = memory_kb(f, "VmHWM:");
+		print_message("%s: at most %zu kB\n", kind->name, peak_kb);
+		assert_true(peak_kb <= (gsize)f->test.memory_max_mb * 1024);
+	}
+}
+
+#define CASE(...) (&(case_t){ __VA_ARGS__ })
+#define TEST(on, with)                                            \
+	{                                                         \
+#on "_" #with, survives_crowd, set_up, tear_down, \
+			CASE(.listener = &(on), .kinds = (with))  \
 	}
 /* All listeners at once: what bounds each alone need not bound them together. */
-#define ALL_TEST(kinds)                                                     \
-	{                                                                   \
-		"all_" #kinds, survives_crowd, set_up, tear_down, &(case_t) \
-		{                                                           \
-			NULL, kinds                                         \
-		}                                                           \
+#define ALL_TEST(with)                                           \
+	{                                                        \
+		"all_" #with, survives_crowd, set_up, tear_down, \
+			CASE(.kinds = (with))                    \
 	}
 #define HTTP_TESTS(listener)                             \
 	TEST(listener, bodies), TEST(listener, chunked), \
@@ -664,6 +734,10 @@
 		TEST(peers, idle),
 		ALL_TEST(bodies),
 		ALL_TEST(idle),
+		{ "proxy_largest", serves_largest_request, set_up, tear_down,
+		  CASE(.listener = &large_proxy, .kinds = largest,
+		       .body_bytes_max = LARGEST_BYTES_MAX,
+		       .memory_max_mb = 112) },
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
