Bound incomplete answers by the memory of the instance

Cause: incomplete answers of endpoints had 24 MiB together on every instance, which beside the bodies of requests is more than an instance with 64 MB has.

Change: they have at most half of the budget of bodies: 12.8 MB with memory_max_mb 64, 22.4 MB with 112; from 120 MB on 24 MiB as before. A single answer within its limit still has room. A test compares the result of memcmp().

--- a/net/proxy.c
+++ b/net/proxy.c
@@ -19,10 +19,11 @@
 #define REUSE_IDLE_MAX_NON_IDEMPOTENT (1 * G_TIME_SPAN_SECOND)
 
 /*
- * All incomplete responses together. With the copies made at their end they take
- * less than half of an instance with 160 MB.
+ * All incomplete responses together, at most half of what the bodies of requests
+ * may take. Their memory grows by an eighth beyond this and is not copied at
+ * their end.
  */
-#define RESPONSES_BYTES_MAX (24 << 20)
+#define RESPONSES_BYTES_MAX ((gsize)24 << 20)
 
 /* An attempt or probe in flight to an endpoint. */
 typedef struct outgoing_request {
@@ -304,8 +305,10 @@
 	proxy->exchanges = g_hash_table_new(NULL, NULL);
 	proxy->client =
 		http_client_new(&client_events, &response_limits, clock);
-	http_client_set_kept_bytes_max(proxy->client, MAX(RESPONSES_BYTES_MAX,
-							  response_bytes_max));
+	http_client_set_kept_bytes_max(
+		proxy->client,
+		MAX(MIN(RESPONSES_BYTES_MAX, listener->bodies->max / 2),
+		    response_bytes_max));
 	proxy->server = http_server_new(address, &server_events, clock, err);
 	if (!proxy->server) {
 		proxy_free(proxy);
--- a/tests/test_overload_clients.c
+++ b/tests/test_overload_clients.c
@@ -664,8 +664,9 @@
 	while (size < LARGEST_BYTES) {
 		count = recv(fd, data, BLOCK_BYTES, 0);
 		if (count <= 0 ||
-		    (!size && ((gsize)count < sizeof(expected) ||
-			       memcmp(data, expected, sizeof(expected) - 1))))
+		    (!size &&
+		     ((gsize)count < sizeof(expected) ||
+		      memcmp(data, expected, sizeof(expected) - 1) != 0)))
 			break;
 		size += (gsize)count;
 	}
