Empty the buckets of an owner that regains contact

An owner that had been cut off kept its tokens, and used them with those that its successor had granted: 105% of the bound with one instance cut off and six organisations at 12 times their usual load. Its buckets now hold the burst by its share of the fleet at most, and start again when it regains contact.

Owners that do not answer are no longer pinged at once: new owners then start before the old ones notice a partition, 104% with half of the fleet cut off.

--- a/lib/entry/entry_calls.c
+++ b/lib/entry/entry_calls.c
@@ -94,18 +94,6 @@
 	entry_reply_to_peer(ctx, connection, &message);
 }
 
-static void on_owner_unanswered(void *ctx, const char *address)
-{
-	entry_t *entry = ctx;
-	const member_t *member = membership_first(entry->membership);
-
-	while (member && strcmp(member->peer_address, address) != 0)
-		member = membership_next(member);
-	if (member)
-		membership_ping_now(entry->membership, member->name,
-				    entry_now(entry));
-}
-
 void entry_quota_init(entry_t *entry)
 {
 	const quota_options_t options = {
@@ -117,7 +105,6 @@
 	const quota_actions_t actions = {
 		.send_ask = on_send_ask,
 		.send_answer = on_send_grants,
-		.unanswered = on_owner_unanswered,
 		.decided = on_credit_decided,
 		.log = &entry->actions.log,
 		.ctx = entry,
--- a/lib/quota/quota.c
+++ b/lib/quota/quota.c
@@ -210,6 +210,19 @@
 	return share;
 }
 
+/*
+ * While this instance was out of contact with most of the fleet, others may have
+ * taken over its shards: it starts again as if it took them over.
+ */
+static void check_contact(quota_t *quota, GTimeSpan now)
+{
+	gboolean out = quota->share < 0.5;
+
+	if (quota->out_of_contact && !out)
+		quota_owner_reset(quota, now);
+	quota->out_of_contact = out;
+}
+
 void quota_end_members(quota_t *quota, guint worst, GTimeSpan now)
 {
 	guint64 hash = members_hash(quota);
@@ -219,6 +232,7 @@
 	quota->worst = MAX(worst, MAX(quota->live, 1));
 	share = lowest_share(quota, (double)quota->live / quota->worst, now);
 	quota->share = MIN(share, contact_share(quota, now));
+	check_contact(quota, now);
 	if (hash == quota->members_hash && now < quota->next_update)
 		return;
 	quota->members_hash = hash;
--- a/lib/quota/quota.h
+++ b/lib/quota/quota.h
@@ -93,11 +93,6 @@
 	/* Answers on the connection of a request. Valid during the call. */
 	void (*send_answer)(void *ctx, guint64 connection,
 			    const quota_answer_t *answer);
-	/*
-	 * The owner at that address did not answer: whether it still runs is to
-	 * be found out soon. May be NULL.
-	 */
-	void (*unanswered)(void *ctx, const char *address);
 	/*
 	 * A waiting item was decided. result is not QUOTA_WAITING. May call
 	 * any function of the quota except quota_free().
--- a/lib/quota/quota_holder.c
+++ b/lib/quota/quota_holder.c
@@ -255,15 +255,11 @@
 }
 
 /* The next request goes to another shard, which may have another owner. */
-static void give_up_ask(quota_t *quota, quota_limit_t *limit,
-			GTimeSpan next_ask)
+static void give_up_ask(quota_limit_t *limit, GTimeSpan next_ask)
 {
 	limit->asked_at = 0;
 	limit->next_ask = next_ask;
 	next_shard(limit);
-	if (quota->actions.unanswered)
-		quota->actions.unanswered(quota->actions.ctx,
-					  limit->asked_address);
 }
 
 void quota_holder_expire(quota_t *quota, quota_limit_t *limit, GTimeSpan now)
@@ -273,7 +269,7 @@
 	limit->items++;
 	serve_waiting(quota, limit, now);
 	if (limit->asked_at && now >= limit->asked_at + QUOTA_WAIT_MAX)
-		give_up_ask(quota, limit, now + QUOTA_ASK_PAUSE_MAX);
+		give_up_ask(limit, now + QUOTA_ASK_PAUSE_MAX);
 	while ((item = TAILQ_FIRST(&limit->waiting)) &&
 	       now >= item->wait_until) {
 		if (limit->tries)
@@ -374,7 +370,7 @@
 		if (!limit->asked_at ||
 		    strcmp(limit->asked_address, address) != 0)
 			continue;
-		give_up_ask(quota, limit, now + QUOTA_ASK_PAUSE_MIN);
+		give_up_ask(limit, now + QUOTA_ASK_PAUSE_MIN);
 		if (limit->waiting_count)
 			schedule_ask(quota, limit);
 	}
--- a/lib/quota/quota_internal.h
+++ b/lib/quota/quota_internal.h
@@ -114,6 +114,7 @@
 	double shares[QUOTA_SHARE_SLOTS];
 	gint64 share_slot;
 	double share; /* by which buckets are filled */
+	gboolean out_of_contact; /* with most of the fleet */
 	gboolean filled_first; /* the buckets of a first start */
 	guint64 members_hash; /* changes with the owners */
 	guint contacts[QUOTA_CONTACT_SLOTS];
--- a/lib/quota/quota_owner.c
+++ b/lib/quota/quota_owner.c
@@ -102,6 +102,13 @@
 	return limit->rate / limit->shard_count * quota->share;
 }
 
+/* Another part of the fleet may have an owner with the rest. */
+static double capacity_in_contact(const quota_t *quota,
+				  const quota_limit_t *limit)
+{
+	return MAX(capacity(limit) * quota->share, 1);
+}
+
 static void forget_old_grants(quota_bucket_t *bucket, GTimeSpan now)
 {
 	gint64 slot = now / QUOTA_SLOT_TIME;
@@ -125,7 +132,7 @@
 	seconds = (double)(now - from) / G_TIME_SPAN_SECOND;
 	bucket->filled_at = now;
 	bucket->level = MIN(bucket->level + seconds * fill_rate(quota, limit),
-			    capacity(limit));
+			    capacity_in_contact(quota, limit));
 	bucket->backlog =
 		MAX(bucket->backlog - seconds * fill_rate(quota, limit), 0);
 	bucket->refunds = MIN(bucket->refunds + seconds * refunds_max *
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -187,9 +187,10 @@
 static void start_as_owner(fixture_t *f)
 {
 	f->worst = 2;
+	f->with_peer = TRUE;
 	start(f, TRUE);
 	run_for(f, 3 * SECOND);
-	assert_int_equal(f->ask_count, 0);
+	assert_true(f->request.claim);
 }
 
 /* The owner of the limit is "b", by the hash of its name. */
@@ -414,6 +415,25 @@
 	assert_int_equal(take(f, new_item(f)), QUOTA_ADMITTED);
 }
 
+/*
+ * Fails if an owner that was cut off grants tokens from before: others have
+ * taken over and granted theirs.
+ */
+static void returning_owner_starts_empty(void **state)
+{
+	fixture_t *f = *state;
+
+	start_as_owner(f);
+	f->contact = FALSE;
+	run_for(f, 4 * SECOND);
+	receive_ask(f, 5, FALSE);
+	assert_in_range(f->grant.granted, 0, 1);
+	f->contact = TRUE;
+	run_for(f, SECOND);
+	receive_ask(f, 5, FALSE);
+	assert_int_equal(f->grant.granted, 0);
+}
+
 int main(void)
 {
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
@@ -426,6 +446,7 @@
 		TEST(closed_connection_repeats_the_request),
 		TEST(new_owner_starts_empty),
 		TEST(isolated_owner_stops),
+		TEST(returning_owner_starts_empty),
 		TEST(paused_owner_starts_empty),
 		TEST(claimed_bucket_is_handed_over),
 		TEST(lowered_limit_is_binding),
