Shorten waits by the share instead of crossing at once

Calls that left at once probed two remote endpoints each on arrival and so used up the probes: the larger the share, up to a point, the fewer calls were in time.

--- a/lib/spillover/spillover.c
+++ b/lib/spillover/spillover.c
@@ -13,7 +13,12 @@
 /* Bounds of the change of the share per second. */
 #define SHARE_RISE_PER_SECOND 0.5
 #define SHARE_FALL_PER_SECOND 0.25
-/* The rest waits at home, as the wait is known only from calls that do. */
+/*
+ * Calls in the share wait for this part of the wait that the price requires.
+ * Without any wait they would use up the probes of remote endpoints.
+ */
+#define SHORT_WAIT_FACTOR 0.5
+/* The rest waits longer, as the wait is known only from calls that do. */
 #define SHARE_MAX 0.9
 /* Factor to the share when a remote endpoint refuses or loses a call. */
 #define REFUSAL_FACTOR 0.5
@@ -136,11 +141,11 @@
 {
 	double wait;
 
-	if (g_rand_double(spillover->options.random) < spillover->share)
-		return 0;
 	wait = (price(spillover) + spillover_remote_miss(spillover, now)) *
 		       (double)wait_max +
 	       added_latency(spillover);
+	if (g_rand_double(spillover->options.random) < spillover->share)
+		wait *= SHORT_WAIT_FACTOR;
 	return wait < (double)wait_max ? (GTimeSpan)wait : CATK_NEVER;
 }
 
@@ -149,8 +154,6 @@
 {
 	double sample = 1;
 
-	if (call->remote && call->left_at_once)
-		return;
 	if (!call->remote && !call->refused && call->wait_max > 0)
 		sample = MIN((double)call->wait / (double)call->wait_max, 1);
 	if (sample < 1 && call->wait <= AT_ONCE_MAX)
--- a/lib/spillover/spillover.h
+++ b/lib/spillover/spillover.h
@@ -5,9 +5,9 @@
  * latency objective at home exceeds that elsewhere by more than the price of a
  * crossing, as a share of the value of its answer.
  *
- * A share of the calls that find no local endpoint at once leaves without a
- * wait; the others do so when their own wait alone makes a crossing worth its
- * price. Endpoints in this data centre are always preferred by the routing.
+ * A call that finds no local endpoint may leave when its own wait makes a
+ * crossing worth its price, a share of these calls after half of that wait.
+ * Endpoints in this data centre are always preferred by the routing.
  */
 #ifndef CATK_SPILLOVER_H
 #define CATK_SPILLOVER_H
@@ -39,8 +39,6 @@
 	GTimeSpan wait_max; /* with which it can meet its objective */
 	gboolean remote; /* sent to another data centre */
 	gboolean refused; /* not sent */
-	/* By spillover_wait(): it could leave at once, so it did not wait. */
-	gboolean left_at_once;
 } spillover_call_t;
 
 /* Creates it with a share of 0. Free with spillover_free(). */
@@ -51,8 +49,7 @@
 
 /*
  * Time for which a call waits for a local endpoint before it may be sent to
- * another data centre: 0 if it may leave at once, CATK_NEVER if it may not
- * leave. wait_max is as in spillover_call_t.
+ * another data centre, CATK_NEVER if it may not leave. wait_max is as in spillover_call_t.
  */
 GTimeSpan spillover_wait(spillover_t *spillover, GTimeSpan wait_max,
 			 GTimeSpan now);
@@ -72,7 +69,7 @@
 /* Adapts the share when a decision is due. Call it about every 50 ms. */
 void spillover_tick(spillover_t *spillover, GTimeSpan now);
 
-/* Share of the calls without a local endpoint that leave at once, 0 to 1. */
+/* Share of the calls that may leave after half of the wait, 0 to 1. */
 double spillover_share(const spillover_t *spillover);
 
 /* Probability that a call that waits at home misses its objective, 0 to 1. */
