--- a/lib/spillover/spillover.c
+++ b/lib/spillover/spillover.c
@@ -178,7 +178,7 @@
 			   PROBE_WEIGHT, now);
 }
 
-/* The first change after an interval without one is logged at once. */
+/* A change that comes too early is logged by a later call. */
 static void log_share(spillover_t *spillover, GTimeSpan now)
 {
 	double change = fabs(spillover->share - spillover->logged_share);
