Count and offer a routed call once

Cause, found in review: a merge left the count of a received request and the match of its route in two places, so that calls_received was doubled. A call whose token of a rate limit lapsed in the queue was offered to the queue again as new: its organisation's share counted it twice and could refuse it.

Change: one count; a call that was offered once is queued again ahead of others.

--- a/lib/call/call.h
+++ b/lib/call/call.h
@@ -84,6 +84,7 @@
 	gboolean may_have_run; /* an attempt ended without proof of not_run */
 	char last_endpoint[UPSTREAM_ID_MAX + 1]; /* id */
 	char *log_name; /* identifies the request in logs */
+	gboolean offered; /* to the queue of its service, which has counted it */
 	gboolean routed; /* matched a route: forwarded without translation */
 	GTimeSpan objective; /* instant, 0 for none */
 	GTimeSpan ready; /* instant at which its first placing began */
--- a/lib/entry/entry_calls.c
+++ b/lib/entry/entry_calls.c
@@ -268,10 +268,6 @@
 	GTimeSpan remaining;
 	catk_error_t error;
 
-	count_received(entry);
-	if (schema)
-		route = schema_match_route(schema, request->host,
-					   request->path);
 	if (route &&
 	    !entry_check_key(entry, request->credential, !route->is_public,
 			     &attributes.organisation, &error)) {
--- a/lib/entry/entry_measure.c
+++ b/lib/entry/entry_measure.c
@@ -260,7 +260,8 @@
 /* Queues a call, new or to be retried, and starts it if there is capacity. */
 static void queue_call(entry_t *entry, entry_service_t *service, call_t *call)
 {
-	if (!call->attempts_started) {
+	if (!call->offered) {
+		call->offered = TRUE;
 		enqueue_new_call(entry, service, call);
 		return;
 	}
--- a/tests/test_routed_calls.c
+++ b/tests/test_routed_calls.c
@@ -1211,6 +1211,22 @@
 	assert_string_equal(f->organisation, "other");
 }
 
+/* Fails if a request is counted more than once, also one that waited at first. */
+static void request_is_counted_once(void **state)
+{
+	GBytes *document = g_bytes_new_static("{}", 2);
+	fixture_t *f = *state;
+
+	send_request(f, 1, "/safe/");
+	assert_int_equal(f->counters.value[COUNTER_CALLS_RECEIVED], 1);
+	entry_free(f->entry);
+	f->entry = new_entry(f);
+	send_request(f, 2, "/safe/");
+	entry_activate_config(f->entry, 1, new_schema(), document);
+	assert_int_equal(f->counters.value[COUNTER_CALLS_RECEIVED], 2);
+	g_bytes_unref(document);
+}
+
 /* Fails if headers of organisations are changed where there are none. */
 static void no_key_is_needed_without_organisations(void **state)
 {
@@ -1461,6 +1477,7 @@
 	const struct CMUnitTest tests[] = {
 		TEST(evacuated_data_centre_gets_no_request),
 		TEST(retry_leaves_an_evacuated_data_centre),
+		TEST(request_is_counted_once),
 		TEST(request_needs_a_key),
 		TEST(public_route_needs_no_key),
 		TEST(withdrawn_key_ends_a_queued_request),
