quota: accept the level of a bucket only if it was asked for

Cause, found in review: an answer to a claim that arrived after a pause of the process restored the level from before it, although another owner may exist by then; one that nobody asked for was accepted, too.

Change: a claim is forgotten when buckets are reset, and an answer without a claim is ignored. Result: test_quota passes; no test plays the late answer yet.

--- a/lib/quota/quota_owner.c
+++ b/lib/quota/quota_owner.c
@@ -304,6 +304,7 @@
 			if (!bucket)
 				continue;
 			bucket->level = 0;
+			bucket->claimed = FALSE;
 			bucket->filled_at = now;
 			bucket->start_at = start_of_filling(quota, now);
 		}
@@ -460,6 +461,9 @@
 	if (shard >= limit->shard_count || !limit->shards[shard].owned)
 		return;
 	bucket = limit->shards[shard].bucket;
+	/* Not asked for, or asked for before a pause of this process. */
+	if (!bucket->claimed)
+		return;
 	if (now >= bucket->start_at)
 		return;
 	fill(quota, limit, bucket, now);
