upstream: remove an endpoint from the index before its id changes

Cause, found in review: the index refers to the id in the endpoint's own data. After an id had moved from one field to another, the old key no longer matched and stayed, so that a later look-up read freed memory.

Change: remove, change, insert. Result: test_upstream passes; found by reading, no test reproduces it yet.

--- a/lib/upstream/upstream.c
+++ b/lib/upstream/upstream.c
@@ -374,10 +374,11 @@
 	}
 	endpoint->warmup_until =
 		info->warmup_remaining > 0 ? now + info->warmup_remaining : 0;
+	/* The index refers to the id in info, which may move to another field. */
+	g_hash_table_remove(upstream->by_id, endpoint_id(endpoint));
 	endpoint->info = *info;
-	/* The id may have moved from one field to another. */
-	g_hash_table_replace(upstream->by_id, (gpointer)endpoint_id(endpoint),
-			     endpoint);
+	g_hash_table_insert(upstream->by_id, (gpointer)endpoint_id(endpoint),
+			    endpoint);
 	apply_listed_warmup(upstream, endpoint, is_new, now);
 	endpoint->evacuated = is_evacuated(upstream, endpoint);
 	endpoint->listed = TRUE;
