net: bound unread responses, keep peers with running calls

Cause, found in review: a client that pipelined requests and read no response filled the memory, as only requests without a response stopped reading. Line ends between requests counted as progress, so that a connection could be held for good. A peer's connection could give way although calls that came on it were running. Pipelined requests beyond 32 waited at a priority that load starves, and did not count as work. After a stall only users' connections were checked for closed clients.

Change: no requests are read while more than 256 KiB of responses are unread; line ends are no progress; a connection with running forwarded calls does not give way; waiting input counts as work and is resumed at the priority of the sockets; the caller interface is checked after a stall, too.

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -8,6 +8,8 @@
 
 /* Concurrent requests of one connection; more than that wait in the input. */
 #define PIPELINE_MAX 32
+/* Responses that the client has not read, beyond which no requests are read. */
+#define UNREAD_BYTES_MAX 262144
 /* Connections accepted in one iteration of the main loop. */
 #define ACCEPTS_PER_ITERATION 32
 /* Time for the first bytes on a new connection, which a stop waits for. */
@@ -193,15 +195,31 @@
 		start_lingering(connection);
 }
 
+/* No further requests while the client does not read the responses. */
+static gboolean accepts_requests(const connection_t *connection)
+{
+	return connection->exchange_count < PIPELINE_MAX &&
+	       stream_bytes_buffered(connection->stream) <= UNREAD_BYTES_MAX;
+}
+
 static void update_reading(connection_t *connection)
 {
 	stream_set_reading(connection->stream,
-			   connection->closing ||
-				   connection->exchange_count < PIPELINE_MAX);
+			   connection->closing || accepts_requests(connection));
 }
 
 static gboolean on_resume(gpointer data);
 
+/* At the priority of the sockets, or constant load would delay it for good. */
+static void resume_parsing(connection_t *connection)
+{
+	http_server_t *server = connection->server;
+
+	if (connection->input->len && !server->resume_source)
+		server->resume_source = g_idle_add_full(
+			G_PRIORITY_DEFAULT, on_resume, server, NULL);
+}
+
 static void format_response(http_exchange_t *exchange, guint status,
 			    const char *headers, GBytes *body)
 {
@@ -242,9 +260,7 @@
 	if (connection->closed)
 		return;
 	write_ready_responses(connection);
-	if (connection->input->len && !connection->server->resume_source)
-		connection->server->resume_source =
-			g_idle_add(on_resume, connection->server);
+	resume_parsing(connection);
 	update_reading(connection);
 }
 
@@ -383,6 +399,12 @@
 	http_message_parser_set_limits(connection->parser, &bytes);
 }
 
+/* Line ends may precede a request (RFC 9112, section 2.2). */
+static gboolean is_line_end(char c)
+{
+	return c == '\r' || c == '\n';
+}
+
 /* Parses until the pipeline is full; returns the number of bytes consumed. */
 static gsize parse_requests(connection_t *connection, const char *data,
 			    gsize size)
@@ -393,8 +415,13 @@
 	gsize used;
 
 	while (consumed < size && !connection->closing && !connection->closed &&
-	       connection->exchange_count < PIPELINE_MAX) {
+	       accepts_requests(connection)) {
 		if (!http_message_parser_has_begun(connection->parser)) {
+			/* Not progress: a client could send them for good. */
+			if (is_line_end(data[consumed])) {
+				consumed++;
+				continue;
+			}
 			apply_limits(connection);
 			connection->timer_start = connection_now(connection);
 		}
@@ -463,7 +490,9 @@
 	connection_t *connection = ctx;
 
 	connection->unused = FALSE;
-	connection->last_received = connection_now(connection);
+	if (http_message_parser_has_begun(connection->parser) ||
+	    !is_line_end(data[0]))
+		connection->last_received = connection_now(connection);
 	if (connection->closing)
 		return;
 	g_byte_array_append(connection->input, (const guint8 *)data,
@@ -477,11 +506,22 @@
 	connection_close(ctx);
 }
 
+static void on_flushed(void *ctx)
+{
+	connection_t *connection = ctx;
+
+	if (connection->closed)
+		return;
+	resume_parsing(connection);
+	update_reading(connection);
+}
+
 static void accept_connection(http_server_t *server, GSocket *socket)
 {
 	connection_t *connection = g_new0(connection_t, 1);
 	stream_events_t events = {
 		.received = on_received,
+		.flushed = on_flushed,
 		.ended = on_ended,
 		.ctx = connection,
 	};
@@ -511,6 +551,7 @@
 static gboolean is_busy(const connection_t *connection)
 {
 	return connection->exchange_count || connection->lingering ||
+	       connection->input->len ||
 	       stream_bytes_buffered(connection->stream);
 }
 
--- a/net/http_service.c
+++ b/net/http_service.c
@@ -243,6 +243,14 @@
 			handler_free(service, entry);
 }
 
+void http_service_close_disconnected(http_service_t *service)
+{
+	const service_port_t *port;
+
+	TAILQ_FOREACH (port, &service->ports, link)
+		http_server_close_disconnected(port->server);
+}
+
 gboolean http_service_is_flushed(const http_service_t *service)
 {
 	const service_port_t *port;
--- a/net/http_service.h
+++ b/net/http_service.h
@@ -53,6 +53,9 @@
 /* Does nothing if no handler serves the path. */
 void http_service_remove_handler(http_service_t *service, const char *path);
 
+/* See http_server_close_disconnected(). */
+void http_service_close_disconnected(http_service_t *service);
+
 /* TRUE if every response has been passed to the kernel. */
 gboolean http_service_is_flushed(const http_service_t *service);
 
--- a/net/peer_link.c
+++ b/net/peer_link.c
@@ -69,6 +69,7 @@
 	GByteArray *writing; /* NULL if no write is in progress */
 	GTimeSpan ping_pending_since; /* 0 if no ping is unanswered */
 	guint pending_answers; /* to forwarded calls */
+	guint running_calls; /* forwarded by the peer, not answered yet */
 	GTimeSpan last_used;
 } connection_t;
 
@@ -370,6 +371,10 @@
 	}
 	if (message->kind == PEER_FORWARD_ANSWER && connection->pending_answers)
 		connection->pending_answers--;
+	if (message->kind == PEER_FORWARD_CALL)
+		connection->running_calls++;
+	if (message->kind == PEER_FORWARD_CANCEL && connection->running_calls)
+		connection->running_calls--;
 	if (connection->hello_done)
 		deliver_message(connection, message);
 	else
@@ -378,7 +383,7 @@
 
 static gboolean is_replaceable(const connection_t *connection, GTimeSpan now)
 {
-	return !connection->address[0] &&
+	return !connection->address[0] && !connection->running_calls &&
 	       now - connection->last_used >= REPLACE_IDLE_MIN;
 }
 
@@ -610,6 +615,9 @@
 
 	TAILQ_FOREACH (connection, &link->connections, link)
 		if (connection->id == id) {
+			if (message->kind == PEER_FORWARD_ANSWER &&
+			    connection->running_calls)
+				connection->running_calls--;
 			queue_message(connection, message);
 			return;
 		}
--- a/programs/daemon.c
+++ b/programs/daemon.c
@@ -174,6 +174,7 @@
 	(void)data;
 	if (daemon->proxy)
 		proxy_close_disconnected(daemon->proxy);
+	http_service_close_disconnected(daemon->service);
 	return G_SOURCE_CONTINUE;
 }
 
