--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -459,6 +459,49 @@
 	g_object_unref(fourth);
 }
 
+/*
+ * Fails if requests of a client that reads no responses are served on: unread
+ * responses would fill the memory.
+ */
+static void unread_responses_delay_further_requests(void **state)
+{
+	static char data[1 << 20];
+	guint turns = 0;
+	fixture_t *f = *state;
+
+	f->idle_timeout = 0;
+	send_text(f, REQUEST);
+	run_loop_for(50);
+	reply_with(f, 0, LARGE_BODY_BYTES);
+	send_text(f, REQUEST);
+	run_loop_for(100);
+	assert_int_equal(f->requests, 1);
+	while (f->requests < 2 && turns++ < 10000) {
+		g_socket_receive(f->client, data, sizeof(data), NULL, NULL);
+		run_loop_for(1);
+	}
+	assert_int_equal(f->requests, 2);
+	reply_with(f, 1, 1);
+}
+
+/* Fails if line ends between requests keep a connection from giving way. */
+static void line_ends_are_no_progress(void **state)
+{
+	fixture_t *f = *state;
+	GSocket *second;
+
+	f->idle_timeout = 0;
+	http_server_set_connections_max(f->server, 1);
+	run_loop_for(50);
+	f->clock_offset = 2 * G_TIME_SPAN_SECOND;
+	send_text(f, "\r\n");
+	run_loop_for(50);
+	second = connect_client();
+	run_loop_for(50);
+	assert_int_equal(f->replaced, 1);
+	g_object_unref(second);
+}
+
 /* Fails if a client that sends single bytes holds its room for good. */
 static void body_below_the_least_rate_ends(void **state)
 {
@@ -532,6 +575,8 @@
 		TEST(requests_in_progress_are_answered_before_a_close),
 		TEST(body_without_room_is_refused_at_its_head),
 		TEST(connection_at_the_limit_replaces_an_idle_one),
+		TEST(unread_responses_delay_further_requests),
+		TEST(line_ends_are_no_progress),
 		TEST(body_below_the_least_rate_ends),
 		TEST(headers_of_unusual_size_are_held),
 		TEST(expectation_to_continue_is_answered),
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -368,6 +368,26 @@
 	assert_true(f->grant.retry_after > 0);
 }
 
+/* Fails if an answer from before a pause, or unasked, restores a bucket. */
+static void late_level_does_not_restore_a_bucket(void **state)
+{
+	quota_grant_t released = { .kind = QUOTA_GRANT_RELEASED,
+				   .level = BURST };
+	const quota_answer_t answer = { .sent = 1,
+					.count = 1,
+					.grants = &released };
+	fixture_t *f = *state;
+
+	start_as_owner(f);
+	released.name = f->name;
+	f->now += 2 * SECOND;
+	receive_ask(f, 5, FALSE);
+	assert_int_equal(f->grant.granted, 0);
+	quota_receive_answer(f->quota, &answer, f->now);
+	receive_ask(f, 5, FALSE);
+	assert_int_equal(f->grant.granted, 0);
+}
+
 /* Fails if two instances own a limit after a handover. */
 static void claimed_bucket_is_handed_over(void **state)
 {
@@ -448,6 +468,7 @@
 		TEST(isolated_owner_stops),
 		TEST(returning_owner_starts_empty),
 		TEST(paused_owner_starts_empty),
+		TEST(late_level_does_not_restore_a_bucket),
 		TEST(claimed_bucket_is_handed_over),
 		TEST(lowered_limit_is_binding),
 		TEST(removed_limit_admits),
