--- a/lib/admission/startup_queue.h
+++ b/lib/admission/startup_queue.h
@@ -5,8 +5,7 @@
  * use up their retries in that time.
  *
  * Load that it answers: a whole fleet that returns from a loss of power, with
- * all callers of the outage waiting (wees-kingston-grown: 231 of 1,562 requests
- * of the first two seconds ended on such refusals).
+ * all callers of the outage waiting (docs/design/fleet-start.md).
  */
 #ifndef CATK_STARTUP_QUEUE_H
 #define CATK_STARTUP_QUEUE_H
